--- /dev/null
+++ b/Makefile
@@ -0,0 +1,52 @@
+# The two commands for a fresh machine are `make demo` and `make test`.
+BUILD ?= build
+SEED ?= 1
+STEPS ?= 1000000
+NAME ?= whole-path
+JOBS ?= $(shell nproc)
+
+.PHONY: all deps build test lint format demo experiment bench capacity soak fuzz clean
+
+all: build
+
+deps:
+	@tools/install_packages.sh
+
+build: deps
+	@cmake -S . -B $(BUILD) -G Ninja > $(BUILD)-configure.log 2>&1 || { cat $(BUILD)-configure.log; exit 1; }
+	@cmake --build $(BUILD) -j $(JOBS)
+
+# LINT=1 adds the formatter's and the linter's verdicts.
+test: build
+ifeq ($(LINT),1)
+	$(MAKE) lint BUILD=$(BUILD)
+endif
+	tools/run_tests.sh $(BUILD)
+
+lint:
+	tools/format.sh --check
+	BUILD=$(BUILD) tools/lint.sh
+
+format:
+	tools/format.sh
+
+demo: build
+	python3 tools/experiment.py whole-path --seed=$(SEED) --build=$(BUILD) --demo
+
+experiment: build
+	python3 tools/experiment.py $(NAME) --seed=$(SEED) --build=$(BUILD)
+
+bench: build
+	tools/run_bench.sh $(BUILD)
+
+capacity: build
+	$(BUILD)/counted_capacity --report
+
+soak: build
+	OLEANDER_SOAK_SEED=$(SEED) OLEANDER_SOAK_STEPS=$(STEPS) $(BUILD)/test_random --log_level=message
+
+fuzz: deps
+	tools/run_fuzz.sh
+
+clean:
+	rm -rf $(BUILD) $(BUILD)-configure.log
--- /dev/null
+++ b/include/oleander/types.h
@@ -0,0 +1,119 @@
+// The value types that every part shares: time, names and places.
+//
+// Parts never read a clock. Each call that needs the time takes a `Time`, a
+// point on the caller's monotonic clock with microsecond resolution.
+#ifndef OLEANDER_TYPES_H_
+#define OLEANDER_TYPES_H_
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <ostream>
+#include <string>
+#include <utility>
+
+namespace oleander {
+
+using Duration = std::chrono::microseconds;
+
+// Tags time points of the monotonic clock. It has no now(): the io layer and
+// the tests own the clock.
+struct MonotonicClock {
+  using duration = Duration;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<MonotonicClock, duration>;
+};
+
+using Time = MonotonicClock::time_point;
+
+// A point on the wall clock, for audit records and operators only; no decision
+// uses it.
+using WallTime = std::chrono::time_point<std::chrono::system_clock, Duration>;
+
+// A string that names one kind of thing, so that a server's name can't be
+// passed for a workspace's.
+//
+//   ServerId server("stgo-a-engine-3");
+//   Log(server.value());
+template <typename Tag>
+class Name {
+ public:
+  Name() = default;
+  explicit Name(std::string value) : value_(std::move(value)) {}
+
+  const std::string& value() const { return value_; }
+  bool empty() const { return value_.empty(); }
+
+  auto operator<=>(const Name&) const = default;
+
+  template <typename H>
+  friend H AbslHashValue(H state, const Name& name) {
+    return H::combine(std::move(state), name.value_);
+  }
+  friend std::ostream& operator<<(std::ostream& out, const Name& name) {
+    return out << name.value_;
+  }
+
+ private:
+  std::string value_;
+};
+
+using InstanceId =
+    Name<struct InstanceTag>;  // An entry instance that runs oleanderd.
+using ServerId = Name<struct ServerTag>;  // A backend server.
+using ServiceId =
+    Name<struct ServiceTag>;  // A pool of backend servers of one kind.
+using ProfileName = Name<struct ProfileTag>;    // A named profile.
+using WorkspaceId = Name<struct WorkspaceTag>;  // A caller's workspace.
+using RequestId = Name<struct RequestTag>;      // One accepted request.
+using RegionId = Name<struct RegionTag>;
+using DomainId = Name<struct DomainTag>;  // A failure domain.
+
+// Where an instance or a backend server stands.
+struct Place {
+  RegionId region;
+  DomainId domain;
+
+  auto operator<=>(const Place&) const = default;
+};
+
+// An entry instance, as other instances know it.
+struct InstanceInfo {
+  InstanceId id;
+  Place place;
+  std::string address;     // An IP number.
+  uint16_t http_port = 0;  // The caller listener.
+  uint16_t mesh_port = 0;
+
+  auto operator<=>(const InstanceInfo&) const = default;
+};
+
+enum class ServerKind { kEngine, kPlain };
+enum class Market { kOnDemand, kReclaimable };
+
+// A backend server, as the platform's list names it.
+struct ServerInfo {
+  ServerId id;
+  ServiceId service;
+  ServerKind kind = ServerKind::kEngine;
+  Place place;
+  std::string address;  // An IP number.
+  uint16_t port = 0;
+  std::string machine_class;
+  Market market = Market::kOnDemand;
+
+  auto operator<=>(const ServerInfo&) const = default;
+};
+
+}  // namespace oleander
+
+template <typename Tag>
+struct std::hash<oleander::Name<Tag>> {
+  size_t operator()(const oleander::Name<Tag>& name) const noexcept {
+    return std::hash<std::string>{}(name.value());
+  }
+};
+
+#endif  // OLEANDER_TYPES_H_
--- /dev/null
+++ b/src/io/event_loop.h
@@ -0,0 +1,80 @@
+// The one loop on the one thread: sockets of h2o, file descriptors of ZeroMQ,
+// and timers.
+#ifndef OLEANDER_IO_EVENT_LOOP_H_
+#define OLEANDER_IO_EVENT_LOOP_H_
+
+#include <functional>
+#include <memory>
+
+#include "oleander/types.h"
+
+struct st_h2o_evloop_t;
+
+namespace oleander::io {
+
+// Cancels its timer when it goes. Movable; an empty handle does nothing.
+class Timer {
+ public:
+  Timer() = default;
+  explicit Timer(std::shared_ptr<bool> active) : active_(std::move(active)) {}
+  Timer(Timer&&) = default;
+  Timer& operator=(Timer&& other) noexcept;
+  ~Timer() { Cancel(); }
+
+  void Cancel();
+  bool active() const { return active_ != nullptr && *active_; }
+
+ private:
+  std::shared_ptr<bool> active_;
+};
+
+// Runs callbacks until Stop(). Every other class of this layer is used from
+// callbacks of the loop only.
+class EventLoop {
+ public:
+  EventLoop();
+  ~EventLoop();
+  EventLoop(const EventLoop&) = delete;
+  EventLoop& operator=(const EventLoop&) = delete;
+
+  // The monotonic clock, read once per round of the loop.
+  Time now() const;
+  // The wall clock, for audit records only.
+  static WallTime wall_now();
+
+  // Calls `callback` once after `delay`.
+  [[nodiscard]] Timer After(Duration delay, std::function<void()> callback);
+  // Calls `callback` every `period`, first after one period.
+  [[nodiscard]] Timer Every(Duration period, std::function<void()> callback);
+  // Calls `callback` in the next round; it can't be cancelled.
+  void Post(std::function<void()> callback);
+
+  // Calls `callback` whenever `fd` is readable, without reading from it. The
+  // caller keeps ownership of `fd` and destroys the handle first.
+  class FdWatch;
+  [[nodiscard]] std::unique_ptr<FdWatch> WatchReadable(
+      int fd, std::function<void()> callback);
+
+  // Calls `callback` in the loop when the process gets SIGTERM or SIGINT. Only
+  // one loop of a process may do so.
+  void OnTerminationSignal(std::function<void()> callback);
+
+  void Run();
+  void Stop();
+
+  // For the other wrappers of this layer.
+  st_h2o_evloop_t* raw() const;
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+class EventLoop::FdWatch {
+ public:
+  virtual ~FdWatch() = default;
+};
+
+}  // namespace oleander::io
+
+#endif  // OLEANDER_IO_EVENT_LOOP_H_
--- /dev/null
+++ b/test/support/main.cc
@@ -0,0 +1,3 @@
+// The entry point of each test program; the suites stand in the other files.
+#define BOOST_TEST_MODULE oleander
+#include <boost/test/unit_test.hpp>
