--- /dev/null
+++ b/src/io/event_loop.cc
@@ -0,0 +1,296 @@
+#include "io/event_loop.h"
+
+#include <fcntl.h>
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <csignal>
+#include <cstring>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+#include "fmt/format.h"
+#include "io/h2o.h"
+#include "oleander/invariant.h"
+
+namespace oleander::io {
+namespace {
+
+constexpr Duration kLongestWait = std::chrono::seconds(60);
+// The heap of timers is swept of cancelled ones when it has doubled, and not
+// below this size.
+constexpr size_t kSmallestSweep = 1024;
+
+struct TimerEntry {
+  Time at;
+  uint64_t order = 0;  // Timers of the same instant fire as they were set.
+  std::shared_ptr<bool> active;
+  std::function<void()> callback;
+  Duration period = Duration::zero();  // Zero for a timer that fires once.
+};
+
+// std::push_heap keeps the largest first, so the order is turned around.
+bool FiresLater(const TimerEntry& a, const TimerEntry& b) {
+  return std::tie(a.at, a.order) > std::tie(b.at, b.order);
+}
+
+class TimerHeap {
+ public:
+  std::shared_ptr<bool> Add(Time at, Duration period,
+                            std::function<void()> callback) {
+    SweepIfGrown();
+    auto active = std::make_shared<bool>(true);
+    Push({.at = at,
+          .order = next_order_++,
+          .active = active,
+          .callback = std::move(callback),
+          .period = period});
+    return active;
+  }
+
+  // Fires what is due at `now`; what these callbacks add waits for the next
+  // round.
+  void RunDue(Time now) {
+    const uint64_t end = next_order_;
+    while (!heap_.empty() && heap_.front().at <= now &&
+           heap_.front().order < end) {
+      Fire(Pop(), now);
+    }
+  }
+
+  // How long nothing is due.
+  Duration Wait(Time now) const {
+    if (heap_.empty()) {
+      return kLongestWait;
+    }
+    return std::clamp(heap_.front().at - now, Duration::zero(), kLongestWait);
+  }
+
+ private:
+  void Push(TimerEntry entry) {
+    heap_.push_back(std::move(entry));
+    std::ranges::push_heap(heap_, FiresLater);
+  }
+
+  TimerEntry Pop() {
+    std::ranges::pop_heap(heap_, FiresLater);
+    TimerEntry entry = std::move(heap_.back());
+    heap_.pop_back();
+    return entry;
+  }
+
+  void Fire(TimerEntry entry, Time now) {
+    if (!*entry.active) {
+      return;
+    }
+    if (entry.period == Duration::zero()) {
+      *entry.active = false;
+      entry.callback();
+      return;
+    }
+    entry.callback();
+    if (!*entry.active) {
+      return;
+    }
+    // A loop that fell behind skips the periods that it missed.
+    entry.at = std::max(entry.at + entry.period, now + Duration(1));
+    entry.order = next_order_++;
+    Push(std::move(entry));
+  }
+
+  // Cancelled timers stay in the heap until they are due or swept here, so that
+  // cancelling costs nothing.
+  void SweepIfGrown() {
+    if (heap_.size() < sweep_at_) {
+      return;
+    }
+    std::erase_if(heap_,
+                  [](const TimerEntry& entry) { return !*entry.active; });
+    std::ranges::make_heap(heap_, FiresLater);
+    sweep_at_ = std::max(kSmallestSweep, heap_.size() * 2);
+  }
+
+  std::vector<TimerEntry> heap_;
+  uint64_t next_order_ = 0;
+  size_t sweep_at_ = kSmallestSweep;
+};
+
+// Watches a duplicate, since h2o closes the descriptor that it is given.
+class H2oFdWatch : public EventLoop::FdWatch {
+ public:
+  H2oFdWatch(h2o_evloop_t* loop, int fd, std::function<void()> callback)
+      : callback_(std::move(callback)) {
+    const int duplicate = fcntl(fd, F_DUPFD_CLOEXEC, 0);
+    const bool duplicated =
+        CheckInvariant(duplicate >= 0, "watched_fd_open", [&] {
+          return fmt::format("File descriptor {} can't be watched: {}.", fd,
+                             std::strerror(errno));
+        });
+    if (!duplicated) {
+      return;
+    }
+    socket_ =
+        h2o_evloop_socket_create(loop, duplicate, H2O_SOCKET_FLAG_DONT_READ);
+    socket_->data = this;
+    h2o_socket_read_start(socket_, OnReadable);
+  }
+
+  H2oFdWatch(const H2oFdWatch&) = delete;
+  H2oFdWatch& operator=(const H2oFdWatch&) = delete;
+
+  ~H2oFdWatch() override {
+    if (socket_ == nullptr) {
+      return;
+    }
+    h2o_socket_read_stop(socket_);
+    h2o_socket_close(socket_);
+  }
+
+ private:
+  static void OnReadable(h2o_socket_t* socket, const char* /*error*/) {
+    // The callback may destroy this watch.
+    const auto callback = static_cast<H2oFdWatch*>(socket->data)->callback_;
+    callback();
+  }
+
+  std::function<void()> callback_;
+  h2o_socket_t* socket_ = nullptr;
+};
+
+}  // namespace
+
+Timer& Timer::operator=(Timer&& other) noexcept {
+  if (this != &other) {
+    Cancel();
+    active_ = std::move(other.active_);
+  }
+  return *this;
+}
+
+void Timer::Cancel() {
+  if (active_ != nullptr) {
+    *active_ = false;
+    active_.reset();
+  }
+}
+
+struct EventLoop::Impl {
+  h2o_evloop_t* loop = h2o_evloop_create();
+  TimerHeap timers;
+  std::vector<std::function<void()>> posted;
+  bool stopped = false;
+  int signal_fd = -1;
+  std::unique_ptr<FdWatch> signal_watch;
+
+  void RunPosted() {
+    std::vector<std::function<void()>> round;
+    round.swap(posted);
+    for (const auto& callback : round) {
+      callback();
+    }
+  }
+
+  // What is dropped may post again from its destructors.
+  void DropPosted() {
+    while (!posted.empty()) {
+      const auto dropped = std::exchange(posted, {});
+    }
+  }
+
+  // Rounded up: waking a little early would only spin.
+  int32_t WaitMilliseconds(Time now) const {
+    if (!posted.empty()) {
+      return 0;
+    }
+    return static_cast<int32_t>(
+        std::chrono::ceil<std::chrono::milliseconds>(timers.Wait(now)).count());
+  }
+};
+
+EventLoop::EventLoop() : impl_(std::make_unique<Impl>()) {
+  // Writes to a closed connection are reported by their result instead.
+  std::signal(SIGPIPE, SIG_IGN);
+}
+
+EventLoop::~EventLoop() {
+  impl_->signal_watch.reset();
+  // What callbacks hold may point at h2o's loop.
+  impl_->timers = TimerHeap();
+  impl_->DropPosted();
+  if (impl_->signal_fd >= 0) {
+    close(impl_->signal_fd);
+  }
+  // Closed sockets are freed by the round after.
+  h2o_evloop_run(impl_->loop, 0);
+  h2o_evloop_destroy(impl_->loop);
+}
+
+Time EventLoop::now() const {
+  return Time(std::chrono::duration_cast<Duration>(
+      std::chrono::steady_clock::now().time_since_epoch()));
+}
+
+WallTime EventLoop::wall_now() {
+  return std::chrono::time_point_cast<Duration>(
+      std::chrono::system_clock::now());
+}
+
+Timer EventLoop::After(Duration delay, std::function<void()> callback) {
+  return Timer(impl_->timers.Add(now() + std::max(delay, Duration::zero()),
+                                 Duration::zero(), std::move(callback)));
+}
+
+Timer EventLoop::Every(Duration period, std::function<void()> callback) {
+  const Duration step = std::max(period, Duration(1));
+  return Timer(impl_->timers.Add(now() + step, step, std::move(callback)));
+}
+
+void EventLoop::Post(std::function<void()> callback) {
+  impl_->posted.push_back(std::move(callback));
+}
+
+std::unique_ptr<EventLoop::FdWatch> EventLoop::WatchReadable(
+    int fd, std::function<void()> callback) {
+  return std::make_unique<H2oFdWatch>(impl_->loop, fd, std::move(callback));
+}
+
+void EventLoop::OnTerminationSignal(std::function<void()> callback) {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  sigprocmask(SIG_BLOCK, &signals, nullptr);
+  const int fd = signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC);
+  impl_->signal_fd = fd;
+  impl_->signal_watch = WatchReadable(fd, [fd, callback = std::move(callback)] {
+    signalfd_siginfo info;
+    bool arrived = false;
+    while (read(fd, &info, sizeof info) == sizeof info) {
+      arrived = true;
+    }
+    if (arrived) {
+      callback();
+    }
+  });
+}
+
+void EventLoop::Run() {
+  impl_->stopped = false;
+  while (!impl_->stopped) {
+    impl_->RunPosted();
+    impl_->timers.RunDue(now());
+    if (impl_->stopped) {
+      return;
+    }
+    h2o_evloop_run(impl_->loop, impl_->WaitMilliseconds(now()));
+  }
+}
+
+void EventLoop::Stop() { impl_->stopped = true; }
+
+st_h2o_evloop_t* EventLoop::raw() const { return impl_->loop; }
+
+}  // namespace oleander::io
--- a/src/io/event_loop.h
+++ b/src/io/event_loop.h
@@ -37,7 +37,7 @@
   EventLoop(const EventLoop&) = delete;
   EventLoop& operator=(const EventLoop&) = delete;
 
-  // The monotonic clock, read once per round of the loop.
+  // The monotonic clock.
   Time now() const;
   // The wall clock, for audit records only.
   static WallTime wall_now();
--- /dev/null
+++ b/src/io/http_client.cc
@@ -0,0 +1,580 @@
+#include "io/http_client.h"
+
+#include <algorithm>
+#include <list>
+#include <map>
+#include <utility>
+
+#include "fmt/format.h"
+#include "io/h2o.h"
+#include "io/socket_address.h"
+#include "oleander/result_code.h"
+
+namespace oleander::io {
+namespace {
+
+// h2o's own bound; ours are timers of the loop, which have finer classes.
+constexpr uint64_t kNever = uint64_t{1} << 40;  // Milliseconds.
+
+// Connections to one server that are kept for reuse, or for a fresh connection
+// a pool of its own that goes with the call.
+class Pool {
+ public:
+  Pool(h2o_evloop_t* loop, SocketAddress address,
+       std::optional<Duration> idle_bound)
+      : has_timer_(idle_bound.has_value()) {
+    h2o_socketpool_init_by_address(&pool_, address.raw(), address.length, 0,
+                                   SIZE_MAX);
+    if (has_timer_) {
+      h2o_socketpool_set_timeout(
+          &pool_, loop,
+          std::chrono::ceil<std::chrono::milliseconds>(*idle_bound).count());
+    } else {
+      // h2o reads the loop's clock even from a pool without a timer; each timer
+      // would cost every round of the loop.
+      pool_._interval_cb.loop = loop;
+    }
+  }
+  Pool(const Pool&) = delete;
+  Pool& operator=(const Pool&) = delete;
+  ~Pool() {
+    if (!has_timer_) {
+      pool_._interval_cb.loop = nullptr;
+    }
+    h2o_socketpool_dispose(&pool_);
+  }
+
+  h2o_socketpool_t* raw() { return &pool_; }
+
+ private:
+  bool has_timer_;
+  h2o_socketpool_t pool_ = {};
+};
+
+// What h2o's clients point at. It lives until the last call is over.
+class ClientContext {
+ public:
+  explicit ClientContext(h2o_evloop_t* loop) : loop_(loop) {
+    h2o_timeout_init(loop, &io_timeout_, kNever);
+    context_.loop = loop;
+    context_.io_timeout = &io_timeout_;
+  }
+  ClientContext(const ClientContext&) = delete;
+  ClientContext& operator=(const ClientContext&) = delete;
+  ~ClientContext() { h2o_timeout_dispose(loop_, &io_timeout_); }
+
+  h2o_http1client_ctx_t* raw() { return &context_; }
+
+ private:
+  h2o_evloop_t* loop_;
+  h2o_timeout_t io_timeout_ = {};
+  h2o_http1client_ctx_t context_ = {};
+};
+
+bool IsToken(std::string_view text) {
+  return !text.empty() && std::ranges::none_of(text, [](unsigned char c) {
+    return c <= ' ' || c == 0x7f || c == ':';
+  });
+}
+
+bool IsValue(std::string_view text) {
+  return std::ranges::none_of(text, [](unsigned char c) {
+    return (c < ' ' && c != '\t') || c == 0x7f;
+  });
+}
+
+bool IsTarget(std::string_view text) {
+  return text.starts_with('/') &&
+         std::ranges::none_of(
+             text, [](unsigned char c) { return c <= ' ' || c == 0x7f; });
+}
+
+// The request line and headers must not be able to carry a second request.
+absl::Status CheckRequest(const HttpCallRequest& request) {
+  const bool headers_hold =
+      std::ranges::all_of(request.headers, [](const Header& header) {
+        return IsToken(header.name) && IsValue(header.value);
+      });
+  if (headers_hold && IsToken(request.method) && IsTarget(request.target)) {
+    return absl::OkStatus();
+  }
+  return MakeError({.code = ResultCode::kMalformedRequest,
+                    .ran = Ran::kNo,
+                    .retry_after = std::nullopt},
+                   fmt::format("The call {} {} holds a control character or "
+                               "blank in its method, target or headers.",
+                               request.method, request.target));
+}
+
+std::string BuildHead(const HttpCallRequest& request) {
+  const bool v6 = request.address.find(':') != std::string::npos;
+  std::string head = fmt::format("{} {} HTTP/1.1\r\nhost: {}{}{}:{}\r\n",
+                                 request.method, request.target, v6 ? "[" : "",
+                                 request.address, v6 ? "]" : "", request.port);
+  const bool has_body = !request.body.empty() || request.method == "POST" ||
+                        request.method == "PUT" || request.method == "PATCH";
+  if (has_body) {
+    fmt::format_to(std::back_inserter(head), "content-length: {}\r\n",
+                   request.body.size());
+  }
+  if (request.options.fresh_connection) {
+    head += "connection: close\r\n";
+  }
+  for (const Header& header : request.headers) {
+    fmt::format_to(std::back_inserter(head), "{}: {}\r\n", header.name,
+                   header.value);
+  }
+  head += "\r\n";
+  return head;
+}
+
+Headers CopyHeaders(const h2o_header_t* headers, size_t count) {
+  Headers copied;
+  copied.reserve(count);
+  for (size_t i = 0; i < count; ++i) {
+    const h2o_header_t& header = headers[i];
+    copied.push_back(
+        {.name = std::string(header.name->base, header.name->len),
+         .value = std::string(header.value.base, header.value.len)});
+  }
+  return copied;
+}
+
+// One call. h2o's client object dies with the callback that ends it, so after
+// such a callback `client_` is null; a call that is cancelled inside a callback
+// tells h2o by the callback's result instead of by cancelling.
+class Call : public std::enable_shared_from_this<Call> {
+ public:
+  Call(EventLoop& loop, std::shared_ptr<ClientContext> context,
+       std::shared_ptr<Pool> pool, HttpCallRequest request,
+       HttpCallCallbacks callbacks)
+      : loop_(loop),
+        context_(std::move(context)),
+        pool_(std::move(pool)),
+        options_(request.options),
+        is_head_(request.method == "HEAD"),
+        target_(fmt::format("{}:{}", request.address, request.port)),
+        head_(BuildHead(request)),
+        body_(std::move(request.body)),
+        callbacks_(
+            std::make_shared<const HttpCallCallbacks>(std::move(callbacks))) {}
+  Call(const Call&) = delete;
+  Call& operator=(const Call&) = delete;
+  ~Call() {
+    Cancel();
+    ReleaseShared();
+  }
+
+  void Connect() {
+    if (ended_) {
+      return;
+    }
+    Expect(options_.connect_timeout);
+    h2o_http1client_connect_with_pool(&client_, this, context_->raw(),
+                                      pool_->raw(), OnConnect);
+  }
+
+  void Cancel() {
+    ended_ = true;
+    callbacks_.reset();
+    Close();
+  }
+
+  bool sent() const { return sent_; }
+
+  void Pause() {
+    paused_ = true;
+    h2o_socket_t* socket = BodySocket();
+    if (socket != nullptr && socket->_cb.read != nullptr) {
+      reader_ = socket->_cb.read;
+      h2o_socket_read_stop(socket);
+    }
+  }
+
+  void Resume() {
+    paused_ = false;
+    progress_at_ = loop_.now();
+    h2o_socket_t* socket = BodySocket();
+    if (socket != nullptr && reader_ != nullptr) {
+      h2o_socket_read_start(socket, reader_);
+    }
+    reader_ = nullptr;
+  }
+
+ private:
+  enum class Phase { kConnect, kHead, kBody };
+
+  static Call& Of(h2o_http1client_t* client) {
+    return *static_cast<Call*>(client->data);
+  }
+
+  static h2o_http1client_head_cb OnConnect(h2o_http1client_t* client,
+                                           const char* error,
+                                           h2o_iovec_t** bufs, size_t* count,
+                                           int* method_is_head) {
+    const std::shared_ptr<Call> call = Of(client).shared_from_this();
+    return call->Connected(client, error, bufs, count, method_is_head)
+               ? OnHead
+               : nullptr;
+  }
+
+  static h2o_http1client_body_cb OnHead(h2o_http1client_t* client,
+                                        const char* error, int /*minor*/,
+                                        int status, h2o_iovec_t /*message*/,
+                                        h2o_header_t* headers, size_t count,
+                                        int /*length*/) {
+    const std::shared_ptr<Call> call = Of(client).shared_from_this();
+    return call->HeadArrived(error, status, headers, count) ? OnBody : nullptr;
+  }
+
+  static int OnBody(h2o_http1client_t* client, const char* error) {
+    const std::shared_ptr<Call> call = Of(client).shared_from_this();
+    return call->BodyArrived(client, error) ? 0 : -1;
+  }
+
+  // Each of these says whether the call goes on.
+  bool Connected(h2o_http1client_t* client, const char* error,
+                 h2o_iovec_t** bufs, size_t* count, int* method_is_head) {
+    if (error != nullptr) {
+      client_ = nullptr;
+      EndWith(MakeError(
+          ResultCode::kConnectFailed,
+          fmt::format("The connection to {} failed: {}.", target_, error)));
+      return false;
+    }
+    client_ =
+        client;  // A pooled connection calls back before the call returns.
+    const InCallback in_callback(*this);
+    // A callback may cancel the call; its function object must stay.
+    const auto callbacks = callbacks_;
+    if (callbacks->on_sent) {
+      callbacks->on_sent();
+    }
+    if (ended_) {
+      return false;
+    }
+    sent_ = true;
+    phase_ = Phase::kHead;
+    Expect(options_.head_timeout);
+    iovecs_[0] = {.base = head_.data(), .len = head_.size()};
+    iovecs_[1] = {.base = body_.data(), .len = body_.size()};
+    *bufs = iovecs_;
+    *count = body_.empty() ? 1 : 2;
+    *method_is_head = is_head_ ? 1 : 0;
+    return true;
+  }
+
+  bool HeadArrived(const char* error, int status, const h2o_header_t* headers,
+                   size_t count) {
+    const bool whole = error == h2o_http1client_error_is_eos;
+    if (error != nullptr && !whole) {
+      client_ = nullptr;
+      EndWith(AnswerError(error));
+      return false;
+    }
+    // The request is out; its memory isn't needed while the answer streams.
+    std::string().swap(head_);
+    std::string().swap(body_);
+    Expect(options_.progress_timeout);
+    {
+      const InCallback in_callback(*this);
+      const auto callbacks = callbacks_;
+      if (callbacks->on_head) {
+        callbacks->on_head(status, CopyHeaders(headers, count));
+      }
+    }
+    phase_ = Phase::kBody;
+    if (whole) {
+      client_ = nullptr;
+      EndWith(absl::OkStatus());
+    }
+    return !ended_;
+  }
+
+  bool BodyArrived(h2o_http1client_t* client, const char* error) {
+    progress_at_ = loop_.now();
+    h2o_buffer_t** input = &client->sock->input;
+    {
+      const InCallback in_callback(*this);
+      const auto callbacks = callbacks_;
+      if ((*input)->size != 0 && callbacks->on_body) {
+        callbacks->on_body({(*input)->bytes, (*input)->size});
+      }
+    }
+    h2o_buffer_consume(input, (*input)->size);
+    if (ended_) {
+      return false;
+    }
+    if (error != nullptr) {
+      client_ = nullptr;
+      EndWith(error == h2o_http1client_error_is_eos ? absl::OkStatus()
+                                                    : AnswerError(error));
+      return false;
+    }
+    // Paused before the first piece came: reading starts after the head.
+    if (paused_ && reader_ == nullptr) {
+      Pause();
+    }
+    return true;
+  }
+
+  absl::Status AnswerError(std::string_view error) const {
+    const bool malformed = error.find("parse") != std::string_view::npos;
+    return MakeError(
+        malformed ? ResultCode::kBadAnswer : ResultCode::kAnswerLost,
+        fmt::format("The answer of {} did not arrive whole: {}.", target_,
+                    error));
+  }
+
+  // One timer per call serves all phases. Where it is due too early it is set
+  // anew when it fires, so that a piece of the body costs no timer.
+  void Expect(Duration bound) {
+    bound_ = bound;
+    progress_at_ = loop_.now();
+    if (!timer_.active() || timer_due_ > progress_at_ + bound) {
+      SetTimer(progress_at_ + bound);
+    }
+  }
+
+  void SetTimer(Time due) {
+    timer_due_ = due;
+    timer_ = loop_.After(due - loop_.now(), [this] { CheckProgress(); });
+  }
+
+  void CheckProgress() {
+    const Time now = loop_.now();
+    if (paused_) {
+      progress_at_ = now;
+    }
+    if (progress_at_ + bound_ > now) {
+      SetTimer(progress_at_ + bound_);
+      return;
+    }
+    const std::shared_ptr<Call> keep = shared_from_this();
+    Close();
+    EndWith(TimeoutError());
+  }
+
+  absl::Status TimeoutError() const {
+    const auto bound =
+        std::chrono::duration_cast<std::chrono::milliseconds>(bound_).count();
+    if (phase_ == Phase::kConnect) {
+      return MakeError(
+          ResultCode::kConnectFailed,
+          fmt::format("No connection to {} within {} ms.", target_, bound));
+    }
+    return MakeError(ResultCode::kStalled,
+                     fmt::format("{} sent nothing for {} ms.", target_, bound));
+  }
+
+  void EndWith(absl::Status status) {
+    if (ended_) {
+      return;
+    }
+    ended_ = true;
+    timer_.Cancel();
+    ReleaseShared();
+    const auto callbacks = std::move(callbacks_);
+    if (callbacks->on_end) {
+      callbacks->on_end({.status = std::move(status), .sent = sent_});
+    }
+  }
+
+  void Close() {
+    timer_.Cancel();
+    if (client_ != nullptr && !in_callback_) {
+      h2o_http1client_cancel(std::exchange(client_, nullptr));
+      ReleaseShared();
+    }
+  }
+
+  // h2o touches the pool and the context after the callback that ends the call.
+  void ReleaseShared() {
+    if (pool_ != nullptr) {
+      loop_.Post([pool = std::move(pool_), context = std::move(context_)] {});
+    }
+  }
+
+  h2o_socket_t* BodySocket() const {
+    return client_ != nullptr && phase_ == Phase::kBody ? client_->sock
+                                                        : nullptr;
+  }
+
+  // While it stands, h2o's client must not be cancelled.
+  class InCallback {
+   public:
+    explicit InCallback(Call& call) : call_(call) { call_.in_callback_ = true; }
+    InCallback(const InCallback&) = delete;
+    InCallback& operator=(const InCallback&) = delete;
+    ~InCallback() {
+      call_.in_callback_ = false;
+      if (call_.ended_) {
+        call_.client_ = nullptr;
+      }
+    }
+
+   private:
+    Call& call_;
+  };
+
+  EventLoop& loop_;
+  std::shared_ptr<ClientContext> context_;
+  std::shared_ptr<Pool> pool_;
+  HttpCallOptions options_;
+  bool is_head_;
+  std::string target_;
+  std::string head_;
+  std::string body_;
+  std::shared_ptr<const HttpCallCallbacks> callbacks_;
+  h2o_iovec_t iovecs_[2] = {};
+  h2o_http1client_t* client_ = nullptr;
+  h2o_socket_cb reader_ = nullptr;  // What reads the body, while paused.
+  Phase phase_ = Phase::kConnect;
+  Duration bound_ = Duration::zero();
+  Time progress_at_;
+  Timer timer_;
+  Time timer_due_;
+  bool sent_ = false;
+  bool paused_ = false;
+  bool ended_ = false;
+  bool in_callback_ = false;
+};
+
+class CallHandle : public HttpCall {
+ public:
+  explicit CallHandle(std::shared_ptr<Call> call) : call_(std::move(call)) {}
+  CallHandle(const CallHandle&) = delete;
+  CallHandle& operator=(const CallHandle&) = delete;
+  ~CallHandle() override { call_->Cancel(); }
+
+  bool sent() const override { return call_->sent(); }
+  void Pause() override { call_->Pause(); }
+  void Resume() override { call_->Resume(); }
+
+ private:
+  std::shared_ptr<Call> call_;
+};
+
+// The handle of a call that could not be started.
+class EndedHandle : public HttpCall {
+ public:
+  explicit EndedHandle(std::shared_ptr<bool> alive)
+      : alive_(std::move(alive)) {}
+  EndedHandle(const EndedHandle&) = delete;
+  EndedHandle& operator=(const EndedHandle&) = delete;
+  ~EndedHandle() override { *alive_ = false; }
+
+  bool sent() const override { return false; }
+  void Pause() override {}
+  void Resume() override {}
+
+ private:
+  std::shared_ptr<bool> alive_;
+};
+
+}  // namespace
+
+struct HttpClient::Impl {
+  struct Fetching {
+    std::unique_ptr<HttpCall> call;
+    HttpAnswer answer;
+  };
+
+  Impl(EventLoop& event_loop, Duration bound)
+      : loop(event_loop),
+        idle_bound(bound),
+        context(std::make_shared<ClientContext>(loop.raw())) {}
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
+
+  std::shared_ptr<Pool> PoolFor(const HttpCallRequest& request,
+                                const SocketAddress& address) {
+    if (request.options.fresh_connection) {
+      return std::make_shared<Pool>(loop.raw(), address, std::nullopt);
+    }
+    auto& pool = pools[{request.address, request.port}];
+    if (pool == nullptr) {
+      pool = std::make_shared<Pool>(loop.raw(), address, idle_bound);
+    }
+    return pool;
+  }
+
+  std::unique_ptr<HttpCall> Refuse(absl::Status status,
+                                   HttpCallCallbacks callbacks) {
+    auto alive = std::make_shared<bool>(true);
+    loop.Post([alive, status = std::move(status),
+               on_end = std::move(callbacks.on_end)] {
+      if (*alive && on_end) {
+        on_end({.status = status, .sent = false});
+      }
+    });
+    return std::make_unique<EndedHandle>(std::move(alive));
+  }
+
+  EventLoop& loop;
+  Duration idle_bound;
+  std::shared_ptr<ClientContext> context;
+  std::map<std::pair<std::string, uint16_t>, std::shared_ptr<Pool>> pools;
+  std::list<Fetching> fetches;
+};
+
+HttpClient::HttpClient(EventLoop& loop, Duration idle_bound)
+    : impl_(std::make_unique<Impl>(loop, idle_bound)) {}
+
+HttpClient::~HttpClient() = default;
+
+std::unique_ptr<HttpCall> HttpClient::Start(HttpCallRequest request,
+                                            HttpCallCallbacks callbacks) {
+  absl::Status valid = CheckRequest(request);
+  if (!valid.ok()) {
+    return impl_->Refuse(std::move(valid), std::move(callbacks));
+  }
+  const auto address = ParseAddress(request.address, request.port);
+  if (!address.has_value()) {
+    return impl_->Refuse(
+        MakeError(ResultCode::kConnectFailed,
+                  fmt::format("\"{}\" is not an IP number.", request.address)),
+        std::move(callbacks));
+  }
+  auto pool = impl_->PoolFor(request, *address);
+  auto call =
+      std::make_shared<Call>(impl_->loop, impl_->context, std::move(pool),
+                             std::move(request), std::move(callbacks));
+  // No callback comes before the handle has been returned.
+  impl_->loop.Post([weak = std::weak_ptr<Call>(call)] {
+    if (const auto started = weak.lock()) {
+      started->Connect();
+    }
+  });
+  return std::make_unique<CallHandle>(std::move(call));
+}
+
+void HttpClient::Fetch(HttpCallRequest request,
+                       std::function<void(HttpAnswer)> done) {
+  Impl* impl = impl_.get();
+  const auto fetching = impl->fetches.emplace(impl->fetches.end());
+  HttpCallCallbacks callbacks;
+  callbacks.on_head = [fetching](int status, const Headers& headers) {
+    fetching->answer.status = status;
+    fetching->answer.headers = headers;
+  };
+  callbacks.on_body = [fetching](std::string_view chunk) {
+    fetching->answer.body.append(chunk);
+  };
+  callbacks.on_end = [impl, fetching,
+                      done = std::move(done)](const HttpCallEnd& end) {
+    HttpAnswer answer = std::move(fetching->answer);
+    answer.end = end;
+    const auto tell = done;
+    impl->fetches.erase(fetching);
+    tell(std::move(answer));
+  };
+  fetching->call = Start(std::move(request), std::move(callbacks));
+}
+
+void HttpClient::DistrustIdle(std::string_view address, uint16_t port) {
+  // Calls under way keep the old pool; it closes its connections with the last.
+  impl_->pools.erase({std::string(address), port});
+}
+
+}  // namespace oleander::io
--- /dev/null
+++ b/src/io/http_exchange.cc
@@ -0,0 +1,270 @@
+#include "io/http_exchange.h"
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "oleander/invariant.h"
+
+namespace oleander::io {
+namespace {
+
+// Freed strings keep this much, since answers come in small pieces.
+constexpr size_t kKeptCapacity = 4096;
+
+const char* ReasonOf(int status) {
+  struct Row {
+    int status;
+    const char* reason;
+  };
+  static constexpr Row kReasons[] = {
+      {200, "OK"},
+      {201, "Created"},
+      {202, "Accepted"},
+      {204, "No Content"},
+      {303, "See Other"},
+      {304, "Not Modified"},
+      {400, "Bad Request"},
+      {401, "Unauthorized"},
+      {403, "Forbidden"},
+      {404, "Not Found"},
+      {405, "Method Not Allowed"},
+      {409, "Conflict"},
+      {410, "Gone"},
+      {412, "Precondition Failed"},
+      {413, "Content Too Large"},
+      {422, "Unprocessable Content"},
+      {429, "Too Many Requests"},
+      {431, "Request Header Fields Too Large"},
+      {499, "Client Closed Request"},
+      {500, "Internal Server Error"},
+      {502, "Bad Gateway"},
+      {503, "Service Unavailable"},
+      {504, "Gateway Timeout"},
+  };
+  const auto* found = std::ranges::find(kReasons, status, &Row::status);
+  return found != std::end(kReasons) ? found->reason : "Other";
+}
+
+// Keeps a value from ending its header line early.
+bool IsSafe(std::string_view text) {
+  return std::ranges::none_of(
+      text, [](char c) { return c == '\r' || c == '\n' || c == '\0'; });
+}
+
+void AddHeader(h2o_req_t* req, const Header& header) {
+  if (!IsSafe(header.name) || !IsSafe(header.value)) {
+    return;
+  }
+  const h2o_iovec_t name =
+      h2o_strdup(&req->pool, header.name.data(), header.name.size());
+  const h2o_iovec_t value =
+      h2o_strdup(&req->pool, header.value.data(), header.value.size());
+  h2o_add_header_by_str(&req->pool, &req->res.headers, name.base, name.len, 1,
+                        nullptr, value.base, value.len);
+}
+
+void ClearKeepingLittle(std::string& text) {
+  if (text.capacity() > kKeptCapacity) {
+    std::string().swap(text);
+  } else {
+    text.clear();
+  }
+}
+
+}  // namespace
+
+Exchange::Exchange(EventLoop& loop, h2o_req_t* req, HttpRequest request,
+                   std::function<void(Exchange*)> on_finished)
+    : loop_(loop),
+      req_(req),
+      request_(std::move(request)),
+      on_finished_(std::move(on_finished)) {
+  generator_.super.proceed = OnProceed;
+  generator_.super.stop = OnStop;
+  generator_.exchange = this;
+}
+
+void Exchange::Attach(std::shared_ptr<Exchange> self) {
+  self_ = self;
+  // h2o calls the hook when it frees the request's memory, however it ends.
+  void* link = h2o_mem_alloc_shared(
+      &req_->pool, sizeof(std::shared_ptr<Exchange>), OnRequestDisposed);
+  new (link) std::shared_ptr<Exchange>(std::move(self));
+}
+
+void Exchange::OnRequestDisposed(void* link) {
+  auto* held = static_cast<std::shared_ptr<Exchange>*>(link);
+  const std::shared_ptr<Exchange> exchange = std::move(*held);
+  std::destroy_at(held);
+  exchange->req_ = nullptr;
+  exchange->sending_ = false;
+  exchange->waiting_.clear();
+  exchange->in_flight_.clear();
+  if (!exchange->finished_) {
+    exchange->TellGone();
+  }
+  exchange->on_gone_ = nullptr;
+  exchange->on_drained_ = nullptr;
+  exchange->on_finished_(exchange.get());
+}
+
+void Exchange::OnStop(h2o_generator_t* generator, h2o_req_t* /*req*/) {
+  // Disposal follows, which tells the handler.
+  reinterpret_cast<Generator*>(generator)->exchange->sending_ = false;
+}
+
+void Exchange::OnProceed(h2o_generator_t* generator, h2o_req_t* /*req*/) {
+  reinterpret_cast<Generator*>(generator)->exchange->Proceed();
+}
+
+void Exchange::StartResponse(int status, const Headers& headers,
+                             size_t length) {
+  begun_ = true;
+  req_->res.status = status;
+  req_->res.reason = ReasonOf(status);
+  req_->res.content_length = length;
+  std::ranges::for_each(
+      headers, [this](const Header& header) { AddHeader(req_, header); });
+  h2o_start_response(req_, &generator_.super);
+}
+
+void Exchange::Respond(int status, Headers headers, std::string_view body) {
+  if (closed() || begun_) {
+    return;
+  }
+  StartResponse(status, headers, body.size());
+  ended_ = true;
+  if (request_.method != "HEAD") {
+    in_flight_ = body;
+  }
+  SendLast(H2O_SEND_STATE_FINAL);
+}
+
+void Exchange::Begin(int status, Headers headers) {
+  if (closed() || begun_) {
+    return;
+  }
+  StartResponse(status, headers, SIZE_MAX);
+  sending_ = true;
+  h2o_send(req_, nullptr, 0, H2O_SEND_STATE_IN_PROGRESS);
+}
+
+void Exchange::Write(std::string_view chunk) {
+  if (closed() || !begun_ || chunk.empty()) {
+    return;
+  }
+  waiting_.append(chunk);
+  Flush();
+}
+
+void Exchange::End() {
+  if (closed() || !begun_) {
+    return;
+  }
+  ended_ = true;
+  Flush();
+}
+
+void Exchange::Abort() {
+  if (req_ == nullptr || finished_) {
+    return;
+  }
+  ended_ = true;
+  aborted_ = true;
+  waiting_.clear();
+  if (sending_) {
+    BreakConnection();
+    return;
+  }
+  Flush();
+}
+
+void Exchange::Flush() {
+  if (sending_ || finished_ || req_ == nullptr) {
+    return;
+  }
+  if (aborted_) {
+    SendLast(H2O_SEND_STATE_ERROR);
+  } else if (ended_) {
+    in_flight_.swap(waiting_);
+    SendLast(H2O_SEND_STATE_FINAL);
+  } else if (!waiting_.empty()) {
+    SendWaiting();
+  }
+}
+
+void Exchange::SendWaiting() {
+  in_flight_.swap(waiting_);
+  sending_ = true;
+  h2o_iovec_t bytes = {.base = in_flight_.data(), .len = in_flight_.size()};
+  h2o_send(req_, &bytes, 1, H2O_SEND_STATE_IN_PROGRESS);
+}
+
+void Exchange::SendLast(h2o_send_state_t state) {
+  // h2o may dispose of the request before h2o_send returns.
+  const std::shared_ptr<Exchange> keep = self_.lock();
+  finished_ = true;
+  if (!begun_) {
+    StartResponse(499, {}, 0);
+  }
+  h2o_iovec_t bytes = {.base = in_flight_.data(), .len = in_flight_.size()};
+  h2o_send(req_, &bytes, in_flight_.empty() ? 0 : 1, state);
+}
+
+void Exchange::Proceed() {
+  const std::shared_ptr<Exchange> keep = self_.lock();
+  sending_ = false;
+  ClearKeepingLittle(in_flight_);
+  Flush();
+  if (!sending_ && !finished_ && on_drained_) {
+    const auto callback = on_drained_;
+    callback();
+  }
+}
+
+void Exchange::CallerGone() {
+  if (req_ == nullptr || gone_) {
+    return;
+  }
+  const std::shared_ptr<Exchange> keep = self_.lock();
+  if (finished_) {
+    return;
+  }
+  TellGone();
+  Abort();
+}
+
+void Exchange::TellGone() {
+  if (gone_) {
+    return;
+  }
+  gone_ = true;
+  if (on_gone_) {
+    loop_.Post(std::move(on_gone_));
+    on_gone_ = nullptr;
+  }
+  on_drained_ = nullptr;
+}
+
+// The write under way then fails, and h2o closes the connection.
+void Exchange::BreakConnection() {
+  finished_ = true;
+  h2o_socket_t* socket = req_->conn->callbacks->get_socket(req_->conn);
+  shutdown(h2o_socket_get_fd(socket), SHUT_RDWR);
+}
+
+void Exchange::OnGone(std::function<void()> callback) {
+  if (gone_) {
+    loop_.Post(std::move(callback));
+    return;
+  }
+  on_gone_ = std::move(callback);
+}
+
+void Exchange::OnDrained(std::function<void()> callback) {
+  on_drained_ = std::move(callback);
+}
+
+}  // namespace oleander::io
--- /dev/null
+++ b/src/io/http_server.cc
@@ -0,0 +1,407 @@
+#include "io/http_server.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+#include <utility>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/container/flat_hash_set.h"
+#include "fmt/format.h"
+#include "io/h2o.h"
+#include "io/http_exchange.h"
+#include "io/socket_address.h"
+#include "oleander/invariant.h"
+#include "oleander/result_code.h"
+
+namespace oleander::io {
+namespace {
+
+// What a caller may send while its answer is under way, before reading stops.
+constexpr size_t kMaxPipelinedBytes = size_t{64} << 10;
+// Between accepting for the last time and closing idle connections, so that a
+// request that is on its way still gets its answer.
+constexpr Duration kIdleGrace = std::chrono::milliseconds(500);
+constexpr Duration kAcceptPause = std::chrono::milliseconds(50);
+constexpr int kAcceptsPerRound = 256;
+// Rounds of the loop that the destructor gives connections to close.
+constexpr int kClosingRounds = 1000;
+
+std::string_view View(const h2o_iovec_t& bytes) {
+  return {bytes.base, bytes.len};
+}
+
+std::string RemoteAddress(h2o_req_t* req) {
+  sockaddr_storage peer = {};
+  auto* raw = reinterpret_cast<sockaddr*>(&peer);
+  const socklen_t length = req->conn->callbacks->get_peername(req->conn, raw);
+  return length == 0 ? std::string() : AddressText(peer);
+}
+
+HttpRequest CopyRequest(h2o_req_t* req) {
+  HttpRequest request;
+  request.method = View(req->input.method);
+  const std::string_view target = View(req->input.path);
+  const size_t question = std::min(target.find('?'), target.size());
+  request.path = target.substr(0, question);
+  request.query = target.substr(std::min(question + 1, target.size()));
+  request.headers.reserve(req->headers.size + 1);
+  // h2o takes the host out of the list.
+  request.headers.push_back(
+      {.name = "host", .value = std::string(View(req->input.authority))});
+  for (size_t i = 0; i < req->headers.size; ++i) {
+    const h2o_header_t& header = req->headers.entries[i];
+    request.headers.push_back({.name = std::string(View(*header.name)),
+                               .value = std::string(View(header.value))});
+  }
+  request.body = View(req->entity);
+  request.remote_address = RemoteAddress(req);
+  return request;
+}
+
+size_t HeaderBytes(h2o_req_t* req) {
+  size_t bytes = req->input.path.len + req->input.authority.len;
+  for (size_t i = 0; i < req->headers.size; ++i) {
+    const h2o_header_t& header = req->headers.entries[i];
+    bytes += header.name->len + header.value.len;
+  }
+  return bytes;
+}
+
+// The request's strings lie in the connection's input buffer, which moves when
+// more is read; what h2o still reads later goes to the request's own memory.
+void DetachFromInput(h2o_req_t* req) {
+  static char slash[] = "/";
+  const h2o_iovec_t root = {.base = slash, .len = 1};
+  req->input.method =
+      h2o_strdup(&req->pool, req->input.method.base, req->input.method.len);
+  req->method = req->input.method;
+  req->input.path = root;
+  req->path = root;
+  req->path_normalized = root;
+  req->input.authority = root;
+  req->authority = root;
+  req->headers.size = 0;
+  req->entity = {.base = nullptr, .len = 0};
+  req->upgrade = {.base = nullptr, .len = 0};
+}
+
+// The status h2o chose for an error of its own, as one of our codes.
+absl::Status ErrorOfStatus(int status) {
+  switch (status) {
+    case 413:
+      return MakeError(ResultCode::kBodyTooLarge,
+                       "The request's body is larger than the limit.");
+    case 431:
+      return MakeError(ResultCode::kHeaderTooLarge,
+                       "The request's headers are larger than the limit.");
+    case 404:
+      return MakeError(ResultCode::kUnknownPath, "No handler serves the path.");
+    default:
+      return MakeError(
+          ResultCode::kMalformedRequest,
+          fmt::format("The HTTP request is malformed (status {}).", status));
+  }
+}
+
+// Replaces the text of h2o's own errors by our JSON body.
+struct ErrorBodyStream {
+  h2o_ostream_t super;
+  h2o_iovec_t body;
+};
+
+void SendErrorBody(h2o_ostream_t* self, h2o_req_t* req, h2o_iovec_t* /*bufs*/,
+                   size_t /*count*/, h2o_send_state_t state) {
+  auto* stream = reinterpret_cast<ErrorBodyStream*>(self);
+  h2o_ostream_send_next(self, req, &stream->body, 1, state);
+}
+
+void OnSetupOstream(h2o_filter_t* /*self*/, h2o_req_t* req,
+                    h2o_ostream_t** slot) {
+  const bool own_error = req->res.status >= 400 && req->_generator != nullptr &&
+                         req->_generator->stop != Exchange::OnStop;
+  if (!own_error) {
+    h2o_setup_next_ostream(req, slot);
+    return;
+  }
+  const std::string body = ErrorBody(ErrorOfStatus(req->res.status));
+  auto* stream = reinterpret_cast<ErrorBodyStream*>(
+      h2o_add_ostream(req, sizeof(ErrorBodyStream), slot));
+  stream->super.do_send = SendErrorBody;
+  stream->body = h2o_strdup(&req->pool, body.data(), body.size());
+  req->res.content_length = body.size();
+  h2o_set_header(&req->pool, &req->res.headers, H2O_TOKEN_CONTENT_TYPE,
+                 H2O_STRLIT("application/json"), 1);
+  h2o_setup_next_ostream(req, &stream->super.next);
+}
+
+}  // namespace
+
+// What h2o points into. It outlives the server where a connection can't be
+// closed in time.
+struct HttpServer::Impl {
+  // The handler that h2o calls, with the way back to the server.
+  struct Handler {
+    h2o_handler_t super;
+    Impl* server;
+  };
+
+  Impl(EventLoop& event_loop, HttpServerOptions server_options,
+       HttpHandler request_handler)
+      : loop(event_loop),
+        options(std::move(server_options)),
+        handler(std::move(request_handler)) {
+    h2o_config_init(&config);
+    config.max_request_entity_size = options.max_body_bytes;
+    config.server_name = {.base = nullptr, .len = 0};
+    config.http1.req_timeout = Milliseconds(options.idle_timeout);
+    config.http1.upgrade_to_http2 = 0;
+    h2o_hostconf_t* host = h2o_config_register_host(
+        &config, h2o_iovec_init(H2O_STRLIT("default")), 65535);
+    RegisterOn(&host->fallback_path);
+    h2o_context_init(&context, loop.raw(), &config);
+    accept.ctx = &context;
+    accept.hosts = config.hosts;
+  }
+
+  static uint64_t Milliseconds(Duration duration) {
+    return std::chrono::ceil<std::chrono::milliseconds>(duration).count();
+  }
+
+  void RegisterOn(h2o_pathconf_t* path) {
+    auto* raw =
+        reinterpret_cast<Handler*>(h2o_create_handler(path, sizeof(Handler)));
+    raw->super.on_req = OnRequest;
+    raw->server = this;
+    h2o_filter_t* filter = h2o_create_filter(path, sizeof(h2o_filter_t));
+    filter->on_setup_ostream = OnSetupOstream;
+  }
+
+  static int OnRequest(h2o_handler_t* self, h2o_req_t* req) {
+    reinterpret_cast<Handler*>(self)->server->Handle(req);
+    return 0;
+  }
+
+  void Handle(h2o_req_t* req) {
+    h2o_socket_t* socket = req->conn->callbacks->get_socket(req->conn);
+    const size_t header_bytes = HeaderBytes(req);
+    auto exchange = std::make_shared<Exchange>(
+        loop, req, CopyRequest(req), [this, socket](Exchange* finished) {
+          const auto found = exchanges.find(socket);
+          if (found != exchanges.end() && found->second == finished) {
+            exchanges.erase(found);
+          }
+        });
+    exchanges[socket] = exchange.get();
+    DetachFromInput(req);
+    exchange->Attach(exchange);
+    // h2o reads nothing while a request is under way, so it would not see the
+    // caller go.
+    h2o_socket_read_start(socket, OnReadWhileAnswering);
+    if (header_bytes > options.max_header_bytes) {
+      RefuseHeaders(*exchange, header_bytes);
+      return;
+    }
+    handler(std::move(exchange));
+  }
+
+  void RefuseHeaders(Exchange& exchange, size_t bytes) const {
+    const absl::Status error = MakeError(
+        ResultCode::kHeaderTooLarge,
+        fmt::format("The request's headers take {} bytes; the limit is {}.",
+                    bytes, options.max_header_bytes));
+    exchange.Respond(431, {{"content-type", "application/json"}},
+                     ErrorBody(error));
+  }
+
+  static void OnReadWhileAnswering(h2o_socket_t* socket, const char* error) {
+    // h2o keeps its connection in `data`; the close hook leads to the server.
+    Impl* server = OwnerOf(socket);
+    if (error == nullptr) {
+      if (socket->input->size > kMaxPipelinedBytes) {
+        h2o_socket_read_stop(socket);
+      }
+      return;
+    }
+    h2o_socket_read_stop(socket);
+    const auto found = server->exchanges.find(socket);
+    if (found != server->exchanges.end()) {
+      found->second->CallerGone();
+    }
+  }
+
+  // What the close hook of an accepted socket gets.
+  struct Connection {
+    Impl* server;
+    h2o_socket_t* socket;
+  };
+
+  static Impl* OwnerOf(h2o_socket_t* socket) {
+    return static_cast<Connection*>(socket->on_close.data)->server;
+  }
+
+  static void OnClose(void* data) {
+    const std::unique_ptr<Connection> connection(
+        static_cast<Connection*>(data));
+    connection->server->connections.erase(connection->socket);
+    connection->server->exchanges.erase(connection->socket);
+  }
+
+  static void OnAccept(h2o_socket_t* listener, const char* error) {
+    if (error == nullptr) {
+      static_cast<Impl*>(listener->data)->AcceptRound();
+    }
+  }
+
+  void AcceptRound() {
+    for (int i = 0; i < kAcceptsPerRound; ++i) {
+      errno = 0;
+      h2o_socket_t* socket = h2o_evloop_socket_accept(listener);
+      if (socket == nullptr) {
+        PauseIfExhausted(errno);
+        return;
+      }
+      Welcome(socket);
+    }
+  }
+
+  void Welcome(h2o_socket_t* socket) {
+    ++accepted;
+    connections.insert(socket);
+    socket->on_close.cb = OnClose;
+    socket->on_close.data = new Connection{.server = this, .socket = socket};
+    h2o_accept(&accept, socket);
+  }
+
+  // Without free descriptors the listener stays readable; the loop would spin.
+  void PauseIfExhausted(int error) {
+    if (error != EMFILE && error != ENFILE) {
+      return;
+    }
+    h2o_socket_read_stop(listener);
+    accept_pause = loop.After(kAcceptPause, [this] {
+      if (listener != nullptr) {
+        h2o_socket_read_start(listener, OnAccept);
+      }
+    });
+  }
+
+  void CloseListener() {
+    if (listener == nullptr) {
+      return;
+    }
+    h2o_socket_read_stop(listener);
+    h2o_socket_close(listener);
+    listener = nullptr;
+    accept_pause.Cancel();
+  }
+
+  // h2o then sees the end of the connection and closes it by its own path.
+  void CloseIdle() {
+    const std::vector<h2o_socket_t*> open(connections.begin(),
+                                          connections.end());
+    for (h2o_socket_t* socket : open) {
+      if (!exchanges.contains(socket) && socket->input->size == 0) {
+        shutdown(h2o_socket_get_fd(socket), SHUT_RDWR);
+      }
+    }
+  }
+
+  void CloseAll() {
+    std::vector<Exchange*> open;
+    for (const auto& [socket, exchange] : exchanges) {
+      open.push_back(exchange);
+    }
+    for (Exchange* exchange : open) {
+      exchange->CallerGone();
+    }
+    const std::vector<h2o_socket_t*> rest(connections.begin(),
+                                          connections.end());
+    for (h2o_socket_t* socket : rest) {
+      shutdown(h2o_socket_get_fd(socket), SHUT_RDWR);
+    }
+    for (int i = 0; i < kClosingRounds && !connections.empty(); ++i) {
+      h2o_evloop_run(loop.raw(), 0);
+    }
+  }
+
+  void Dispose() {
+    h2o_context_dispose(&context);
+    h2o_config_dispose(&config);
+  }
+
+  EventLoop& loop;
+  HttpServerOptions options;
+  HttpHandler handler;
+  h2o_globalconf_t config = {};
+  h2o_context_t context = {};
+  h2o_accept_ctx_t accept = {};
+  h2o_socket_t* listener = nullptr;
+  uint16_t port = 0;
+  uint64_t accepted = 0;
+  Timer accept_pause;
+  Timer idle_grace;
+  absl::flat_hash_set<h2o_socket_t*> connections;
+  absl::flat_hash_map<h2o_socket_t*, Exchange*> exchanges;
+};
+
+HttpServer::HttpServer(EventLoop& loop, HttpServerOptions options,
+                       HttpHandler handler)
+    : impl_(std::make_unique<Impl>(loop, std::move(options),
+                                   std::move(handler))) {}
+
+HttpServer::~HttpServer() {
+  impl_->CloseListener();
+  impl_->CloseAll();
+  if (!impl_->connections.empty()) {
+    // h2o still points at the context; the process is ending anyway.
+    static_cast<void>(impl_.release());
+    return;
+  }
+  impl_->Dispose();
+}
+
+absl::Status HttpServer::Listen() {
+  auto bound = ListenTcp(impl_->options.address, impl_->options.port);
+  if (!bound.ok()) {
+    return bound.status();
+  }
+  impl_->port = bound->port;
+  impl_->listener = h2o_evloop_socket_create(impl_->loop.raw(), bound->fd,
+                                             H2O_SOCKET_FLAG_DONT_READ);
+  impl_->listener->data = impl_.get();
+  h2o_socket_read_start(impl_->listener, Impl::OnAccept);
+  return absl::OkStatus();
+}
+
+void HttpServer::StopAccepting() {
+  if (impl_->listener == nullptr) {
+    return;
+  }
+  // Closing the listener resets the connections that wait in its queue.
+  impl_->AcceptRound();
+  impl_->CloseListener();
+  // Each answer then closes its connection. h2o's own call for this also sets a
+  // timer for HTTP/2, which would outlive the server.
+  impl_->context.shutdown_requested = 1;
+  impl_->idle_grace = impl_->loop.After(
+      kIdleGrace, [impl = impl_.get()] { impl->CloseIdle(); });
+}
+
+uint16_t HttpServer::port() const { return impl_->port; }
+
+size_t HttpServer::open_exchanges() const { return impl_->exchanges.size(); }
+
+size_t HttpServer::open_connections() const {
+  return impl_->connections.size();
+}
+
+uint64_t HttpServer::accepted_connections() const { return impl_->accepted; }
+
+}  // namespace oleander::io
--- a/src/io/http_server.h
+++ b/src/io/http_server.h
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -60,7 +61,8 @@
   // Bytes written here that the connection hasn't taken yet.
   virtual size_t pending_bytes() const = 0;
 
-  // Called once when the caller goes before the answer has ended.
+  // Called once, in a round of its own, when the caller goes before the answer
+  // has ended. A caller that closes its sending side counts as gone.
   virtual void OnGone(std::function<void()> callback) = 0;
   // Called each time pending_bytes() falls to zero.
   virtual void OnDrained(std::function<void()> callback) = 0;
@@ -78,21 +80,28 @@
   std::string address;  // An IP number.
   uint16_t port = 0;    // 0 takes a free port.
   size_t max_body_bytes = 4 << 20;
+  size_t max_header_bytes = 32 << 10;
   Duration idle_timeout = std::chrono::seconds(60);
-  std::optional<TlsFiles> tls;
+  std::optional<TlsFiles> tls = std::nullopt;
 };
 
+// Destroy it from outside the loop's callbacks: its connections are closed by
+// running the loop for some rounds.
 class HttpServer {
  public:
   HttpServer(EventLoop& loop, HttpServerOptions options, HttpHandler handler);
   ~HttpServer();
 
   absl::Status Listen();
-  // Takes no new connections and closes idle ones; answers under way go on.
+  // Takes no new connections; answers under way go on and close theirs. Idle
+  // connections are closed half a second later, so that a request that is on
+  // its way still gets its answer.
   void StopAccepting();
 
   uint16_t port() const;          // The port listened on.
   size_t open_exchanges() const;  // Requests without a finished answer.
+  size_t open_connections() const;
+  uint64_t accepted_connections() const;  // Since the start.
 
  private:
   struct Impl;
