--- a/src/io/event_loop.h
+++ b/src/io/event_loop.h
@@ -8,7 +8,7 @@
 
 #include "oleander/types.h"
 
-struct st_h2o_evloop_t;
+struct st_h2o_evloop_t;  // NOLINT(readability-identifier-naming): h2o's.
 
 namespace oleander::io {
 
--- a/src/io/http_exchange.cc
+++ b/src/io/http_exchange.cc
@@ -65,6 +65,16 @@
                         nullptr, value.base, value.len);
 }
 
+// h2o_send() without bytes only asks for the next ones; the connection's own
+// stream, the last, writes the headers even so.
+void SendHeadAlone(h2o_req_t* req) {
+  h2o_ostream_t* stream = req->_ostr_top;
+  while (stream->next != nullptr) {
+    stream = stream->next;
+  }
+  stream->do_send(stream, req, nullptr, 0, H2O_SEND_STATE_IN_PROGRESS);
+}
+
 void ClearKeepingLittle(std::string& text) {
   if (text.capacity() > kKeptCapacity) {
     std::string().swap(text);
@@ -148,7 +158,7 @@
   }
   StartResponse(status, headers, SIZE_MAX);
   sending_ = true;
-  h2o_send(req_, nullptr, 0, H2O_SEND_STATE_IN_PROGRESS);
+  SendHeadAlone(req_);
 }
 
 void Exchange::Write(std::string_view chunk) {
--- a/src/io/http_server.cc
+++ b/src/io/http_server.cc
@@ -360,8 +360,8 @@
   impl_->CloseListener();
   impl_->CloseAll();
   if (!impl_->connections.empty()) {
-    // h2o still points at the context; the process is ending anyway.
-    static_cast<void>(impl_.release());
+    // h2o still points at the context, so it is left behind.
+    [[maybe_unused]] const Impl* left_behind = impl_.release();
     return;
   }
   impl_->Dispose();
--- a/test/correctness/http_test.cc
+++ b/test/correctness/http_test.cc
@@ -31,7 +31,8 @@
 
   HttpAnswer Fetch(HttpCallRequest request) {
     std::optional<HttpAnswer> answer;
-    client.Fetch(std::move(request), [&](HttpAnswer a) { answer = a; });
+    client.Fetch(std::move(request),
+                 [&](HttpAnswer a) { answer = std::move(a); });
     BOOST_REQUIRE(RunUntil(loop, [&] { return answer.has_value(); }));
     return *answer;
   }
@@ -308,7 +309,7 @@
   request.address = kTestAddress;
   request.port = closed_port;
   std::optional<HttpAnswer> answer;
-  client.Fetch(request, [&](HttpAnswer a) { answer = a; });
+  client.Fetch(request, [&](HttpAnswer a) { answer = std::move(a); });
   BOOST_REQUIRE(RunUntil(loop, [&] { return answer.has_value(); }));
   BOOST_TEST(!answer->end.sent);
   BOOST_TEST((CodeOf(answer->end.status) == ResultCode::kConnectFailed));
@@ -367,14 +368,14 @@
   request.address = kTestAddress;
   request.port = bound->port;
   std::optional<HttpAnswer> answer;
-  client.Fetch(request, [&](HttpAnswer a) { answer = a; });
+  client.Fetch(request, [&](HttpAnswer a) { answer = std::move(a); });
   int accepted = -1;
   bool asked = false;
   BOOST_REQUIRE(RunUntil(loop, [&] {
     accepted = accepted >= 0 ? accepted : accept(bound->fd, nullptr, nullptr);
     std::array<char, 1024> bytes;
-    asked = asked ||
-            recv(accepted, bytes.data(), bytes.size(), MSG_DONTWAIT) > 0;
+    asked =
+        asked || recv(accepted, bytes.data(), bytes.size(), MSG_DONTWAIT) > 0;
     return asked;
   }));
   close(accepted);
