--- /dev/null
+++ b/apps/oleanderctl/main.cc
@@ -0,0 +1,140 @@
+// oleanderctl: the operators' command line. docs/operators/oleanderctl.md
+// describes it.
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <memory>
+#include <optional>
+
+#include "commands.h"
+#include "node/settings.h"
+#include "oleander/result_code.h"
+
+DEFINE_string(address, "127.0.0.1:9090",
+              "The daemon's operator listener, as IP:PORT.");
+DEFINE_string(token_file, "", "A file that holds the operator token.");
+DEFINE_string(output, "text", "How to print: text or json.");
+DEFINE_string(reason, "", "Why the change is made, for the audit trail.");
+DEFINE_string(who, "operator", "Who makes the change, for the audit trail.");
+DEFINE_bool(wait, false,
+            "Wait until the change is in force on every reachable instance.");
+DEFINE_int32(wait_ms, 5000, "How long --wait waits.");
+DEFINE_bool(drop_comments, false,
+            "Let `profile edit` lose the document's comments.");
+
+namespace oleander::ctl {
+namespace {
+
+std::vector<Command> AllCommands() {
+  std::vector<Command> commands(GeneralCommands().begin(),
+                                GeneralCommands().end());
+  std::ranges::copy(ProfileCommands(), std::back_inserter(commands));
+  return commands;
+}
+
+std::string UsageText() {
+  std::string text = "oleanderctl [flags] COMMAND\n\n";
+  for (const Command& command : AllCommands()) {
+    text += fmt::format("  {:<40} {}\n",
+                        fmt::format("{} {}", command.name, command.usage),
+                        command.help);
+  }
+  return text;
+}
+
+// Finds the command by its one or two words and leaves the words after it in
+// `words`.
+const Command* FindCommand(const std::vector<Command>& commands,
+                           std::vector<std::string>& words) {
+  const std::string one = words.empty() ? "" : words[0];
+  const std::string two = words.size() > 1 ? one + " " + words[1] : one;
+  const auto found =
+      std::ranges::find_if(commands, [&](const Command& command) {
+        return command.name == one || command.name == two;
+      });
+  if (found == commands.end()) {
+    return nullptr;
+  }
+  words.erase(words.begin(), words.begin() + (found->name == one ? 1 : 2));
+  return &*found;
+}
+
+std::string WithoutLineEnd(std::string text) {
+  text.erase(text.find_last_not_of(" \r\n\t") + 1);
+  return text;
+}
+
+absl::StatusOr<std::unique_ptr<OperatorClient>> NewClient() {
+  auto endpoint = ParseEndpoint(FLAGS_address);
+  if (!endpoint.ok()) {
+    return endpoint.status();
+  }
+  if (FLAGS_token_file.empty()) {
+    return MakeError(ResultCode::kUsage, "This command needs --token_file.");
+  }
+  auto token = node::ReadTextFile(FLAGS_token_file);
+  if (!token.ok()) {
+    return token.status();
+  }
+  endpoint->token = WithoutLineEnd(*std::move(token));
+  return std::make_unique<OperatorClient>(*std::move(endpoint));
+}
+
+int Finish(OutputFormat format, const absl::Status& status) {
+  if (status.ok()) {
+    return static_cast<int>(ExitCode::kOk);
+  }
+  PrintError(format, status);
+  if (CodeOf(status) == ResultCode::kDeadlinePassed && FLAGS_wait) {
+    return static_cast<int>(ExitCode::kNotInForce);
+  }
+  return static_cast<int>(ExitCodeOf(status));
+}
+
+int Run(std::vector<std::string> words) {
+  const auto format =
+      FLAGS_output == "json" ? OutputFormat::kJson : OutputFormat::kText;
+  if (FLAGS_output != "json" && FLAGS_output != "text") {
+    return Finish(
+        format,
+        MakeError(ResultCode::kUsage,
+                  fmt::format("--output is \"{}\", expected text or json.",
+                              FLAGS_output)));
+  }
+  const std::vector<Command> commands = AllCommands();
+  const Command* command = FindCommand(commands, words);
+  if (command == nullptr) {
+    fmt::print(stderr, "{}", UsageText());
+    return static_cast<int>(ExitCode::kUsage);
+  }
+  std::unique_ptr<OperatorClient> client;
+  CommandContext context;
+  context.words = std::move(words);
+  context.format = format;
+  context.reason = FLAGS_reason;
+  context.operator_name = FLAGS_who;
+  context.wait = FLAGS_wait;
+  context.wait_bound = std::chrono::milliseconds(FLAGS_wait_ms);
+  context.drop_comments = FLAGS_drop_comments;
+  context.connect = [&]() -> absl::StatusOr<OperatorClient*> {
+    auto made = NewClient();
+    if (!made.ok()) {
+      return made.status();
+    }
+    client = *std::move(made);
+    return client.get();
+  };
+  return Finish(format, command->run(context));
+}
+
+}  // namespace
+}  // namespace oleander::ctl
+
+int main(int argc, char** argv) {
+  gflags::SetUsageMessage(oleander::ctl::UsageText());
+  gflags::SetVersionString("0.1.0");
+  gflags::ParseCommandLineFlags(&argc, &argv, /*remove_flags=*/true);
+  return oleander::ctl::Run(std::vector<std::string>(argv + 1, argv + argc));
+}
