--- /dev/null
+++ b/include/oleander/capacity.h
@@ -0,0 +1,213 @@
+// Decides which instances a service should run on, and orders the difference.
+//
+// The wanted mix names a count per machine class, failure domain and market: as
+// cheap as the profile allows, after what reclaims have cost there, and so that
+// the interactive load still fits when the largest failure domain is lost.
+// Orders are typed, carry a fencing number and leave only under a lease that is
+// valid at that moment. docs/design/capacity.md tells why.
+#ifndef OLEANDER_CAPACITY_H_
+#define OLEANDER_CAPACITY_H_
+
+#include <cstdint>
+#include <map>
+#include <span>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/status/status.h"
+#include "oleander/profile.h"
+#include "oleander/types.h"
+#include "oleander/weight_loading.h"
+
+namespace oleander {
+
+// Where and how an instance is bought.
+struct MarketKey {
+  std::string machine_class;
+  DomainId domain;
+  Market market = Market::kOnDemand;
+
+  auto operator<=>(const MarketKey&) const = default;
+};
+
+struct MarketPrice {
+  MarketKey key;
+  double per_hour = 0;
+};
+
+// The lease under which orders leave. Without one the planner orders nothing.
+struct OrderLease {
+  uint64_t fence = 0;
+  Time valid_until{};
+};
+
+// The token is a function of the service, the market and the slot's number, so
+// that a second start of the same slot is no second instance.
+struct StartInstance {
+  ServiceId service;
+  MarketKey key;
+  std::string client_token;
+  uint64_t fence = 0;
+
+  auto operator<=>(const StartInstance&) const = default;
+};
+
+// No new work for this server; it is stopped when its work has ended.
+struct DrainServer {
+  ServerId server;
+  uint64_t fence = 0;
+
+  auto operator<=>(const DrainServer&) const = default;
+};
+
+struct StopInstance {
+  ServerId server;
+  uint64_t fence = 0;
+
+  auto operator<=>(const StopInstance&) const = default;
+};
+
+enum class EngineOrderKind { kLoadModel, kUnloadModel, kSetRole };
+
+// What an engine must still look like for an order to apply. An engine that
+// ignores fencing numbers refuses a late order by this.
+struct EngineExpectation {
+  std::vector<std::string> models;
+  std::string role;
+
+  auto operator<=>(const EngineExpectation&) const = default;
+};
+
+struct EngineOrder {
+  EngineOrderKind kind = EngineOrderKind::kLoadModel;
+  ServerId server;
+  std::string model;
+  std::string role;
+  uint64_t fence = 0;
+  EngineExpectation expect;
+
+  auto operator<=>(const EngineOrder&) const = default;
+};
+
+using CapacityOrder =
+    std::variant<StartInstance, DrainServer, StopInstance, EngineOrder>;
+
+// A server of the service as it is now.
+struct CapacityServer {
+  ServerInfo info;
+  bool leaving = false;  // By a reclaim notice or an order of ours.
+  int in_flight = 0;
+  std::vector<std::string> models;  // Loaded, of an engine.
+  std::string role;
+};
+
+// The load of the service, averaged by the caller over some seconds.
+struct CapacityDemand {
+  double interactive = 0;      // Servers' worth at the latency target.
+  double total = 0;            // With standard and batch work.
+  bool target_missed = false;  // p95 was past the target in this time.
+};
+
+struct CapacityOptions {
+  ServiceId service;
+  std::string model;  // Ordered onto engines that lack it; empty orders none.
+  std::string role;   // The same.
+  std::vector<std::string> classes;  // Where the profile names none.
+  // Demand over servers at which the target is still met.
+  double utilisation = 0.8;
+  double missed_step = 0.1;  // Lowers the utilisation aimed at after a miss.
+  Duration scale_down_after = std::chrono::minutes(3);
+  int scale_down_slack = 1;  // Servers too many that are left alone.
+  Duration refused_for = std::chrono::seconds(60);  // A refused market rests.
+  Duration start_timeout = std::chrono::minutes(3);
+  Duration reclaim_memory = std::chrono::hours(6);  // Half-life.
+  // What one reclaim costs, in hours of that instance: the start, the weights
+  // and the tokens recomputed.
+  double reclaim_cost_hours = 0.25;
+  double move_gain = 0.15;  // A cheaper market must save this share.
+  Duration move_pause = std::chrono::minutes(5);
+  Duration order_margin = std::chrono::milliseconds(500);  // Lease left over.
+  Duration observe_after_takeover = std::chrono::seconds(5);
+  WeightLoadingOptions weights;
+};
+
+using CapacityMix = std::map<MarketKey, int>;
+
+class CapacityPlanner {
+ public:
+  CapacityPlanner(const CapacityOptions& options, const Profile& profile);
+
+  void SetProfile(const Profile& profile);
+  void SetPrices(std::span<const MarketPrice> prices);
+  void SetServers(Time now, std::span<const CapacityServer> servers);
+  void OnDemand(Time now, const CapacityDemand& demand);
+  void OnReclaimed(Time now, const MarketKey& key, int servers);
+  // The cloud's answer to a start.
+  void OnStarted(Time now, const std::string& client_token,
+                 const absl::Status& status);
+  void OnWeightsThrottled(Time now, const ServerId& server,
+                          Duration retry_after);
+
+  // The mix wanted now, from what is known.
+  CapacityMix WantedMix(Time now) const;
+  // Orders towards it. Empty unless `lease` is valid for long enough; after a
+  // new fencing number the first orders wait until an older holder's orders
+  // have run out and their effects were seen.
+  std::vector<CapacityOrder> Plan(Time now, const OrderLease& lease);
+
+  // Per hour, of the servers that run and those being started.
+  double cost_per_hour() const;
+  // The effective hourly price of a market with its reclaims counted in.
+  double EffectivePrice(Time now, const MarketKey& key) const;
+
+ private:
+  struct History {
+    double reclaims = 0;  // Decaying count.
+    double hours = 0;     // Decaying instance hours.
+    Time at{};
+  };
+  struct Start {
+    MarketKey key;
+    Time at{};
+    bool accepted = false;
+  };
+
+  int NeededServers() const;
+  bool Resting(Time now, const MarketKey& key) const;
+  std::vector<MarketKey> MarketsByPrice(Time now) const;
+  CapacityMix RunningMix() const;
+  CapacityMix StartingMix() const;
+  void DropOldStarts(Time now);
+  void PlanStarts(Time now, const CapacityMix& wanted, const OrderLease& lease,
+                  std::vector<CapacityOrder>& out);
+  void PlanDrains(Time now, const CapacityMix& wanted, const OrderLease& lease,
+                  std::vector<CapacityOrder>& out);
+  void PlanStops(const OrderLease& lease, std::vector<CapacityOrder>& out);
+  void PlanModels(Time now, const OrderLease& lease,
+                  std::vector<CapacityOrder>& out);
+  void Decay(Time now, History& history) const;
+
+  CapacityOptions options_;
+  Profile profile_;
+  std::map<MarketKey, double> prices_;
+  std::vector<CapacityServer> servers_;
+  CapacityDemand demand_;
+  double utilisation_;
+  std::map<MarketKey, History> history_;
+  std::map<MarketKey, Time> rests_until_;
+  std::map<std::string, Start> starts_;  // By client token.
+  std::map<MarketKey, uint64_t> next_slot_;
+  std::map<ServerId, Time> draining_;
+  WeightLoadQueue weights_;
+  Time surplus_since_ = Time::max();
+  Time last_move_{};
+  uint64_t fence_ = 0;
+  Time fence_since_{};
+  Time servers_seen_{};
+};
+
+}  // namespace oleander
+
+#endif  // OLEANDER_CAPACITY_H_
--- /dev/null
+++ b/include/oleander/prefix_index.h
@@ -0,0 +1,141 @@
+// Which backend servers hold which prompt prefixes in their caches.
+//
+// A model engine keeps the prefill of earlier prompts in blocks of 64 words and
+// reuses the blocks that a new prompt starts with. The index learns from the
+// engines' cache events, which come late and with gaps, from this instance's
+// own dispatches, and from the cached tokens that answers report. Its memory is
+// bounded, and an entry that nothing confirms ages out.
+#ifndef OLEANDER_PREFIX_INDEX_H_
+#define OLEANDER_PREFIX_INDEX_H_
+
+#include <array>
+#include <cstdint>
+#include <span>
+#include <string_view>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "oleander/types.h"
+
+namespace oleander {
+
+// The hash of a prompt's text up to the end of one block; it therefore names
+// the whole prefix and not just the block's own words.
+using BlockHash = uint64_t;
+
+inline constexpr int kWordsPerBlock = 64;
+
+// The hashes of the prompt's whole blocks, shortest prefix first: xxh64 over
+// all words up to the block's end, joined by single blanks. Words beyond the
+// last whole block are in no block.
+std::vector<BlockHash> PrefixBlocks(std::string_view prompt);
+
+// The number of words, which count as tokens, in `prompt`.
+int64_t CountWords(std::string_view prompt);
+
+// A small number that stands for a server inside the index. The router gives
+// out slots and never uses one again for another server.
+using ServerSlot = uint32_t;
+
+enum class CacheEventKind { kStored, kEvicted };
+
+struct CacheEvent {
+  uint64_t sequence = 0;  // Rises by one per event of a server.
+  CacheEventKind kind = CacheEventKind::kStored;
+  BlockHash block = 0;
+};
+
+struct PrefixIndexOptions {
+  size_t max_entries = 100'000;  // Pairs of block and server.
+  Duration max_age = std::chrono::minutes(10);
+  // After a gap in a server's events, what was known before it counts for no
+  // longer than this: the lost events may have been evictions.
+  Duration doubt_age = std::chrono::seconds(30);
+};
+
+// How many blocks of a prompt a server is believed to hold.
+struct PrefixHolder {
+  ServerSlot server = 0;
+  int blocks = 0;
+};
+
+// Example: two prompts of a workspace share their first 128 words.
+//
+//   PrefixIndex index({}, seed);
+//   index.OnDispatched(now, server, PrefixBlocks(first_prompt));
+//   index.CachedBlocks(now, server, PrefixBlocks(second_prompt));  // 2
+class PrefixIndex {
+ public:
+  static constexpr int kHoldersPerBlock = 4;
+
+  // `seed` picks which entries are weighed against each other when one has to
+  // go.
+  explicit PrefixIndex(const PrefixIndexOptions& options, uint64_t seed = 1);
+
+  // Cache events of one server in the order of their sequence numbers. Events
+  // seen before are dropped; a jump in the numbers is a gap.
+  void OnEvents(Time now, ServerSlot server,
+                std::span<const CacheEvent> events);
+  // A prompt went to `server`, which will hold its blocks soon.
+  void OnDispatched(Time now, ServerSlot server,
+                    std::span<const BlockHash> blocks);
+  // The server's answer said that it found `cached_blocks` of the prompt in its
+  // cache, at the time of the dispatch; `expected` were believed to be there.
+  // The prompt is in the cache by now, so this drops nothing of it, but where
+  // blocks were missing the server's older entries fall under doubt.
+  void OnMeasured(Time now, ServerSlot server, int cached_blocks,
+                  int expected_blocks);
+  // Forgets a server that is gone.
+  void RemoveServer(ServerSlot server);
+
+  // The longest prefix of `blocks`, in blocks, that `server` is believed to
+  // hold. A block that is known counts with all before it, since an engine
+  // drops a prefix from its end; that bridges gaps in the events.
+  int CachedBlocks(Time now, ServerSlot server,
+                   std::span<const BlockHash> blocks) const;
+  // Up to kHoldersPerBlock servers that hold the longest prefixes, longest
+  // first. Returns how many of `out` were filled. Allocates nothing.
+  int FindHolders(Time now, std::span<const BlockHash> blocks,
+                  std::array<PrefixHolder, kHoldersPerBlock>& out) const;
+
+  size_t entries() const { return entries_.size(); }
+  size_t memory_bytes() const;
+  uint64_t gaps() const { return gaps_; }
+
+ private:
+  struct Entry {
+    BlockHash block;
+    ServerSlot server;
+    uint32_t stamp;  // Ticks of kTick when last confirmed.
+  };
+  // The servers that stored a block last; a slot that is kNoServer is free.
+  using Holders = std::array<ServerSlot, kHoldersPerBlock>;
+  struct ServerState {
+    uint64_t next_sequence = 0;
+    uint32_t doubt_before = 0;  // Entries with earlier stamps age sooner.
+    uint32_t doubt_from = 0;    // When the doubt arose.
+  };
+
+  bool Holds(uint32_t now, ServerSlot server, BlockHash block) const;
+  bool Fresh(uint32_t now, const Entry& entry) const;
+  int LongestHeldByAny(uint32_t now, std::span<const BlockHash> blocks) const;
+  bool HeldByAny(uint32_t now, BlockHash block) const;
+  void Store(uint32_t now, ServerSlot server, BlockHash block);
+  void Erase(ServerSlot server, BlockHash block);
+  void EraseAt(uint32_t position);
+  void EvictOne(uint32_t now);
+  void Doubt(uint32_t now, ServerSlot server);
+  uint64_t NextRandom();
+
+  PrefixIndexOptions options_;
+  uint64_t random_state_;
+  uint64_t gaps_ = 0;
+  std::vector<Entry> entries_;
+  absl::flat_hash_map<uint64_t, uint32_t> positions_;  // By block and server.
+  absl::flat_hash_map<BlockHash, Holders> holders_;
+  absl::flat_hash_map<ServerSlot, ServerState> servers_;
+};
+
+}  // namespace oleander
+
+#endif  // OLEANDER_PREFIX_INDEX_H_
