--- /dev/null
+++ b/include/oleander/leases.h
@@ -0,0 +1,109 @@
+// Holds one duty at a time: a lease in the key-value service with a fencing
+// number, checked against the monotonic clock before each order.
+//
+//   LeaseKeeper keeper({.duty = "capacity/stgo-a", .self = self}, seed, now);
+//   keeper.Want(true, now);
+//   ...
+//   if (auto fence = keeper.FenceFor(now, order_time)) SendOrder(*fence);
+//
+// The holder counts its time from the moment it *sent* the last successful
+// renewal and stops `stop_early` before the service would let the lease lapse;
+// a process that was paused finds the time gone at its next check. The fencing
+// number is the revision at which the lease's key was created; it grows with
+// every change of holder.
+#ifndef OLEANDER_LEASES_H_
+#define OLEANDER_LEASES_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "absl/random/random.h"
+#include "oleander/store.h"
+#include "oleander/types.h"
+
+namespace oleander {
+
+struct LeaseOptions {
+  std::string duty;  // Such as "capacity/stgo-a".
+  InstanceId self;
+  Duration ttl = std::chrono::seconds(10);
+  Duration renew_every = std::chrono::seconds(3);
+  // Margin for clocks of different rate and for the renewal's way.
+  Duration stop_early = std::chrono::seconds(2);
+  Duration retry = std::chrono::seconds(2);  // Between tries to take it.
+};
+
+// The duty became this instance's, with this fencing number.
+struct LeaseTaken {
+  int64_t fence = 0;
+};
+// The duty is no longer this instance's: lapsed, lost or given up.
+struct LeaseDropped {
+  int64_t fence = 0;
+  std::string reason;
+};
+
+using LeaseAction = std::variant<StoreRequest, LeaseTaken, LeaseDropped>;
+
+class LeaseKeeper {
+ public:
+  LeaseKeeper(LeaseOptions options, uint64_t seed, Time now);
+
+  // Whether this instance is to hold the duty; giving it up revokes the lease.
+  void Want(bool want, Time now);
+
+  // Answers to store requests, by call number; other calls are ignored.
+  void OnLease(StoreCall call, const absl::StatusOr<StoreLeaseAnswer>& answer,
+               Time now);
+  void OnCas(StoreCall call, const absl::StatusOr<StoreCasAnswer>& answer,
+             Time now);
+  void OnRange(StoreCall call, const absl::StatusOr<StoreRangeAnswer>& answer,
+               Time now);
+
+  void Tick(Time now);
+  Time next_due() const;
+  std::vector<LeaseAction> TakeActions();
+
+  // The fencing number where the lease is held for at least `order_time` more.
+  // Ask right before each order.
+  std::optional<int64_t> FenceFor(Time now, Duration order_time) const;
+  // Time left for orders; zero where the lease is not held.
+  Duration remaining(Time now) const;
+  // The holder that the service named last, also another instance.
+  const InstanceId& holder() const { return holder_; }
+  const std::string& key() const { return key_; }
+
+ private:
+  enum class Phase { kIdle, kGranting, kTaking, kSettling, kHeld };
+
+  void Drop(const std::string& reason, Time now);
+  void TryAgain(Time now);
+  void Hold(int64_t fence, Time now);
+  void Revoke();
+  void AskHolder();
+  void Renew(Time now);
+  Duration Jittered(Duration duration);
+  StoreCall NextCall();
+
+  LeaseOptions options_;
+  std::string key_;
+  absl::BitGen gen_;
+  bool wanted_ = false;
+  Phase phase_ = Phase::kIdle;
+  StoreLeaseId lease_ = 0;
+  int64_t fence_ = 0;
+  InstanceId holder_;
+  Time valid_until_;  // By this instance's clock, before stop_early.
+  Time asked_at_;     // When the grant or renewal under way was sent.
+  Time next_;
+  StoreCall call_ = 0;
+  StoreCall pending_ = 0;
+  std::vector<LeaseAction> actions_;
+};
+
+}  // namespace oleander
+
+#endif  // OLEANDER_LEASES_H_
--- /dev/null
+++ b/include/oleander/load_spread.h
@@ -0,0 +1,150 @@
+// The load of the backend servers, asked by a few instances and known to all.
+//
+// Each server is asked by instances of its own failure domain, picked by
+// rendezvous hashing over the live ones. Figures travel with the heartbeats of
+// the membership part: in detail within the domain, as one summary per service
+// and domain across. Each figure carries its age. A server without a fresh
+// figure, or said to be leaving by anyone, gets no new work.
+//
+//   LoadSpread spread(self, {}, seed, now);
+//   spread.SetServers(servers, now);
+//   spread.SetLiveInstances(live_of_domain, now);
+//   for (const AskLoad& ask : spread.TakeActions()) ...  // HTTP
+//   GET /v1/load spread.OnLoadReport(server, report, now); LoadUpdate update =
+//   spread.UpdateFor(neighbour, same_domain, now);
+#ifndef OLEANDER_LOAD_SPREAD_H_
+#define OLEANDER_LOAD_SPREAD_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/random/random.h"
+#include "oleander/types.h"
+
+namespace oleander {
+
+// What a backend server says of itself.
+struct LoadReport {
+  Duration age{};  // When the server took the figures, before now.
+  int running = 0;
+  int waiting = 0;
+  int slots = 1;
+  int64_t queued_tokens = 0;
+  double tokens_per_s = 0;
+  double prefill_tokens_per_s = 0;
+  int64_t kv_used_tokens = 0;
+  int64_t kv_total_tokens = 0;
+  bool leaving = false;
+  uint64_t version = 0;  // Of a plain service's state; zero: tells none.
+
+  bool operator==(const LoadReport&) const = default;
+};
+
+// One server's figures as they travel. Levels are coarse; see LevelOf().
+struct LoadEntry {
+  uint32_t server = 0;  // Hash of the server's id.
+  uint32_t sample = 0;  // Grows with each report spread by anybody.
+  Duration age{};
+  uint8_t running = 0;  // Levels.
+  uint8_t waiting = 0;
+  uint8_t queued_tokens = 0;
+  uint8_t tokens_per_s = 0;
+  uint8_t prefill_tokens_per_s = 0;
+  uint8_t kv_used_percent = 0;
+  uint8_t slots = 0;
+  bool leaving = false;
+
+  bool operator==(const LoadEntry&) const = default;
+};
+
+// All servers of one service in one failure domain together.
+struct LoadSummary {
+  ServiceId service;
+  DomainId domain;
+  Duration age{};
+  int servers = 0;  // That take new work.
+  int running = 0;
+  int waiting = 0;
+  int slots = 0;
+  int64_t queued_tokens = 0;
+
+  bool operator==(const LoadSummary&) const = default;
+};
+
+struct LoadUpdate {
+  std::vector<LoadEntry> entries;
+  std::vector<LoadSummary> summaries;
+
+  bool empty() const { return entries.empty() && summaries.empty(); }
+  bool operator==(const LoadUpdate&) const = default;
+};
+
+// A logarithmic scale in quarter powers of two: 0 is zero, and a level and the
+// next differ by 19%.
+uint8_t LevelOf(double value);
+double ValueOf(uint8_t level);
+
+struct LoadSpreadOptions {
+  int askers = 2;                                // Per server.
+  Duration ask_every = std::chrono::seconds(2);  // Each asker.
+  Duration ask_timeout = std::chrono::milliseconds(800);
+  // Figures older than this make a server unusable.
+  Duration fresh_bound = std::chrono::seconds(5);
+  Duration spread_every = std::chrono::seconds(2);  // One server's figures.
+  Duration summary_every = std::chrono::seconds(3);
+  size_t update_bytes = 900;  // About; of one update.
+};
+
+// Ask this server for its load now.
+struct AskLoad {
+  ServerInfo server;
+};
+
+// A server's figures with their age at the time asked for.
+struct KnownLoad {
+  LoadReport report;
+  bool direct = false;  // Asked by this instance, not coarse.
+};
+
+class LoadSpread {
+ public:
+  LoadSpread(InstanceInfo self, const LoadSpreadOptions& options, uint64_t seed,
+             Time now);
+
+  // The platform's lagging list; servers that vanish from it are forgotten.
+  void SetServers(const std::vector<ServerInfo>& servers, Time now);
+  // The live instances of this instance's own failure domain.
+  void SetLiveInstances(const std::vector<InstanceId>& live, Time now);
+  void OnLoadReport(const ServerId& server, const LoadReport& report, Time now);
+  // The server did not answer; it is asked again at its next turn.
+  void OnLoadFailed(const ServerId& server, Time now);
+  // Seen leaving by another way: the platform's list, a refusal, a notice.
+  void OnLeaving(const ServerId& server, Time now);
+  void OnUpdate(const InstanceId& from, const LoadUpdate& update, Time now);
+  // What `neighbour` has not been sent yet; counts as sent.
+  LoadUpdate UpdateFor(const InstanceId& neighbour, bool same_domain, Time now);
+
+  void Tick(Time now);
+  Time next_due() const;
+  std::vector<AskLoad> TakeActions();
+
+  // Whether the server may get new work: figures in bounds and not leaving. A
+  // server of another domain has no detail; its summary counts.
+  bool usable(const ServerId& server, Time now) const;
+  bool leaving(const ServerId& server) const;
+  std::optional<KnownLoad> Find(const ServerId& server, Time now) const;
+  std::vector<LoadSummary> summaries(Time now) const;
+  std::vector<ServerId> asked_here() const;
+
+ private:
+  InstanceInfo self_;
+  LoadSpreadOptions options_;
+};
+
+}  // namespace oleander
+
+#endif  // OLEANDER_LOAD_SPREAD_H_
--- /dev/null
+++ b/include/oleander/membership.h
@@ -0,0 +1,168 @@
+// Which entry instances live, known to all of them at a constant cost each.
+//
+// Each instance exchanges heartbeats with a few others: its neighbours on two
+// hash rings of its failure domain and on one ring of the whole fleet. Silence
+// leads to a direct and several indirect probes, then to a suspicion that
+// spreads; who hears of a suspicion about itself refutes it with a higher
+// incarnation. Changes travel with heartbeats, and at once where they matter.
+// docs/design/membership.md weighs this against probing in random order.
+//
+//   Membership membership(self, {}, seed, now);
+//   membership.SetCandidates(listed, now);
+//   membership.OnMessage(from, message, now);
+//   for (auto& action : membership.TakeActions()) ...
+#ifndef OLEANDER_MEMBERSHIP_H_
+#define OLEANDER_MEMBERSHIP_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/random/random.h"
+#include "oleander/types.h"
+
+namespace oleander {
+
+enum class MemberState { kAlive = 0, kLeaving = 1, kSuspect = 2, kDead = 3 };
+
+std::string_view MemberStateName(MemberState state);
+
+// One member as this instance knows it.
+struct Member {
+  InstanceInfo info;
+  MemberState state = MemberState::kAlive;
+  uint64_t incarnation = 0;
+
+  // Whether messages to it make sense.
+  bool reachable() const { return state != MemberState::kDead; }
+};
+
+// What is said about one member. `info` travels with updates about members
+// that others may not know yet.
+struct MemberUpdate {
+  InstanceId id;
+  MemberState state = MemberState::kAlive;
+  uint64_t incarnation = 0;
+  std::optional<InstanceInfo> info;
+
+  bool operator==(const MemberUpdate&) const = default;
+};
+
+enum class MembershipKind {
+  kHeartbeat = 0,  // Periodic, carries gossip.
+  kPing = 1,       // Answered by kAck.
+  kAck = 2,
+  kPingRequest = 3,  // Probe `target` for me.
+  kUpdates = 4,      // Gossip that can't wait for a heartbeat.
+  kSync = 5,         // The whole table; answered by kSyncReply.
+  kSyncReply = 6,
+};
+
+struct MembershipMessage {
+  MembershipKind kind = MembershipKind::kHeartbeat;
+  uint64_t sequence = 0;     // Ties an ack to its ping.
+  uint64_t incarnation = 0;  // Of the sender.
+  bool leaving = false;      // The sender is.
+  uint32_t table_digest = 0;
+  InstanceId target;  // Of a ping request, and of the ack that ends it.
+  std::vector<MemberUpdate> updates;
+
+  bool operator==(const MembershipMessage&) const = default;
+};
+
+struct MembershipOptions {
+  Duration heartbeat = std::chrono::milliseconds(1500);
+  Duration fleet_heartbeat = std::chrono::milliseconds(3000);
+  // From the end of a heartbeat's interval to the first probe.
+  Duration grace = std::chrono::milliseconds(150);
+  Duration probe_timeout = std::chrono::milliseconds(250);
+  int probe_rounds = 3;     // Direct and indirect together, per silence.
+  int indirect_probes = 3;  // Per round.
+  Duration suspicion = std::chrono::milliseconds(1600);
+  Duration rejoin_probe = std::chrono::seconds(4);
+  Duration sync_interval = std::chrono::seconds(2);  // At most one in this.
+  Duration forget_dead = std::chrono::minutes(10);
+  size_t gossip_bytes = 400;  // Of updates in one message.
+  int gossip_repeats = 3;     // Of one update to one neighbour, unacknowledged.
+  uint64_t first_incarnation = 1;  // Higher for a later start of the same id.
+};
+
+struct SendMembershipMessage {
+  InstanceId to;
+  MembershipMessage message;
+};
+// A member's state changed, or a member is new.
+struct MemberChanged {
+  InstanceInfo info;
+  MemberState state = MemberState::kAlive;
+};
+// The member lives, but the open connection to it carries nothing: make a new
+// one.
+struct ResetConnection {
+  InstanceId peer;
+};
+
+using MembershipAction =
+    std::variant<SendMembershipMessage, MemberChanged, ResetConnection>;
+
+struct MembershipCounters {
+  uint64_t probes = 0;
+  uint64_t suspicions = 0;   // Raised here.
+  uint64_t refutations = 0;  // Of suspicions about this instance.
+  uint64_t deaths = 0;       // Declared here.
+  uint64_t syncs = 0;
+  uint64_t pauses = 0;  // Of this process, noticed by its clock.
+};
+
+class Membership {
+ public:
+  Membership(InstanceInfo self, const MembershipOptions& options, uint64_t seed,
+             Time now);
+
+  // The instances that may exist: the platform's list and the seeds of the
+  // settings. Members found by gossip stay members without it.
+  void SetCandidates(const std::vector<InstanceInfo>& candidates, Time now);
+  void OnMessage(const InstanceId& from, const MembershipMessage& message,
+                 Time now);
+  // This instance takes no new work from now on.
+  void Leave(Time now);
+  // This instance goes now; tells its neighbours, so that nobody has to notice.
+  void Depart(Time now);
+
+  void Tick(Time now);
+  Time next_due() const;
+  std::vector<MembershipAction> TakeActions();
+
+  // Everyone but this instance, in order of id, the dead of late included.
+  std::vector<Member> members() const;
+  std::optional<Member> Find(const InstanceId& id) const;
+  // Live members of one failure domain with this instance, in order of id;
+  // leaving ones included.
+  std::vector<InstanceInfo> LiveIn(const DomainId& domain) const;
+  // Those this instance exchanges heartbeats with.
+  std::vector<InstanceId> neighbours() const;
+  size_t live_count() const;  // This instance included.
+  uint64_t incarnation() const { return incarnation_; }
+  const InstanceInfo& self() const { return self_; }
+  const MembershipCounters& counters() const { return counters_; }
+
+ private:
+  struct Entry;
+  struct Link;
+  struct Probe;
+
+  InstanceInfo self_;
+  MembershipOptions options_;
+  uint64_t incarnation_ = 1;
+  MembershipCounters counters_;
+};
+
+}  // namespace oleander
+
+#endif  // OLEANDER_MEMBERSHIP_H_
--- /dev/null
+++ b/include/oleander/store_budget.h
@@ -0,0 +1,101 @@
+// Keeps this instance's calls to the key-value service within its share.
+//
+// The service takes some hundred writes and two thousand reads a second from
+// the whole fleet and has outages. Each instance has token buckets, cut by the
+// fleet's size; classes that matter more may spend what others may not. After
+// failures a circuit opens: calls are refused at once, then one probes at
+// jittered, growing intervals, so that a fleet doesn't come back all at once.
+//
+//   if (absl::Status may = budget.Take(StoreClass::kLease, true, now);
+//       !may.ok()) {
+//     return may;  // kStoreBudgetSpent or kStoreUnavailable; not sent.
+//   }
+//   ... send it, then budget.OnAnswer(now) or budget.OnFailure(now).
+#ifndef OLEANDER_STORE_BUDGET_H_
+#define OLEANDER_STORE_BUDGET_H_
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+#include "absl/random/random.h"
+#include "absl/status/status.h"
+#include "oleander/types.h"
+
+namespace oleander {
+
+// In order of importance; a class may use what the classes after it hold back.
+enum class StoreClass { kLease = 0, kClaim = 1, kProfile = 2, kRest = 3 };
+inline constexpr size_t kStoreClasses = 4;
+
+std::string_view StoreClassName(StoreClass store_class);
+
+struct StoreBudgetOptions {
+  // What the fleet may spend together, calls per second.
+  double fleet_writes_per_s = 300;
+  double fleet_reads_per_s = 1600;
+  Duration burst = std::chrono::seconds(2);  // Unspent share kept this long.
+  int failures_to_open = 5;                  // In a row.
+  Duration first_probe = std::chrono::milliseconds(500);
+  Duration longest_probe = std::chrono::seconds(8);
+  Duration ramp = std::chrono::seconds(5);  // To the full share after closing.
+};
+
+enum class StoreCircuit { kClosed, kOpen, kProbing };
+
+struct StoreBudgetCounters {
+  std::array<uint64_t, kStoreClasses> taken{};
+  std::array<uint64_t, kStoreClasses> refused{};
+  uint64_t failures = 0;
+  uint64_t opened = 0;
+};
+
+class StoreBudget {
+ public:
+  StoreBudget(const StoreBudgetOptions& options, uint64_t seed, Time now);
+
+  // The share is the fleet's rate divided by the number of live instances.
+  void SetInstances(size_t instances, Time now);
+
+  // Takes one call's token, or tells why not, with `retry_after`.
+  absl::Status Take(StoreClass store_class, bool write, Time now);
+  // Any answer of the service, also a refusal of what was asked.
+  void OnAnswer(Time now);
+  // No answer: a timeout or a broken connection.
+  void OnFailure(Time now);
+
+  StoreCircuit circuit() const { return circuit_; }
+  const StoreBudgetCounters& counters() const { return counters_; }
+  double writes_per_s() const;
+  double reads_per_s() const;
+
+ private:
+  struct Bucket {
+    double tokens = 0;
+    Time filled;
+  };
+
+  double Rate(bool write) const;
+  void Refill(Bucket& bucket, double rate, Time now) const;
+  double Ramp(Time now) const;
+  void Open(Time now);
+  Duration Jittered(Duration duration);
+  absl::Status Refuse(StoreClass store_class, bool spent, Duration retry_after);
+
+  StoreBudgetOptions options_;
+  absl::BitGen gen_;
+  size_t instances_ = 1;
+  Bucket writes_;
+  Bucket reads_;
+  StoreCircuit circuit_ = StoreCircuit::kClosed;
+  int failures_in_row_ = 0;
+  Duration probe_interval_{};
+  Time next_probe_;
+  Time closed_at_;
+  StoreBudgetCounters counters_;
+};
+
+}  // namespace oleander
+
+#endif  // OLEANDER_STORE_BUDGET_H_
