Mesh over ZeroMQ: bounded queues, allowed keys, refused frames

Cause: entry instances need to reach each other.

With keys, a ZAP handler on our loop allows the configured keys and those that SetPeer() names, and an allowed peer can't speak for another. Frames that do not parse, or of another version, are refused and counted.

Header: Mesh gets port(), refused_peers() and open_connections().

--- a/src/io/mesh.h
+++ b/src/io/mesh.h
@@ -22,6 +22,8 @@
 inline constexpr uint32_t kMeshVersion = 1;
 
 // CURVE keys in Z85, 40 characters each. Without keys the mesh is in the clear.
+// With keys, a peer connects only with an allowed key or with one that
+// SetPeer() names.
 struct MeshKeys {
   std::string public_key;
   std::string secret_key;
@@ -34,8 +36,8 @@
 struct MeshOptions {
   InstanceId id;
   std::string address;
-  uint16_t port = 0;
-  MeshKeys keys;
+  uint16_t port = 0;  // 0 takes a free port.
+  MeshKeys keys = {};
   size_t queue_messages =
       4096;  // Per peer; the oldest control message goes first.
   Duration heartbeat = std::chrono::seconds(1);
@@ -62,19 +64,25 @@
   Mesh(EventLoop& loop, MeshOptions options, Receiver receiver);
   ~Mesh();
 
+  // kSettingsInvalid where the address or a key can't be used.
   absl::Status Listen();
+  uint16_t port() const;  // The port listened on.
   // Tells where a peer is and which key it has; the connection is made on the
   // first send.
   void SetPeer(const InstanceId& peer, const std::string& address,
                uint16_t port, const std::string& public_key);
   void ForgetPeer(const InstanceId& peer);
   // Fills in version and sender and queues the message. Never blocks.
+  // kMeshPeerUnknown without an address or key, kMeshQueueFull where the
+  // message was dropped at once.
   absl::Status Send(const InstanceId& peer, mesh::Envelope message);
 
   std::vector<MeshTraffic> traffic() const;
-  uint64_t dropped() const;  // Messages dropped from full queues.
+  uint64_t dropped() const;  // Messages dropped from queues.
   uint64_t refused_frames()
       const;  // Frames that did not parse, or of another version.
+  uint64_t refused_peers() const;   // Connections refused for their key.
+  size_t open_connections() const;  // To peers, by our sending.
 
  private:
   struct Impl;
