TLS on the HTTP server, read again when its files change

Cause: callers and operators may be reached over TLS, and certificates are renewed while the daemon runs.

Change: TlsContext reads certificate and key and looks every two seconds whether they have changed; new connections get the new certificate, those under way keep theirs, and a broken file leaves the earlier one in use with a log line. The ZAP handler no longer sends a string that has gone.

--- a/src/io/http_server.cc
+++ b/src/io/http_server.cc
@@ -16,7 +16,9 @@
 #include "fmt/format.h"
 #include "io/h2o.h"
 #include "io/http_exchange.h"
+#include "io/log.h"
 #include "io/socket_address.h"
+#include "io/tls_context.h"
 #include "oleander/invariant.h"
 #include "oleander/result_code.h"
 
@@ -292,6 +294,30 @@
     });
   }
 
+  absl::Status LoadTls() {
+    if (!options.tls.has_value()) {
+      return absl::OkStatus();
+    }
+    auto loaded = TlsContext::Load(*options.tls);
+    if (!loaded.ok()) {
+      return loaded.status();
+    }
+    tls = *std::move(loaded);
+    accept.ssl_ctx = tls->raw();
+    tls_check = loop.Every(options.tls->check_period, [this] { RefreshTls(); });
+    return absl::OkStatus();
+  }
+
+  void RefreshTls() {
+    const absl::Status refreshed = tls->Refresh();
+    if (!refreshed.ok()) {
+      Log(LogLevel::kError, "tls.reload_failed",
+          {{"code", static_cast<int>(CodeOf(refreshed))},
+           {"reason", std::string(refreshed.message())}});
+    }
+    accept.ssl_ctx = tls->raw();
+  }
+
   void CloseListener() {
     if (listener == nullptr) {
       return;
@@ -345,6 +371,8 @@
   h2o_socket_t* listener = nullptr;
   uint16_t port = 0;
   uint64_t accepted = 0;
+  std::optional<TlsContext> tls;
+  Timer tls_check;
   Timer accept_pause;
   Timer idle_grace;
   absl::flat_hash_set<h2o_socket_t*> connections;
@@ -368,6 +396,9 @@
 }
 
 absl::Status HttpServer::Listen() {
+  if (absl::Status loaded = impl_->LoadTls(); !loaded.ok()) {
+    return loaded;
+  }
   auto bound = ListenTcp(impl_->options.address, impl_->options.port);
   if (!bound.ok()) {
     return bound.status();
--- a/src/io/http_server.h
+++ b/src/io/http_server.h
@@ -74,6 +74,7 @@
 struct TlsFiles {
   std::string certificate_file;
   std::string key_file;
+  Duration check_period = std::chrono::seconds(2);
 };
 
 struct HttpServerOptions {
@@ -92,6 +93,7 @@
   HttpServer(EventLoop& loop, HttpServerOptions options, HttpHandler handler);
   ~HttpServer();
 
+  // kSettingsInvalid where the address or the TLS files can't be used.
   absl::Status Listen();
   // Takes no new connections; answers under way go on and close theirs. Idle
   // connections are closed half a second later, so that a request that is on
--- a/src/io/zap_handler.cc
+++ b/src/io/zap_handler.cc
@@ -54,6 +54,7 @@
   if (!allowed) {
     ++refused_;
   }
+  const std::string user_id = allowed ? key : std::string();
   const std::string id = frames.size() > 1 ? frames[1].to_string() : "";
   const std::array<zmq::const_buffer, 6> answer = {
       zmq::str_buffer("1.0"),
@@ -61,7 +62,7 @@
       allowed ? zmq::str_buffer("200") : zmq::str_buffer("400"),
       allowed ? zmq::buffer(std::string_view("OK"))
               : zmq::buffer(std::string_view("This key is not allowed.")),
-      zmq::buffer(allowed ? key : std::string()),
+      zmq::buffer(user_id),
       zmq::str_buffer(""),
   };
   zmq::send_multipart(socket_, answer, zmq::send_flags::dontwait);
