--- a/src/io/event_loop.cc
+++ b/src/io/event_loop.cc
@@ -211,6 +211,11 @@
 };
 
 EventLoop::EventLoop() : impl_(std::make_unique<Impl>()) {
+  // The input buffer of every connection that is being answered stays; most
+  // requests fit into half of what h2o takes. It reads 4 KB at a time, so less
+  // would not be used.
+  h2o_socket_buffer_prototype._initial_buf.capacity =
+      H2O_SOCKET_INITIAL_INPUT_BUFFER_SIZE;
   // Writes to a closed connection are reported by their result instead.
   std::signal(SIGPIPE, SIG_IGN);
 }
--- a/src/io/mesh.cc
+++ b/src/io/mesh.cc
@@ -27,6 +27,7 @@
 constexpr int kSocketQueue = 64;
 // Messages taken in one round of the loop, so that callers get their turn.
 constexpr int kMessagesPerRound = 256;
+constexpr Duration kRefusalLines = std::chrono::seconds(1);
 constexpr Duration kConnectTimeout = std::chrono::seconds(2);
 constexpr Duration kReconnect = std::chrono::milliseconds(100);
 constexpr Duration kLongestReconnect = std::chrono::seconds(5);
@@ -211,11 +212,17 @@
     return key != nullptr && known->second->public_key == key;
   }
 
+  // A line a second at most: a hostile sender must not fill the log.
   void Refuse(const absl::Status& reason) {
     ++refused;
+    if (loop.now() < next_refusal_line) {
+      return;
+    }
+    next_refusal_line = loop.now() + kRefusalLines;
     Log(LogLevel::kWarning, "mesh.refused",
         {{"code", static_cast<int>(CodeOf(reason))},
-         {"reason", std::string(reason.message())}});
+         {"reason", std::string(reason.message())},
+         {"refused", refused}});
   }
 
   absl::Status Connect(const InstanceId& id, Peer& peer) {
@@ -386,6 +393,7 @@
   std::array<MeshTraffic, kMeshClasses.size()> traffic;
   uint64_t dropped = 0;  // Of peers that are no longer there.
   uint64_t refused = 0;
+  Time next_refusal_line;
 };
 
 Mesh::Mesh(EventLoop& loop, MeshOptions options, Receiver receiver)
