Loop: h2o no longer ends the process on writes from timers

Cause: a write from a timer or posted callback completes at once and leaves its callback pending. h2o then looked which sockets to poll before it called it, so the socket was polled for writing with nobody writing; where the event came a round later (more than 256 sockets ready), h2o's assertion ended the process. Seen with 1,000 streams in bench_http.

Change: the loop runs h2o's pending callbacks before each round of sockets. Second fault, found by the same test: an answer that was given up while its last write had just succeeded kept its connection for ever; it is now ended when h2o asks for more. bench_http measures the io layer alone.

--- a/src/io/event_loop.cc
+++ b/src/io/event_loop.cc
@@ -229,7 +229,7 @@
     close(impl_->signal_fd);
   }
   // Closed sockets are freed by the round after.
-  h2o_evloop_run(impl_->loop, 0);
+  RunSockets(0);
   h2o_evloop_destroy(impl_->loop);
 }
 
@@ -290,10 +290,19 @@
     if (impl_->stopped) {
       return;
     }
-    h2o_evloop_run(impl_->loop, impl_->WaitMilliseconds(now()));
+    RunSockets(impl_->WaitMilliseconds(now()));
   }
 }
 
+// A write from outside h2o's own round may complete at once and wait for its
+// callback. h2o must call it before it looks which sockets to poll, or it polls
+// one that nobody writes to any more, and ends the process on that event.
+void EventLoop::RunSockets(int max_wait_ms) {
+  h2o_timeout__do_post_callback(impl_->loop);
+  const bool more = !impl_->posted.empty();
+  h2o_evloop_run(impl_->loop, more ? 0 : max_wait_ms);
+}
+
 void EventLoop::Stop() { impl_->stopped = true; }
 
 st_h2o_evloop_t* EventLoop::raw() const { return impl_->loop; }
--- a/src/io/event_loop.h
+++ b/src/io/event_loop.h
@@ -62,8 +62,10 @@
   void Run();
   void Stop();
 
-  // For the other wrappers of this layer.
+  // For the other wrappers of this layer. RunSockets() makes one round of
+  // sockets only, without timers and posted callbacks.
   st_h2o_evloop_t* raw() const;
+  void RunSockets(int max_wait_ms);
 
  private:
   struct Impl;
--- a/src/io/http_exchange.cc
+++ b/src/io/http_exchange.cc
@@ -112,7 +112,7 @@
   exchange->sending_ = false;
   exchange->waiting_.clear();
   exchange->in_flight_.clear();
-  if (!exchange->finished_) {
+  if (!exchange->ended_) {
     exchange->TellGone();
   }
   exchange->on_gone_ = nullptr;
@@ -258,9 +258,9 @@
   on_drained_ = nullptr;
 }
 
-// The write under way then fails, and h2o closes the connection.
+// The write under way then fails, and h2o closes the connection; where it had
+// already succeeded, Proceed() gives up the rest.
 void Exchange::BreakConnection() {
-  finished_ = true;
   h2o_socket_t* socket = req_->conn->callbacks->get_socket(req_->conn);
   shutdown(h2o_socket_get_fd(socket), SHUT_RDWR);
 }
--- a/src/io/http_server.cc
+++ b/src/io/http_server.cc
@@ -353,7 +353,7 @@
       shutdown(h2o_socket_get_fd(socket), SHUT_RDWR);
     }
     for (int i = 0; i < kClosingRounds && !connections.empty(); ++i) {
-      h2o_evloop_run(loop.raw(), 0);
+      loop.RunSockets(0);
     }
   }
 
--- a/test/correctness/http_test.cc
+++ b/test/correctness/http_test.cc
@@ -236,6 +236,36 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// Regression: h2o ended the process where more connections than it polls at a
+// time were written to from a timer.
+BOOST_AUTO_TEST_CASE(many_streamed_answers_may_be_written_from_a_timer) {
+  constexpr size_t kStreams = 1000;
+  std::vector<ExchangePtr> open;
+  Pair pair([&](ExchangePtr e) { open.push_back(std::move(e)); });
+  size_t received = 0;
+  std::vector<std::unique_ptr<HttpCall>> calls;
+  for (size_t i = 0; i < kStreams; ++i) {
+    calls.push_back(pair.client.Start(
+        pair.Request("/s"),
+        {.on_sent = {},
+         .on_head = {},
+         .on_body = [&](std::string_view chunk) { received += chunk.size(); },
+         .on_end = {}}));
+  }
+  size_t rounds = 0;
+  const Timer writing = pair.loop.Every(milliseconds(1), [&] {
+    if (open.size() < kStreams || received < rounds * kStreams) {
+      return;
+    }
+    for (const ExchangePtr& exchange : open) {
+      exchange->Begin(200, {});
+      exchange->Write("x");
+    }
+    ++rounds;
+  });
+  BOOST_TEST(RunUntil(pair.loop, [&] { return received >= 5 * kStreams; }));
+}
+
 BOOST_AUTO_TEST_SUITE(a_caller_that_goes)
 
 BOOST_AUTO_TEST_CASE(before_the_answer_has_begun_is_told_to_the_handler) {
