--- a/apps/oleanderctl/general_commands.cc
+++ b/apps/oleanderctl/general_commands.cc
@@ -138,6 +138,16 @@
   return absl::OkStatus();
 }
 
+absl::Status Codes(const CommandContext&) {
+  fmt::print(
+      "| code | name | HTTP status | ran | meaning |\n|---|---|---|---|---|\n");
+  for (const ResultCodeInfo& info : ResultCodeTable()) {
+    fmt::print("| {} | {} | {} | {} | {} |\n", static_cast<int>(info.code),
+               info.name, info.http_status, RanName(info.ran), info.meaning);
+  }
+  return absl::OkStatus();
+}
+
 absl::Status KeysNew(const CommandContext& context) {
   if (!context.words.empty()) {
     return UsageError("keys new");
@@ -162,6 +172,7 @@
     {"request cancel", "ID", "Cancels a request.", RequestCancel},
     {"check", "FILE", "Checks a settings file or a profile without a daemon.",
      CheckFile},
+    {"codes", "", "The table of result codes.", Codes},
     {"keys new", "", "Makes a CURVE key pair for the mesh.", KeysNew},
 });
 
--- /dev/null
+++ b/src/node/ledger_driver.cc
@@ -0,0 +1,370 @@
+#include "node/ledger_driver.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+#include "io/log.h"
+#include "oleander/result_code.h"
+
+namespace oleander::node {
+namespace {
+
+constexpr size_t kMaxStoredAnswer = 4 << 20;
+constexpr int kOkStatus = 200;
+constexpr int kNotFound = 404;
+constexpr int kFirstServerError = 500;
+constexpr size_t kMaxConnectTries = 3;
+constexpr Duration kStatusTimeout = std::chrono::seconds(4);
+// Records live at least this long and at most twice as long.
+constexpr Duration kRetention = std::chrono::hours(24);
+constexpr Duration kLeaseRetry = std::chrono::seconds(10);
+
+StoreResult ResultOfCas(const absl::StatusOr<StoreCasAnswer>& answer) {
+  StoreResult result;
+  if (!answer.ok()) {
+    result.outcome = DetailsOf(answer.status()).ran == Ran::kNo
+                         ? StoreOutcome::kNotDone
+                         : StoreOutcome::kUnknown;
+    return result;
+  }
+  result.outcome =
+      answer->succeeded ? StoreOutcome::kDone : StoreOutcome::kConflict;
+  result.revision = answer->revision;
+  if (!answer->succeeded && !answer->current.empty()) {
+    const StoreEntry& entry = answer->current.front();
+    result.record =
+        StoreRecord{.value = entry.value, .revision = entry.mod_revision};
+  }
+  return result;
+}
+
+StoreResult ResultOfRange(const absl::StatusOr<StoreRangeAnswer>& answer) {
+  StoreResult result;
+  if (!answer.ok()) {
+    // A read changes nothing, so it can be done again.
+    result.outcome = StoreOutcome::kNotDone;
+    return result;
+  }
+  result.outcome = StoreOutcome::kDone;
+  if (!answer->entries.empty()) {
+    const StoreEntry& entry = answer->entries.front();
+    result.record =
+        StoreRecord{.value = entry.value, .revision = entry.mod_revision};
+  }
+  return result;
+}
+
+std::string ContentType(const io::Headers& headers) {
+  return std::string(
+      io::FindHeader(headers, "content-type").value_or("application/json"));
+}
+
+StatusFinding FindingOf(const io::HttpAnswer& answer) {
+  if (!answer.end.status.ok()) {
+    return StatusFinding::kFailed;
+  }
+  if (answer.status == kOkStatus) {
+    return StatusFinding::kRan;
+  }
+  return answer.status == kNotFound ? StatusFinding::kNotSeen
+                                    : StatusFinding::kFailed;
+}
+
+// "{key}" in a status call's path stands for the idempotency key.
+std::string WithKey(std::string path, const std::string& key) {
+  constexpr std::string_view kPlaceholder = "{key}";
+  const size_t at = path.find(kPlaceholder);
+  return at == std::string::npos ? path
+                                 : path.replace(at, kPlaceholder.size(), key);
+}
+
+}  // namespace
+
+LedgerDriver::LedgerDriver(const LedgerDriverParts& parts,
+                           LedgerOptions options, uint64_t seed,
+                           SendMessage send_message)
+    : parts_(parts),
+      ledger_(std::move(options), seed),
+      send_message_(std::move(send_message)) {}
+
+void LedgerDriver::Begin(LedgerRequest request, Done done) {
+  const auto ticket = ledger_.Begin(parts_.loop.now(), request.call);
+  if (!ticket.ok()) {
+    done(
+        {.answer = ticket.status(), .replayed = false, .server = std::nullopt});
+    return;
+  }
+  Running& running = running_[*ticket];
+  running.request = std::move(request);
+  running.done = std::move(done);
+  SchedulePump();
+}
+
+void LedgerDriver::OnMessage(const InstanceId& from,
+                             const LedgerMessage& message) {
+  ledger_.OnMessage(parts_.loop.now(), from, message);
+  SchedulePump();
+}
+
+void LedgerDriver::Tick() {
+  const Time now = parts_.loop.now();
+  const auto due = ledger_.next_due();
+  if (due.has_value() && *due <= now) {
+    ledger_.Tick(now);
+    SchedulePump();
+  }
+}
+
+void LedgerDriver::SchedulePump() {
+  if (!std::exchange(pump_scheduled_, true)) {
+    parts_.loop.Post([this] { Pump(); });
+  }
+}
+
+void LedgerDriver::Pump() {
+  pump_scheduled_ = false;
+  for (const LedgerAction& action : ledger_.TakeActions()) {
+    std::visit([this](const auto& typed) { Perform(typed); }, action);
+  }
+}
+
+void LedgerDriver::Perform(const SendLedgerMessage& action) {
+  send_message_(action.to, action.message);
+}
+
+void LedgerDriver::Perform(const StoreOp& action) {
+  if (action.kind == StoreOpKind::kRead) {
+    RunRead(action);
+  } else {
+    RunWrite(action);
+  }
+}
+
+void LedgerDriver::RunRead(const StoreOp& op) {
+  parts_.store.Range(
+      StoreClass::kClaim, {.call = 0, .key = op.key, .prefix = false},
+      [this, id = op.op](const absl::StatusOr<StoreRangeAnswer>& answer) {
+        StoreResultArrived(id, ResultOfRange(answer));
+      });
+}
+
+void LedgerDriver::RunWrite(const StoreOp& op) {
+  RenewRetentionLease();
+  StoreCas cas;
+  cas.compares = {
+      {.key = op.key,
+       .mod_revision = op.kind == StoreOpKind::kCreate ? 0 : op.revision}};
+  cas.puts = {{.key = op.key, .value = op.value, .lease = retention_lease_}};
+  parts_.store.Cas(
+      StoreClass::kClaim, cas,
+      [this, id = op.op](const absl::StatusOr<StoreCasAnswer>& answer) {
+        StoreResultArrived(id, ResultOfCas(answer));
+      });
+}
+
+void LedgerDriver::StoreResultArrived(StoreOpId op, const StoreResult& result) {
+  ledger_.OnStoreResult(parts_.loop.now(), op, result);
+  SchedulePump();
+}
+
+// A lease of twice the retention, replaced each time the retention has passed:
+// one write a day and instance instead of one per record. Without it records
+// are kept for ever, never too short.
+void LedgerDriver::RenewRetentionLease() {
+  const Time now = parts_.loop.now();
+  if (lease_pending_ || now < lease_renew_at_) {
+    return;
+  }
+  lease_pending_ = true;
+  parts_.store.LeaseGrant(
+      StoreClass::kRest, {.call = 0, .ttl = 2 * kRetention},
+      [this](const absl::StatusOr<StoreLeaseAnswer>& answer) {
+        lease_pending_ = false;
+        lease_renew_at_ =
+            parts_.loop.now() + (answer.ok() ? kRetention : kLeaseRetry);
+        retention_lease_ = answer.ok() ? answer->lease : 0;
+      });
+}
+
+void LedgerDriver::Perform(const DispatchOnce& action) {
+  const auto found = running_.find(action.ticket);
+  if (found == running_.end()) {
+    return;
+  }
+  found->second.attempt = action.attempt;
+  SendCall(action.ticket);
+}
+
+// Another server is tried only while no byte of the call has left.
+void LedgerDriver::SendCall(CallTicket ticket) {
+  const auto found = running_.find(ticket);
+  if (found == running_.end()) {
+    return;
+  }
+  Running& running = found->second;
+  const auto server = ChooseServer(running);
+  if (!server.has_value()) {
+    EndDispatch(ticket, /*sent=*/false,
+                MakeError(ResultCode::kNoServer,
+                          fmt::format("No server of {} takes the call.",
+                                      running.request.call.service.value())));
+    return;
+  }
+  running.server = server->id;
+  running.answer = {};
+  io::HttpCallCallbacks callbacks;
+  callbacks.on_sent = [this, ticket] {
+    if (!ledger_.OnSending(parts_.loop.now(), ticket)) {
+      // The call ended before its first byte: it must not leave any more.
+      running_.at(ticket).call.reset();
+      EndDispatch(
+          ticket, /*sent=*/false,
+          MakeError(ResultCode::kDeadlinePassed, "The call was given up."));
+    }
+  };
+  callbacks.on_head = [this, ticket](int status, const io::Headers& headers) {
+    StoredAnswer& answer = running_.at(ticket).answer;
+    answer.http_status = status;
+    answer.content_type = ContentType(headers);
+  };
+  callbacks.on_body = [this, ticket](std::string_view chunk) {
+    StoredAnswer& answer = running_.at(ticket).answer;
+    if (answer.body.size() + chunk.size() <= kMaxStoredAnswer) {
+      answer.body.append(chunk);
+    }
+  };
+  callbacks.on_end = [this, ticket](const io::HttpCallEnd& end) {
+    OnCallEnd(ticket, end);
+  };
+  running.call =
+      parts_.http.Start(NewRequest(running, *server), std::move(callbacks));
+}
+
+std::optional<ServerInfo> LedgerDriver::ChooseServer(const Running& running) {
+  if (running.refused.size() >= kMaxConnectTries) {
+    return std::nullopt;
+  }
+  RouteQuery query;
+  query.service = running.request.call.service;
+  query.workspace = running.request.call.workspace;
+  query.avoid = running.refused;
+  query.draw = random_();
+  const auto route = parts_.router.Choose(parts_.loop.now(), query);
+  return route.ok() ? parts_.servers.Find(route->server) : std::nullopt;
+}
+
+io::HttpCallRequest LedgerDriver::NewRequest(const Running& running,
+                                             const ServerInfo& server) const {
+  const LedgerCall& call = running.request.call;
+  io::HttpCallRequest request;
+  request.address = server.address;
+  request.port = server.port;
+  request.method = call.method;
+  request.target = running.request.target;
+  request.headers = running.request.headers;
+  request.headers.push_back({.name = "x-request-id", .value = running.attempt});
+  request.body = call.body;
+  request.options.fresh_connection = true;
+  request.options.head_timeout = call.deadline;
+  request.options.progress_timeout = call.deadline;
+  return request;
+}
+
+void LedgerDriver::OnCallEnd(CallTicket ticket, const io::HttpCallEnd& end) {
+  Running& running = running_.at(ticket);
+  // The call ends inside its own callback, so it is destroyed later.
+  parts_.loop.Post(
+      [call = std::shared_ptr<io::HttpCall>(std::move(running.call))] {});
+  if (!end.sent && !end.status.ok()) {
+    running.refused.push_back(*running.server);
+    SendCall(ticket);
+    return;
+  }
+  if (!end.status.ok()) {
+    EndDispatch(ticket, end.sent,
+                MakeError(ResultCode::kAnswerLost,
+                          fmt::format("The answer of {} did not arrive: {}",
+                                      running.server->value(),
+                                      std::string(end.status.message()))));
+    return;
+  }
+  EndDispatch(ticket, /*sent=*/true, running.answer);
+}
+
+void LedgerDriver::EndDispatch(CallTicket ticket, bool sent,
+                               absl::StatusOr<StoredAnswer> answer) {
+  ledger_.OnDispatchEnded(parts_.loop.now(), ticket,
+                          {.sent = sent, .answer = std::move(answer)});
+  SchedulePump();
+  const auto found = running_.find(ticket);
+  if (found != running_.end() && !found->second.done) {
+    running_.erase(found);  // The caller was answered before.
+  }
+}
+
+void LedgerDriver::Perform(const AskStatus& action) {
+  const auto found = running_.find(action.ticket);
+  if (found == running_.end() ||
+      !found->second.request.status_call.has_value()) {
+    return;
+  }
+  const Running& running = found->second;
+  const auto server = ChooseServer(running);
+  if (!server.has_value()) {
+    ledger_.OnStatusAnswer(parts_.loop.now(), action.ticket,
+                           StatusFinding::kFailed, std::nullopt);
+    SchedulePump();
+    return;
+  }
+  const StatusCall& status_call = *running.request.status_call;
+  io::HttpCallRequest request;
+  request.address = server->address;
+  request.port = server->port;
+  request.method = status_call.method;
+  request.target =
+      WithKey(status_call.path, running.request.call.key.value_or(""));
+  request.options.fresh_connection = true;
+  request.options.head_timeout = kStatusTimeout;
+  parts_.http.Fetch(std::move(request), [this, ticket = action.ticket](
+                                            io::HttpAnswer answer) {
+    const StatusFinding finding = FindingOf(answer);
+    std::optional<StoredAnswer> stored;
+    if (finding == StatusFinding::kRan) {
+      stored = StoredAnswer{.http_status = answer.status,
+                            .content_type = ContentType(answer.headers),
+                            .body = std::move(answer.body)};
+    }
+    ledger_.OnStatusAnswer(parts_.loop.now(), ticket, finding,
+                           std::move(stored));
+    SchedulePump();
+  });
+}
+
+void LedgerDriver::Perform(const AnswerCall& action) {
+  const auto found = running_.find(action.ticket);
+  if (found == running_.end()) {
+    return;
+  }
+  LedgerAnswer answer{
+      .answer = action.answer, .replayed = action.replayed, .server = {}};
+  if (action.answer.ok() && !action.replayed &&
+      action.answer->http_status < kFirstServerError) {
+    answer.server = found->second.server;
+  }
+  const Done done = std::move(found->second.done);
+  if (found->second.call == nullptr) {
+    running_.erase(found);
+  } else {
+    // The caller is answered; the dispatch goes on so that its outcome is
+    // recorded.
+    found->second.done = nullptr;
+  }
+  if (done) {
+    done(answer);
+  }
+}
+
+}  // namespace oleander::node
--- /dev/null
+++ b/src/node/load_driver.h
@@ -0,0 +1,54 @@
+// Runs the load spread: asks backend servers, and feeds the router with what is
+// known.
+#ifndef OLEANDER_NODE_LOAD_DRIVER_H_
+#define OLEANDER_NODE_LOAD_DRIVER_H_
+
+#include <string>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "io/engine_client.h"
+#include "io/event_loop.h"
+#include "node/server_directory.h"
+#include "oleander/load_spread.h"
+#include "oleander/routing.h"
+
+namespace oleander::node {
+
+class LoadDriver {
+ public:
+  LoadDriver(io::EventLoop& loop, io::EngineClient& engines, Router& router,
+             ServerDirectory& servers, const InstanceInfo& self,
+             const LoadSpreadOptions& options, uint64_t seed);
+
+  void SetServers(const std::vector<ServerInfo>& servers);
+  void SetLiveInstances(const std::vector<InstanceId>& live);
+  // The server takes no new work, whoever saw it first.
+  void OnLeaving(const ServerId& server);
+  void OnUpdate(const InstanceId& from, const LoadUpdate& update);
+  LoadUpdate UpdateFor(const InstanceId& neighbour, bool same_domain);
+  void Tick();
+
+  const LoadSpread& spread() const { return spread_; }
+
+ private:
+  void Pump();
+  void Ask(const ServerInfo& server);
+  void AskCacheEvents(const ServerInfo& server);
+  void OnReport(const ServerId& server, const absl::StatusOr<ServerLoad>& load);
+  // Hands the router what came from other instances since the last time.
+  void SyncRouter();
+
+  io::EventLoop& loop_;
+  io::EngineClient& engines_;
+  Router& router_;
+  ServerDirectory& servers_;
+  LoadSpreadOptions options_;
+  LoadSpread spread_;
+  Time next_sync_{};
+  absl::flat_hash_map<ServerId, uint64_t> cache_events_seen_;
+};
+
+}  // namespace oleander::node
+
+#endif  // OLEANDER_NODE_LOAD_DRIVER_H_
--- /dev/null
+++ b/src/node/mesh_port.cc
@@ -0,0 +1,181 @@
+#include "node/mesh_port.h"
+
+#include <fmt/format.h>
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "io/ledger_codec.h"
+#include "io/load_codec.h"
+#include "io/log.h"
+#include "io/profile_codec.h"
+#include "io/request_codec.h"
+#include "oleander/field_reader.h"
+#include "oleander/result_code.h"
+
+namespace oleander::node {
+namespace {
+
+constexpr size_t kKeyLength = 40;
+
+io::MeshOptions OptionsOf(const Settings& settings, io::MeshKeys keys) {
+  io::MeshOptions options;
+  options.id = settings.instance;
+  options.address = settings.mesh.address;
+  options.port = settings.mesh.port;
+  options.keys = std::move(keys);
+  return options;
+}
+
+std::string ReadKey(FieldReader& reader, const std::string& field) {
+  std::string key = reader.Text(field);
+  if (key.size() != kKeyLength) {
+    reader.Problem(field, "a CURVE key of 40 characters");
+  }
+  return key;
+}
+
+}  // namespace
+
+absl::StatusOr<io::MeshKeys> ReadMeshKeys(const std::string& file) {
+  io::MeshKeys keys;
+  if (file.empty()) {
+    return keys;
+  }
+  auto text = ReadTextFile(file);
+  if (!text.ok()) {
+    return text.status();
+  }
+  auto document =
+      ParseJsonWithComments(*text, file, ResultCode::kSettingsUnreadable);
+  if (!document.ok()) {
+    return document.status();
+  }
+  FieldProblems problems;
+  FieldReader root(*document, "", problems);
+  keys.public_key = ReadKey(root, "public_key");
+  keys.secret_key = ReadKey(root, "secret_key");
+  keys.allowed_public_keys = root.Texts("allowed_public_keys");
+  root.Finish();
+  if (!problems.empty()) {
+    return problems.ToStatus(ResultCode::kSettingsInvalid, file);
+  }
+  return keys;
+}
+
+MeshPort::MeshPort(io::EventLoop& loop, const Settings& settings,
+                   io::MeshKeys keys, Metrics& metrics, Receivers receivers)
+    : metrics_(metrics),
+      receivers_(std::move(receivers)),
+      mesh_(loop, OptionsOf(settings, std::move(keys)),
+            [this](const InstanceId& from, const mesh::Envelope& envelope) {
+              Receive(from, envelope);
+            }) {}
+
+void MeshPort::SetPeers(const std::vector<EntryPeer>& peers) {
+  absl::flat_hash_map<InstanceId, EntryPeer> wanted;
+  for (const EntryPeer& peer : peers) {
+    wanted.emplace(peer.info.id, peer);
+    mesh_.SetPeer(peer.info.id, peer.info.address, peer.info.mesh_port,
+                  peer.public_key);
+  }
+  for (const auto& [id, peer] : peers_) {
+    if (!wanted.contains(id)) {
+      mesh_.ForgetPeer(id);
+    }
+  }
+  peers_ = std::move(wanted);
+}
+
+void MeshPort::Reset(const InstanceId& peer) {
+  const auto found = peers_.find(peer);
+  if (found != peers_.end()) {
+    mesh_.ForgetPeer(peer);
+    mesh_.SetPeer(peer, found->second.info.address,
+                  found->second.info.mesh_port, found->second.public_key);
+  }
+}
+
+void MeshPort::Send(const InstanceId& to, const RequestMessage& message) {
+  mesh::Envelope envelope;
+  *envelope.mutable_request() = io::EncodeRequestMessage(message);
+  SendEnvelope(to, std::move(envelope));
+}
+
+void MeshPort::Send(const InstanceId& to, const LedgerMessage& message) {
+  mesh::Envelope envelope;
+  *envelope.mutable_ledger() = io::EncodeLedgerMessage(message);
+  SendEnvelope(to, std::move(envelope));
+}
+
+void MeshPort::Send(const InstanceId& to, const ProfileMessage& message) {
+  mesh::Envelope envelope;
+  *envelope.mutable_profile() = io::EncodeProfileMessage(message);
+  SendEnvelope(to, std::move(envelope));
+}
+
+void MeshPort::Send(const InstanceId& to, const MembershipMessage& message,
+                    const io::HeartbeatCargo& cargo) {
+  mesh::Envelope envelope;
+  *envelope.mutable_membership() = io::EncodeMembershipMessage(message, cargo);
+  SendEnvelope(to, std::move(envelope));
+}
+
+void MeshPort::Send(const InstanceId& to, const WriteMark& mark) {
+  mesh::Envelope envelope;
+  *envelope.mutable_load() = io::EncodeLoad({}, {mark});
+  SendEnvelope(to, std::move(envelope));
+}
+
+// The mesh is best effort: a peer without an address yet is as good as one
+// whose message was lost, and the parts send again.
+void MeshPort::SendEnvelope(const InstanceId& to, mesh::Envelope envelope) {
+  const absl::Status status = mesh_.Send(to, std::move(envelope));
+  if (!status.ok()) {
+    io::Log(io::LogLevel::kDebug, "mesh.not_sent",
+            {{"peer", to.value()}, {"code", static_cast<int>(CodeOf(status))}});
+  }
+}
+
+template <typename Message, typename Receiver>
+void MeshPort::Pass(const InstanceId& from,
+                    const absl::StatusOr<Message>& message,
+                    const Receiver& receiver) {
+  if (message.ok()) {
+    receiver(from, *message);
+    return;
+  }
+  metrics_.CountDroppedEvents("mesh_bad_frame", 1);
+  io::Log(io::LogLevel::kWarning, "mesh.bad_message",
+          {{"peer", from.value()},
+           {"code", static_cast<int>(CodeOf(message.status()))},
+           {"message", std::string(message.status().message())}});
+}
+
+void MeshPort::Receive(const InstanceId& from, const mesh::Envelope& envelope) {
+  switch (envelope.body_case()) {
+    case mesh::Envelope::kRequest:
+      Pass(from, io::DecodeRequestMessage(envelope.request()),
+           receivers_.request);
+      break;
+    case mesh::Envelope::kLedger:
+      Pass(from, io::DecodeLedgerMessage(envelope.ledger()), receivers_.ledger);
+      break;
+    case mesh::Envelope::kProfile:
+      Pass(from, io::DecodeProfileMessage(envelope.profile()),
+           receivers_.profile);
+      break;
+    case mesh::Envelope::kMembership:
+      Pass(from, io::DecodeMembershipMessage(envelope.membership()),
+           receivers_.membership);
+      break;
+    case mesh::Envelope::kLoad:
+      Pass(from, io::DecodeLoad(envelope.load()), receivers_.load);
+      break;
+    case mesh::Envelope::BODY_NOT_SET:
+      metrics_.CountDroppedEvents("mesh_empty", 1);
+      break;
+  }
+}
+
+}  // namespace oleander::node
--- /dev/null
+++ b/src/node/mesh_port.h
@@ -0,0 +1,76 @@
+// Sends and receives the parts' messages over the mesh.
+#ifndef OLEANDER_NODE_MESH_PORT_H_
+#define OLEANDER_NODE_MESH_PORT_H_
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/status/statusor.h"
+#include "io/event_loop.h"
+#include "io/load_codec.h"
+#include "io/membership_codec.h"
+#include "io/mesh.h"
+#include "node/fleet.h"
+#include "node/metrics.h"
+#include "node/settings.h"
+#include "oleander/ledger.h"
+#include "oleander/load_spread.h"
+#include "oleander/membership.h"
+#include "oleander/profiles.h"
+#include "oleander/request_messages.h"
+#include "oleander/routing.h"
+
+namespace oleander::node {
+
+// Reads the keys that a key file names; an empty file name gives no keys.
+absl::StatusOr<io::MeshKeys> ReadMeshKeys(const std::string& file);
+
+class MeshPort {
+ public:
+  // Who gets which message. A message that does not decode is counted and
+  // dropped.
+  struct Receivers {
+    std::function<void(const InstanceId&, const RequestMessage&)> request;
+    std::function<void(const InstanceId&, const LedgerMessage&)> ledger;
+    std::function<void(const InstanceId&, const ProfileMessage&)> profile;
+    std::function<void(const InstanceId&, const io::ReceivedMembership&)>
+        membership;
+    std::function<void(const InstanceId&, const io::ReceivedLoad&)> load;
+  };
+
+  MeshPort(io::EventLoop& loop, const Settings& settings, io::MeshKeys keys,
+           Metrics& metrics, Receivers receivers);
+
+  absl::Status Listen() { return mesh_.Listen(); }
+  // Tells where the entry instances are; those that are missing are forgotten.
+  void SetPeers(const std::vector<EntryPeer>& peers);
+  // Drops the connection to one peer; the next message makes a new one.
+  void Reset(const InstanceId& peer);
+
+  void Send(const InstanceId& to, const RequestMessage& message);
+  void Send(const InstanceId& to, const LedgerMessage& message);
+  void Send(const InstanceId& to, const ProfileMessage& message);
+  void Send(const InstanceId& to, const MembershipMessage& message,
+            const io::HeartbeatCargo& cargo);
+  void Send(const InstanceId& to, const WriteMark& mark);
+
+  const io::Mesh& mesh() const { return mesh_; }
+
+ private:
+  void Receive(const InstanceId& from, const mesh::Envelope& envelope);
+  template <typename Message, typename Receiver>
+  void Pass(const InstanceId& from, const absl::StatusOr<Message>& message,
+            const Receiver& receiver);
+  void SendEnvelope(const InstanceId& to, mesh::Envelope envelope);
+
+  Metrics& metrics_;
+  Receivers receivers_;
+  io::Mesh mesh_;
+  absl::flat_hash_map<InstanceId, EntryPeer> peers_;
+};
+
+}  // namespace oleander::node
+
+#endif  // OLEANDER_NODE_MESH_PORT_H_
--- /dev/null
+++ b/src/node/plain_handler.h
@@ -0,0 +1,74 @@
+// Takes calls of plain services: /v1/services/{service}/{path}.
+#ifndef OLEANDER_NODE_PLAIN_HANDLER_H_
+#define OLEANDER_NODE_PLAIN_HANDLER_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "absl/random/random.h"
+#include "absl/status/statusor.h"
+#include "io/event_loop.h"
+#include "io/http_client.h"
+#include "io/http_server.h"
+#include "node/ledger_driver.h"
+#include "node/metrics.h"
+#include "node/server_directory.h"
+#include "oleander/profiles.h"
+#include "oleander/retries.h"
+#include "oleander/routing.h"
+
+namespace oleander::node {
+
+struct PlainHandlerParts {
+  io::EventLoop& loop;
+  io::HttpClient& http;
+  Router& router;
+  ServerDirectory& servers;
+  ProfileStore& profiles;
+  LedgerDriver& ledger;
+  RetryBudget& retries;
+  Metrics& metrics;
+  // Whether this instance is leaving.
+  std::function<bool()> draining;
+  // Tells the other instances of an acknowledged write.
+  std::function<void(const WriteMark&)> spread_write;
+};
+
+class PlainHandler {
+ public:
+  explicit PlainHandler(const PlainHandlerParts& parts) : parts_(parts) {}
+
+  void Handle(const std::shared_ptr<io::HttpExchange>& exchange);
+
+  // Repeatable calls without an answer yet; the ledger counts the others.
+  size_t open_calls() const { return open_calls_; }
+
+ private:
+  struct Call;
+  using CallPtr = std::shared_ptr<Call>;
+
+  absl::StatusOr<CallPtr> Check(
+      const std::shared_ptr<io::HttpExchange>& exchange);
+  void RunOnce(const CallPtr& call);
+  void RunRepeatable(const CallPtr& call);
+  void OnRepeatableEnd(const CallPtr& call, const ServerInfo& server,
+                       uint64_t flight, const io::HttpAnswer& answer);
+  void RetryOrFail(const CallPtr& call, const absl::Status& status);
+  void Answer(const CallPtr& call, int http_status,
+              const std::string& content_type, const std::string& body,
+              io::Headers headers);
+  void Fail(const CallPtr& call, const absl::Status& status);
+  void NoteWrite(const Call& call, const ServerId& server,
+                 const std::string& body);
+
+  PlainHandlerParts parts_;
+  absl::BitGen random_;
+  size_t open_calls_ = 0;
+  uint64_t next_flight_ = uint64_t{1} << 62;  // Apart from the dispatcher's.
+};
+
+}  // namespace oleander::node
+
+#endif  // OLEANDER_NODE_PLAIN_HANDLER_H_
--- /dev/null
+++ b/src/node/reclaimer.h
@@ -0,0 +1,58 @@
+// Carries out the reclaim plan when a backend server gets its notice.
+#ifndef OLEANDER_NODE_RECLAIMER_H_
+#define OLEANDER_NODE_RECLAIMER_H_
+
+#include <vector>
+
+#include "io/engine_client.h"
+#include "io/event_loop.h"
+#include "node/dispatcher.h"
+#include "node/load_driver.h"
+#include "node/request_driver.h"
+#include "node/server_directory.h"
+#include "oleander/reclaim.h"
+#include "oleander/routing.h"
+
+namespace oleander::node {
+
+struct ReclaimerParts {
+  io::EventLoop& loop;
+  io::EngineClient& engines;
+  RequestDriver& requests;
+  Dispatcher& dispatcher;
+  Router& router;
+  LoadDriver& load;
+  ServerDirectory& servers;
+  Place place;      // Of this instance.
+  InstanceId self;  // Part of the attempts' names.
+};
+
+class Reclaimer {
+ public:
+  explicit Reclaimer(const ReclaimerParts& parts) : parts_(parts) {}
+
+  // Decides for each request of this instance that runs on `server`.
+  void OnNotice(const ServerId& server, Duration left);
+
+ private:
+  RunningRequest Describe(const AttemptKey& key,
+                          const Dispatcher::AttemptView& view) const;
+  std::vector<ReclaimTarget> Targets(const ServerInfo& leaving) const;
+  void CarryOut(const ServerInfo& leaving, const ReclaimStep& step,
+                Duration left);
+  void Export(const ServerInfo& leaving, const ReclaimStep& step,
+              Duration left);
+  void Import(const ServerInfo& leaving, const ReclaimStep& step,
+              const io::KvHandle& handle, Duration left);
+  void Learn(const io::KvHandle& handle);
+
+  ReclaimerParts parts_;
+  // Learned from the caches that were exported; large until then, so that the
+  // first plan doesn't promise too much.
+  int64_t kv_bytes_per_token_ = 128 << 10;
+  std::vector<io::Timer> timers_;
+};
+
+}  // namespace oleander::node
+
+#endif  // OLEANDER_NODE_RECLAIMER_H_
--- /dev/null
+++ b/src/node/request_driver.cc
@@ -0,0 +1,198 @@
+#include "node/request_driver.h"
+
+#include <utility>
+#include <variant>
+
+namespace oleander::node {
+
+RequestDriver::RequestDriver(io::EventLoop& loop, RequestTableOptions options,
+                             uint64_t seed, SendMessage send_message)
+    : loop_(loop),
+      table_(std::move(options), seed),
+      send_message_(std::move(send_message)) {}
+
+DispatchCallbacks RequestDriver::MakeDispatchCallbacks() {
+  return {.on_started =
+              [this](const AttemptKey& key, const ServerId& server) {
+                table_.OnAttemptStarted(loop_.now(), key, server);
+                SchedulePump();
+              },
+          .on_tokens =
+              [this](const AttemptKey& key, uint64_t first_index,
+                     const std::vector<std::string>& tokens) {
+                table_.OnTokens(loop_.now(), key, first_index, tokens);
+                SchedulePump();
+              },
+          .on_ended =
+              [this](const AttemptKey& key, const AttemptOutcome& outcome) {
+                table_.OnAttemptEnded(loop_.now(), key, outcome);
+                SchedulePump();
+              }};
+}
+
+void RequestDriver::Accept(RequestSpec spec,
+                           std::function<void(const RequestId&)> prepare,
+                           std::function<void(const AcceptResult&)> done) {
+  auto id = table_.Accept(loop_.now(), std::move(spec));
+  if (!id.ok()) {
+    done({.status = id.status(),
+          .id = {},
+          .replica = {},
+          .other_domain = false});
+    return;
+  }
+  accepting_.emplace(*id, PendingAccept{.done = std::move(done)});
+  if (prepare) {
+    prepare(*id);
+  }
+  SchedulePump();
+}
+
+FollowerId RequestDriver::Follow(const RequestId& id, uint64_t from,
+                                 FollowMode mode, AnswerReader reader) {
+  const FollowerId follower = table_.Follow(loop_.now(), id, from, mode);
+  readers_.emplace(follower, std::move(reader));
+  SchedulePump();
+  return follower;
+}
+
+void RequestDriver::Unfollow(FollowerId follower) {
+  readers_.erase(follower);
+  table_.Unfollow(loop_.now(), follower);
+  SchedulePump();
+}
+
+void RequestDriver::Cancel(const RequestId& id, AnswerReader reader) {
+  const FollowerId follower = table_.Cancel(loop_.now(), id);
+  readers_.emplace(follower, std::move(reader));
+  SchedulePump();
+}
+
+void RequestDriver::OnMessage(const InstanceId& from,
+                              const RequestMessage& message) {
+  table_.OnMessage(loop_.now(), from, message);
+  SchedulePump();
+}
+
+void RequestDriver::OnServerLost(const ServerId& server) {
+  table_.OnServerLost(loop_.now(), server);
+  SchedulePump();
+}
+
+void RequestDriver::ResumeElsewhere(const AttemptKey& key) {
+  table_.ResumeElsewhere(loop_.now(), key);
+  SchedulePump();
+}
+
+void RequestDriver::SetPeers(const std::vector<PeerView>& peers) {
+  table_.SetPeers(loop_.now(), peers);
+  SchedulePump();
+}
+
+void RequestDriver::Drain(bool handover) {
+  table_.Drain(loop_.now(), handover);
+  SchedulePump();
+}
+
+void RequestDriver::Tick() {
+  const auto due = table_.next_due();
+  if (due.has_value() && *due <= loop_.now()) {
+    table_.Tick(loop_.now());
+    SchedulePump();
+  }
+}
+
+// Actions are carried out in a round of their own, so that no callback of an
+// action finds the table in the middle of a call.
+void RequestDriver::SchedulePump() {
+  if (!std::exchange(pump_scheduled_, true)) {
+    loop_.Post([this] { Pump(); });
+  }
+}
+
+void RequestDriver::Pump() {
+  pump_scheduled_ = false;
+  for (const RequestAction& action : table_.TakeActions()) {
+    std::visit([this](const auto& typed) { Perform(typed); }, action);
+  }
+}
+
+void RequestDriver::Perform(const SendRequestMessage& action) {
+  send_message_(action.to, action.message);
+}
+
+void RequestDriver::Perform(const RequestAccepted& action) {
+  const auto found = accepting_.find(action.id);
+  if (found == accepting_.end()) {
+    return;
+  }
+  const auto done = std::move(found->second.done);
+  accepting_.erase(found);
+  done({.status = absl::OkStatus(),
+        .id = action.id,
+        .replica = action.replica,
+        .other_domain = action.other_domain});
+}
+
+void RequestDriver::Perform(const RequestRefused& action) {
+  const auto found = accepting_.find(action.id);
+  if (found == accepting_.end()) {
+    return;
+  }
+  const auto done = std::move(found->second.done);
+  accepting_.erase(found);
+  done({.status = action.status,
+        .id = action.id,
+        .replica = {},
+        .other_domain = false});
+}
+
+void RequestDriver::Perform(const DispatchAttempt& action) {
+  dispatcher_->Start(loop_.now(), action);
+}
+
+void RequestDriver::Perform(const CancelAttempt& action) {
+  dispatcher_->Cancel(loop_.now(), action.key);
+}
+
+void RequestDriver::Perform(const DeliverEvents& action) {
+  const auto found = readers_.find(action.follower);
+  if (found != readers_.end() && found->second.on_events) {
+    // The reader may remove itself, so it is copied out of the table first.
+    const auto on_events = found->second.on_events;
+    on_events(action.first_index, action.events);
+  }
+}
+
+void RequestDriver::Perform(const FollowerEnded& action) {
+  const AnswerReader reader = Take(action.follower);
+  if (reader.on_end) {
+    reader.on_end(action.end);
+  }
+}
+
+void RequestDriver::Perform(const FollowerMoved& action) {
+  const AnswerReader reader = Take(action.follower);
+  if (reader.on_moved) {
+    reader.on_moved(action.next, action.to);
+  }
+}
+
+void RequestDriver::Perform(const SnapshotReady& action) {
+  const AnswerReader reader = Take(action.follower);
+  if (reader.on_snapshot) {
+    reader.on_snapshot(action.view);
+  }
+}
+
+AnswerReader RequestDriver::Take(FollowerId follower) {
+  const auto found = readers_.find(follower);
+  if (found == readers_.end()) {
+    return {};
+  }
+  AnswerReader reader = std::move(found->second);
+  readers_.erase(found);
+  return reader;
+}
+
+}  // namespace oleander::node
