--- a/include/oleander/leases.h
+++ b/include/oleander/leases.h
@@ -33,7 +33,8 @@
   Duration renew_every = std::chrono::seconds(3);
   // Margin for clocks of different rate and for the renewal's way.
   Duration stop_early = std::chrono::seconds(2);
-  Duration retry = std::chrono::seconds(2);  // Between tries to take it.
+  // Between two looks at whether the duty is free: one read each.
+  Duration retry = std::chrono::seconds(2);
 };
 
 // The duty became this instance's, with this fencing number.
@@ -77,13 +78,17 @@
   const std::string& key() const { return key_; }
 
  private:
-  enum class Phase { kIdle, kGranting, kTaking, kSettling, kHeld };
+  enum class Phase { kIdle, kLooking, kGranting, kTaking, kSettling, kHeld };
 
   void Drop(const std::string& reason, Time now);
   void TryAgain(Time now);
   void Hold(int64_t fence, Time now);
   void Revoke();
   void AskHolder();
+  void OnRenewed(const absl::StatusOr<StoreLeaseAnswer>& answer, Time now);
+  void OnLooked(const absl::StatusOr<StoreRangeAnswer>& answer, Time now);
+  void Look(Time now);
+  void Grant(Time now);
   void Renew(Time now);
   Duration Jittered(Duration duration);
   StoreCall NextCall();
--- a/include/oleander/store_budget.h
+++ b/include/oleander/store_budget.h
@@ -77,6 +77,7 @@
   };
 
   double Rate(bool write) const;
+  double BucketSize(double rate) const;
   void Refill(Bucket& bucket, double rate, Time now) const;
   double Ramp(Time now) const;
   void Open(Time now);
--- /dev/null
+++ b/src/parts/leases.cc
@@ -0,0 +1,308 @@
+#include "oleander/leases.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+#include "oleander/invariant.h"
+#include "oleander/result_code.h"
+
+namespace oleander {
+namespace {
+
+constexpr double kJitter = 0.3;
+
+// The holder writes its own id into the key, and the lease, so that a read
+// after a lost answer tells its own try from an earlier one of its own.
+std::string HolderValue(const InstanceId& self, StoreLeaseId lease) {
+  return fmt::format("{} {}", self.value(), lease);
+}
+
+InstanceId HolderIn(const std::string& value) {
+  return InstanceId(value.substr(0, value.find(' ')));
+}
+
+}  // namespace
+
+LeaseKeeper::LeaseKeeper(LeaseOptions options, uint64_t seed, Time now)
+    : options_(std::move(options)),
+      key_("/oleander/leases/" + options_.duty),
+      gen_(std::seed_seq{seed, seed >> 32}),
+      next_(now) {}
+
+void LeaseKeeper::Want(bool want, Time now) {
+  if (want == wanted_) {
+    return;
+  }
+  wanted_ = want;
+  if (want) {
+    next_ = now;
+    return;
+  }
+  Drop("given up", now);
+}
+
+void LeaseKeeper::OnLease(StoreCall call,
+                          const absl::StatusOr<StoreLeaseAnswer>& answer,
+                          Time now) {
+  if (call != pending_) {
+    return;
+  }
+  pending_ = 0;
+  if (phase_ == Phase::kHeld) {
+    OnRenewed(answer, now);
+    return;
+  }
+  if (phase_ != Phase::kGranting) {
+    return;
+  }
+  if (!answer.ok() || answer->ttl <= Duration::zero()) {
+    TryAgain(now);
+    return;
+  }
+  lease_ = answer->lease;
+  valid_until_ = asked_at_ + answer->ttl;
+  phase_ = Phase::kTaking;
+  pending_ = NextCall();
+  actions_.emplace_back(StoreRequest(
+      StoreCas{.call = pending_,
+               .compares = {{.key = key_, .mod_revision = 0}},
+               .puts = {{.key = key_,
+                         .value = HolderValue(options_.self, lease_),
+                         .lease = lease_}},
+               .deletes = {}}));
+}
+
+void LeaseKeeper::OnRenewed(const absl::StatusOr<StoreLeaseAnswer>& answer,
+                            Time now) {
+  if (!answer.ok()) {
+    // The time goes on; the next renewal may still come in time.
+    next_ = now + Jittered(options_.renew_every / 3);
+    return;
+  }
+  if (answer->ttl <= Duration::zero()) {
+    Drop("lapsed at the key-value service", now);
+    return;
+  }
+  valid_until_ = std::max(valid_until_, asked_at_ + answer->ttl);
+}
+
+void LeaseKeeper::OnCas(StoreCall call,
+                        const absl::StatusOr<StoreCasAnswer>& answer,
+                        Time now) {
+  if (call != pending_ || phase_ != Phase::kTaking) {
+    return;
+  }
+  pending_ = 0;
+  if (!answer.ok()) {
+    AskHolder();
+    return;
+  }
+  if (answer->succeeded) {
+    Hold(answer->revision, now);
+    return;
+  }
+  if (!answer->current.empty()) {
+    holder_ = HolderIn(answer->current.front().value);
+  }
+  Revoke();
+  TryAgain(now);
+}
+
+void LeaseKeeper::OnRange(StoreCall call,
+                          const absl::StatusOr<StoreRangeAnswer>& answer,
+                          Time now) {
+  if (call != pending_) {
+    return;
+  }
+  pending_ = 0;
+  if (phase_ == Phase::kLooking) {
+    OnLooked(answer, now);
+    return;
+  }
+  if (phase_ != Phase::kSettling) {
+    return;
+  }
+  if (!answer.ok()) {
+    next_ = now + Jittered(options_.retry);
+    return;
+  }
+  if (answer->entries.empty()) {
+    Revoke();
+    TryAgain(now);
+    return;
+  }
+  const StoreEntry& entry = answer->entries.front();
+  holder_ = HolderIn(entry.value);
+  if (entry.value == HolderValue(options_.self, lease_)) {
+    Hold(entry.create_revision, now);
+    return;
+  }
+  Revoke();
+  TryAgain(now);
+}
+
+void LeaseKeeper::OnLooked(const absl::StatusOr<StoreRangeAnswer>& answer,
+                           Time now) {
+  if (answer.ok() && answer->entries.empty()) {
+    Grant(now);
+    return;
+  }
+  if (answer.ok()) {
+    holder_ = HolderIn(answer->entries.front().value);
+  }
+  TryAgain(now);
+}
+
+void LeaseKeeper::Tick(Time now) {
+  if (phase_ == Phase::kHeld && remaining(now) == Duration::zero()) {
+    Drop("not renewed in time", now);
+  }
+  const bool late_grant =
+      (phase_ == Phase::kTaking || phase_ == Phase::kSettling) &&
+      now >= valid_until_ - options_.stop_early;
+  if (late_grant) {
+    Revoke();
+    TryAgain(now);
+  }
+  if (!wanted_ || now < next_) {
+    return;
+  }
+  switch (phase_) {
+    case Phase::kIdle:
+      Look(now);
+      return;
+    case Phase::kHeld:
+      Renew(now);
+      return;
+    case Phase::kSettling:
+      AskHolder();
+      next_ = now + Jittered(options_.retry);
+      return;
+    case Phase::kLooking:
+    case Phase::kGranting:
+      // The answer never came; the lease, if there is one, lapses by itself.
+      TryAgain(now);
+      return;
+    case Phase::kTaking:
+      AskHolder();
+      next_ = now + Jittered(options_.retry);
+      return;
+  }
+}
+
+Time LeaseKeeper::next_due() const {
+  if (phase_ == Phase::kHeld) {
+    return std::min(next_, valid_until_ - options_.stop_early);
+  }
+  return wanted_ ? next_ : Time::max();
+}
+
+std::vector<LeaseAction> LeaseKeeper::TakeActions() {
+  return std::exchange(actions_, {});
+}
+
+std::optional<int64_t> LeaseKeeper::FenceFor(Time now,
+                                             Duration order_time) const {
+  const Duration left = remaining(now);
+  if (left <= Duration::zero() || left < order_time) {
+    return std::nullopt;
+  }
+  return fence_;
+}
+
+Duration LeaseKeeper::remaining(Time now) const {
+  if (phase_ != Phase::kHeld) {
+    return Duration::zero();
+  }
+  return std::max(Duration::zero(), valid_until_ - options_.stop_early - now);
+}
+
+void LeaseKeeper::Drop(const std::string& reason, Time now) {
+  const bool held = phase_ == Phase::kHeld;
+  Revoke();
+  if (held) {
+    actions_.emplace_back(LeaseDropped{.fence = fence_, .reason = reason});
+    holder_ = InstanceId();
+  }
+  TryAgain(now);
+}
+
+void LeaseKeeper::TryAgain(Time now) {
+  phase_ = Phase::kIdle;
+  pending_ = 0;
+  lease_ = 0;
+  next_ = now + Jittered(options_.retry);
+}
+
+void LeaseKeeper::Hold(int64_t fence, Time now) {
+  CheckInvariant(fence > fence_, "lease_fence_monotone", [&] {
+    return fmt::format("The lease \"{}\" came with fence {} after {}.",
+                       options_.duty, fence, fence_);
+  });
+  phase_ = Phase::kHeld;
+  fence_ = fence;
+  holder_ = options_.self;
+  next_ = now + options_.renew_every;
+  if (remaining(now) == Duration::zero()) {
+    // The answer took as long as the lease; nobody was told that it is held.
+    Revoke();
+    TryAgain(now);
+    return;
+  }
+  actions_.emplace_back(LeaseTaken{.fence = fence});
+}
+
+void LeaseKeeper::Revoke() {
+  if (lease_ == 0) {
+    return;
+  }
+  actions_.emplace_back(
+      StoreRequest(StoreLeaseRevoke{.call = NextCall(), .lease = lease_}));
+  lease_ = 0;
+}
+
+void LeaseKeeper::AskHolder() {
+  phase_ = Phase::kSettling;
+  pending_ = NextCall();
+  actions_.emplace_back(
+      StoreRequest(StoreRange{.call = pending_, .key = key_, .prefix = false}));
+}
+
+// A grant costs writes; a read first keeps those who wait cheap.
+void LeaseKeeper::Look(Time now) {
+  phase_ = Phase::kLooking;
+  pending_ = NextCall();
+  next_ = now + Jittered(options_.ttl);
+  actions_.emplace_back(StoreRequest(
+      StoreRange{.call = pending_, .key = key_, .prefix = false}));
+}
+
+void LeaseKeeper::Grant(Time now) {
+  phase_ = Phase::kGranting;
+  asked_at_ = now;
+  pending_ = NextCall();
+  next_ = now + Jittered(options_.ttl);
+  actions_.emplace_back(
+      StoreRequest(StoreLeaseGrant{.call = pending_, .ttl = options_.ttl}));
+}
+
+void LeaseKeeper::Renew(Time now) {
+  asked_at_ = now;
+  pending_ = NextCall();
+  next_ = now + options_.renew_every;
+  actions_.emplace_back(
+      StoreRequest(StoreLeaseKeepAlive{.call = pending_, .lease = lease_}));
+}
+
+Duration LeaseKeeper::Jittered(Duration duration) {
+  const double part = absl::Uniform(gen_, 1 - kJitter, 1 + kJitter);
+  return Duration(
+      static_cast<Duration::rep>(static_cast<double>(duration.count()) * part));
+}
+
+StoreCall LeaseKeeper::NextCall() { return ++call_; }
+
+}  // namespace oleander
