--- a/include/oleander/membership.h
+++ b/include/oleander/membership.h
@@ -15,16 +15,13 @@
 #define OLEANDER_MEMBERSHIP_H_
 
 #include <cstdint>
-#include <map>
+#include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
 #include <variant>
 #include <vector>
 
-#include "absl/container/flat_hash_map.h"
-#include "absl/random/random.h"
 #include "oleander/types.h"
 
 namespace oleander {
@@ -38,16 +35,27 @@
   InstanceInfo info;
   MemberState state = MemberState::kAlive;
   uint64_t incarnation = 0;
+  bool leaving = false;  // Also while suspected.
 
   // Whether messages to it make sense.
   bool reachable() const { return state != MemberState::kDead; }
 };
 
-// What is said about one member. `info` travels with updates about members
-// that others may not know yet.
+// What one instance says about a member. A doubt travels where two sides that
+// were cut off meet again and one holds the other's member for dead: the member
+// is asked to refute, and dies only if it doesn't.
+enum class MemberClaim {
+  kAlive = 0,
+  kLeaving = 1,
+  kSuspect = 2,
+  kDead = 3,
+  kDoubt = 4
+};
+
+// `info` travels with claims about members that others may not know yet.
 struct MemberUpdate {
   InstanceId id;
-  MemberState state = MemberState::kAlive;
+  MemberClaim claim = MemberClaim::kAlive;
   uint64_t incarnation = 0;
   std::optional<InstanceInfo> info;
 
@@ -78,21 +86,35 @@
 
 struct MembershipOptions {
   Duration heartbeat = std::chrono::milliseconds(1500);
-  Duration fleet_heartbeat = std::chrono::milliseconds(3000);
+  // Heartbeats to neighbours of other domains: every so many.
+  int fleet_every = 2;
   // From the end of a heartbeat's interval to the first probe.
   Duration grace = std::chrono::milliseconds(150);
   Duration probe_timeout = std::chrono::milliseconds(250);
-  int probe_rounds = 3;     // Direct and indirect together, per silence.
-  int indirect_probes = 3;  // Per round.
+  int probe_rounds = 3;     // Before silence becomes a suspicion.
+  int indirect_probes = 3;  // Per round but the first.
   Duration suspicion = std::chrono::milliseconds(1600);
-  Duration rejoin_probe = std::chrono::seconds(4);
-  Duration sync_interval = std::chrono::seconds(2);  // At most one in this.
+  Duration doubt = std::chrono::seconds(4);
+  // Between two messages with news to one neighbour, beside heartbeats.
+  Duration news_every = std::chrono::milliseconds(200);
+  Duration sync_every = std::chrono::seconds(2);
+  Duration join_every = std::chrono::milliseconds(500);  // While alone.
+  // Each member that is not alive is probed about this often by the fleet
+  // together, and by one instance never more often than this.
+  Duration rejoin_every = std::chrono::seconds(1);
   Duration forget_dead = std::chrono::minutes(10);
-  size_t gossip_bytes = 400;  // Of updates in one message.
-  int gossip_repeats = 3;     // Of one update to one neighbour, unacknowledged.
-  uint64_t first_incarnation = 1;  // Higher for a later start of the same id.
+  // A clock that jumps by more between two calls: this process was paused.
+  Duration pause_bound = std::chrono::milliseconds(700);
+  size_t gossip_bytes = 1000;  // Of claims in one message.
+  int gossip_repeats = 3;      // Of one claim to one neighbour.
+  // Must be higher at each start of the same instance by more than
+  // kRestartGap: the wall clock in milliseconds will do.
+  uint64_t first_incarnation = 1;
 };
 
+// An incarnation that grows by more tells of a restart, not of refutations.
+inline constexpr uint64_t kRestartGap = 1000;
+
 struct SendMembershipMessage {
   InstanceId to;
   MembershipMessage message;
@@ -101,6 +123,7 @@
 struct MemberChanged {
   InstanceInfo info;
   MemberState state = MemberState::kAlive;
+  bool restarted = false;  // It lives, but lost all that it held.
 };
 // The member lives, but the open connection to it carries nothing: make a new
 // one.
@@ -124,6 +147,9 @@
  public:
   Membership(InstanceInfo self, const MembershipOptions& options, uint64_t seed,
              Time now);
+  ~Membership();
+  Membership(Membership&&) noexcept;
+  Membership& operator=(Membership&&) noexcept;
 
   // The instances that may exist: the platform's list and the seeds of the
   // settings. Members found by gossip stay members without it.
@@ -148,19 +174,13 @@
   // Those this instance exchanges heartbeats with.
   std::vector<InstanceId> neighbours() const;
   size_t live_count() const;  // This instance included.
-  uint64_t incarnation() const { return incarnation_; }
-  const InstanceInfo& self() const { return self_; }
-  const MembershipCounters& counters() const { return counters_; }
+  uint64_t incarnation() const;
+  const InstanceInfo& self() const;
+  const MembershipCounters& counters() const;
 
  private:
-  struct Entry;
-  struct Link;
-  struct Probe;
-
-  InstanceInfo self_;
-  MembershipOptions options_;
-  uint64_t incarnation_ = 1;
-  MembershipCounters counters_;
+  class Impl;
+  std::unique_ptr<Impl> impl_;
 };
 
 }  // namespace oleander
--- a/src/parts/leases.cc
+++ b/src/parts/leases.cc
@@ -276,8 +276,8 @@
   phase_ = Phase::kLooking;
   pending_ = NextCall();
   next_ = now + Jittered(options_.ttl);
-  actions_.emplace_back(StoreRequest(
-      StoreRange{.call = pending_, .key = key_, .prefix = false}));
+  actions_.emplace_back(
+      StoreRequest(StoreRange{.call = pending_, .key = key_, .prefix = false}));
 }
 
 void LeaseKeeper::Grant(Time now) {
--- /dev/null
+++ b/src/parts/membership_messages.cc
@@ -0,0 +1,277 @@
+// What messages from other instances do to the membership.
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "oleander/invariant.h"
+#include "parts/membership_impl.h"
+
+namespace oleander {
+namespace {
+
+constexpr int kMismatchesToSync = 2;
+constexpr size_t kMostReplies = 16;
+constexpr size_t kMostRelays = 256;
+
+bool IsLifeClaim(MemberClaim claim) {
+  return claim == MemberClaim::kAlive || claim == MemberClaim::kLeaving;
+}
+
+bool IsPeriodic(MembershipKind kind) {
+  return kind == MembershipKind::kHeartbeat;
+}
+
+}  // namespace
+
+void Membership::Impl::OnMessage(const InstanceId& from,
+                                 const MembershipMessage& message, Time now) {
+  if (departed_ || from == self_.id || from.empty()) {
+    return;
+  }
+  replies_.clear();
+  const parts::MemberEntry* known = table_.Find(from);
+  const bool was_dead = known != nullptr && !known->member.reachable();
+  const bool syncing = message.kind == MembershipKind::kSync ||
+                       message.kind == MembershipKind::kSyncReply;
+  const bool trusted = !was_dead && !syncing;
+  if (const auto link = links_.find(from); link != links_.end()) {
+    link->second.Heard(now, options_.grace);
+  }
+  TakeHeader(from, message, trusted, now);
+  TakeUpdates(from, message, trusted, now);
+  switch (message.kind) {
+    case MembershipKind::kHeartbeat:
+      CompareDigest(from, message, now);
+      break;
+    case MembershipKind::kAck:
+      OnAck(from, message, now);
+      break;
+    case MembershipKind::kPingRequest:
+      OnPingRequest(from, message, now);
+      break;
+    case MembershipKind::kSync:
+      OnSync(from, message, now);
+      break;
+    case MembershipKind::kPing:
+    case MembershipKind::kUpdates:
+    case MembershipKind::kSyncReply:
+      break;
+  }
+  Answer(from, message, now);
+}
+
+// Every message shows that its sender lives, in the incarnation it names.
+void Membership::Impl::TakeHeader(const InstanceId& from,
+                                  const MembershipMessage& message,
+                                  bool trusted, Time now) {
+  const parts::MemberEntry* before = table_.Find(from);
+  const bool was_dead = before != nullptr && !before->member.reachable();
+  MemberUpdate claim = {
+      .id = from,
+      .claim = message.leaving ? MemberClaim::kLeaving : MemberClaim::kAlive,
+      .incarnation = message.incarnation,
+      .info = std::nullopt};
+  if (const auto listed = candidates_.find(from); listed != candidates_.end()) {
+    claim.info = listed->second;
+  }
+  TakeClaim(from, claim, trusted, now);
+  const parts::MemberEntry* after = table_.Find(from);
+  const bool returned = was_dead && after->member.reachable();
+  if (returned) {
+    // Two sides meet again, or a paused instance woke: compare all we know.
+    next_sync_ = std::min(next_sync_, now);
+    if (now >= next_sync_ && message.kind != MembershipKind::kSync) {
+      next_sync_ = now + Jittered(options_.sync_every, 0.5);
+      MembershipMessage sync = Message(MembershipKind::kSync);
+      sync.updates = WholeTable();
+      ++counters_.syncs;
+      Send(from, std::move(sync));
+    }
+  }
+}
+
+void Membership::Impl::TakeUpdates(const InstanceId& from,
+                                   const MembershipMessage& message,
+                                   bool trusted, Time now) {
+  for (const MemberUpdate& update : message.updates) {
+    TakeClaim(from, update, trusted, now);
+  }
+}
+
+void Membership::Impl::TakeClaim(const InstanceId& from, MemberUpdate claim,
+                                 bool trusted, Time now) {
+  if (claim.id == self_.id) {
+    const bool outdated =
+        claim.incarnation > incarnation_ ||
+        (claim.incarnation == incarnation_ && !IsLifeClaim(claim.claim));
+    if (outdated) {
+      Refute(claim.incarnation, now);
+      replies_.push_back(OwnClaim(/*with_info=*/true));
+    }
+    return;
+  }
+  // Nobody else can know better than a departing member itself.
+  const bool farewell = claim.id == from && claim.claim == MemberClaim::kDead;
+  if (!claim.info.has_value()) {
+    if (const auto listed = candidates_.find(claim.id);
+        listed != candidates_.end()) {
+      claim.info = listed->second;
+    }
+  }
+  const parts::ClaimOutcome outcome =
+      table_.Take(claim, trusted || farewell, now, Times(now));
+  if (outcome.result == parts::ClaimResult::kChanged) {
+    Notify(claim.id, outcome);
+    Spread(claim.id, from, now);
+    return;
+  }
+  const bool tell = outcome.result == parts::ClaimResult::kStale &&
+                    replies_.size() < kMostReplies;
+  if (tell) {
+    replies_.push_back(parts::MemberTable::ClaimOf(*table_.Find(claim.id),
+                                                   /*with_info=*/false));
+  }
+}
+
+void Membership::Impl::Refute(uint64_t above, Time now) {
+  const uint64_t before = incarnation_;
+  incarnation_ = std::max(incarnation_, above) + 1;
+  CheckInvariant(incarnation_ > before, "incarnation_monotone", [&] {
+    return fmt::format("The incarnation of {} went from {} to {}.",
+                       self_.id.value(), before, incarnation_);
+  });
+  ++counters_.refutations;
+  Spread(self_.id, InstanceId(), now);
+}
+
+void Membership::Impl::OnAck(const InstanceId& from,
+                             const MembershipMessage& message, Time now) {
+  if (message.target.empty()) {
+    const auto relay = relays_.find(message.sequence);
+    if (relay == relays_.end() || relay->second.target != from) {
+      return;
+    }
+    MembershipMessage ack = Message(MembershipKind::kAck);
+    ack.sequence = relay->second.sequence;
+    ack.target = from;
+    if (const auto claim = ClaimAbout(from, now)) {
+      ack.updates.push_back(*claim);
+    }
+    Send(relay->second.requester, std::move(ack));
+    relays_.erase(relay);
+    return;
+  }
+  const auto link = links_.find(message.target);
+  if (link == links_.end()) {
+    return;
+  }
+  // It lives, yet nothing comes from it over our own connection.
+  const bool silent = now - link->second.heard >= 2 * link->second.interval;
+  const bool due = now - link->second.reset_at >= 2 * link->second.interval;
+  if (silent && due) {
+    link->second.reset_at = now;
+    actions_.emplace_back(ResetConnection{.peer = message.target});
+  }
+  const parts::MemberEntry* target = table_.Find(message.target);
+  const bool suspected =
+      target != nullptr && target->member.state == MemberState::kSuspect;
+  if (!suspected) {
+    link->second.next_probe = Time::max();
+    link->second.probe_round = 0;
+    link->second.expected = now + link->second.interval;
+  }
+}
+
+void Membership::Impl::OnPingRequest(const InstanceId& from,
+                                     const MembershipMessage& message,
+                                     Time now) {
+  if (message.target == self_.id || relays_.size() >= kMostRelays) {
+    return;
+  }
+  const uint64_t sequence = ++sequence_;
+  relays_[sequence] = {.requester = from,
+                       .sequence = message.sequence,
+                       .target = message.target,
+                       .expires = now + 4 * options_.probe_timeout};
+  SendPing(message.target, sequence);
+}
+
+// Answers with everything that the sender lacks or has older.
+void Membership::Impl::OnSync(const InstanceId& from,
+                              const MembershipMessage& message, Time now) {
+  std::map<InstanceId, const MemberUpdate*> theirs;
+  for (const MemberUpdate& update : message.updates) {
+    theirs.emplace(update.id, &update);
+  }
+  MembershipMessage reply = Message(MembershipKind::kSyncReply);
+  reply.updates.push_back(OwnClaim(/*with_info=*/true));
+  for (const auto& [id, entry] : table_.entries()) {
+    const auto their = theirs.find(id);
+    const bool unknown = their == theirs.end();
+    const bool skipped = id == from || (unknown && !entry.member.reachable());
+    const MemberUpdate ours = parts::MemberTable::ClaimOf(entry, unknown);
+    const bool same = !unknown && their->second->claim == ours.claim &&
+                      their->second->incarnation == ours.incarnation;
+    if (!skipped && !same) {
+      reply.updates.push_back(ours);
+    }
+  }
+  next_sync_ = std::max(next_sync_, now + options_.sync_every / 2);
+  Send(from, std::move(reply));
+}
+
+void Membership::Impl::CompareDigest(const InstanceId& from,
+                                     const MembershipMessage& message,
+                                     Time now) {
+  const auto found = links_.find(from);
+  if (found == links_.end()) {
+    return;
+  }
+  parts::GossipLink& link = found->second;
+  if (message.table_digest == digest()) {
+    link.mismatches = 0;
+    // It knows all that the digest covers; only suspicions and doubts are left.
+    std::erase_if(link.pending, [&](const auto& item) {
+      const parts::MemberEntry* entry = table_.Find(item.first);
+      return entry == nullptr ||
+             (entry->member.state != MemberState::kSuspect && !entry->doubted);
+    });
+    return;
+  }
+  ++link.mismatches;
+  const bool sync = link.mismatches >= kMismatchesToSync &&
+                    link.pending.empty() && now >= next_sync_;
+  if (!sync) {
+    return;
+  }
+  link.mismatches = 0;
+  next_sync_ = now + Jittered(options_.sync_every, 0.5);
+  MembershipMessage request = Message(MembershipKind::kSync);
+  request.updates = WholeTable();
+  ++counters_.syncs;
+  Send(from, std::move(request));
+}
+
+void Membership::Impl::Answer(const InstanceId& from,
+                              const MembershipMessage& message, Time now) {
+  const bool ping = message.kind == MembershipKind::kPing;
+  // A heartbeat from one that isn't our neighbour: its view of the members
+  // differs, or ours. An ack keeps it from probing.
+  const bool one_sided =
+      IsPeriodic(message.kind) && !links_.contains(from) && !links_outdated_;
+  if (!ping && !one_sided && replies_.empty()) {
+    return;
+  }
+  MembershipMessage answer = Message(
+      ping || one_sided ? MembershipKind::kAck : MembershipKind::kUpdates);
+  answer.sequence = message.sequence;
+  answer.updates = std::exchange(replies_, {});
+  if (const auto link = links_.find(from); link != links_.end()) {
+    std::ranges::move(TakeNews(link->second, now),
+                      std::back_inserter(answer.updates));
+  }
+  Send(from, std::move(answer));
+}
+
+}  // namespace oleander
--- /dev/null
+++ b/src/parts/membership_timers.cc
@@ -0,0 +1,501 @@
+// When the membership sends what: heartbeats, probes, news, returns.
+#include <algorithm>
+#include <array>
+#include <iterator>
+#include <random>
+#include <utility>
+
+#include "parts/membership_impl.h"
+#include "parts/rings.h"
+
+namespace oleander {
+namespace {
+
+// One ring per salt; two within the domain, one over the whole fleet.
+constexpr std::array<uint64_t, 2> kDomainRings = {11, 12};
+constexpr uint64_t kFleetRing = 13;
+constexpr double kBeatJitter = 0.02;
+constexpr size_t kJoinProbes = 2;
+constexpr Duration kLongestRejoin = std::chrono::seconds(60);
+// For so long news about a member carry its address.
+constexpr Duration kNewMember = std::chrono::seconds(60);
+// Others wait longer than the one that raised a suspicion, and declare a death
+// only where its declaration got lost.
+constexpr double kOthersPatience = 1.5;
+
+Duration Scaled(Duration duration, double factor) {
+  return Duration(static_cast<Duration::rep>(
+      static_cast<double>(duration.count()) * factor));
+}
+
+}  // namespace
+
+Membership::Impl::Impl(InstanceInfo self, const MembershipOptions& options,
+                       uint64_t seed, Time now)
+    : self_(std::move(self)),
+      options_(options),
+      gen_(std::seed_seq{seed, seed >> 32}),
+      incarnation_(options.first_incarnation),
+      started_(now),
+      next_beat_(now),
+      next_sync_(now),
+      next_join_(now),
+      due_(now) {
+  // Beats of different instances are spread over the interval.
+  next_beat_ = now + Scaled(options_.heartbeat, absl::Uniform(gen_, 0.0, 1.0));
+}
+
+void Membership::Impl::SetCandidates(
+    const std::vector<InstanceInfo>& candidates, Time now) {
+  candidates_.clear();
+  for (const InstanceInfo& candidate : candidates) {
+    if (candidate.id != self_.id) {
+      candidates_.emplace(candidate.id, candidate);
+      table_.UpdateInfo(candidate);
+    }
+  }
+  if (next_rejoin_ == Time::max()) {
+    ScheduleRejoin(now);
+  }
+  due_ = now;
+}
+
+void Membership::Impl::Leave(Time now) {
+  if (leaving_) {
+    return;
+  }
+  leaving_ = true;
+  ++incarnation_;
+  Spread(self_.id, InstanceId(), now);
+}
+
+void Membership::Impl::Depart(Time now) {
+  Leave(now);
+  for (const auto& [id, link] : links_) {
+    MembershipMessage farewell = Message(MembershipKind::kUpdates);
+    farewell.updates = {{.id = self_.id,
+                         .claim = MemberClaim::kDead,
+                         .incarnation = incarnation_,
+                         .info = std::nullopt}};
+    Send(id, std::move(farewell));
+  }
+  departed_ = true;
+}
+
+void Membership::Impl::Tick(Time now) {
+  if (departed_) {
+    return;
+  }
+  CheckPause(now);
+  ExpireDeadlines(now);
+  RebuildLinks(now);
+  Beat(now);
+  ProbeSilentLinks(now);
+  SendNews(now);
+  Join(now);
+  ProbeAbsent(now);
+  due_ = next_due();
+}
+
+Time Membership::Impl::next_due() const {
+  if (departed_) {
+    return Time::max();
+  }
+  if (links_outdated_) {
+    return started_;  // At once.
+  }
+  Time due = std::min({next_beat_, table_.next_deadline(), next_rejoin_});
+  if (table_.live_count() == 0 && !candidates_.empty()) {
+    due = std::min(due, next_join_);
+  }
+  for (const auto& [id, link] : links_) {
+    due = std::min(
+        {due, link.news_at,
+         link.next_probe == Time::max() ? link.expected : link.next_probe});
+  }
+  return due;
+}
+
+std::vector<MembershipAction> Membership::Impl::TakeActions() {
+  return std::exchange(actions_, {});
+}
+
+// A process that was paused must not take its own absence for that of others.
+void Membership::Impl::CheckPause(Time now) {
+  const Duration late = now - due_;
+  if (late <= options_.pause_bound) {
+    return;
+  }
+  ++counters_.pauses;
+  table_.Postpone(late);
+  for (auto& [id, link] : links_) {
+    link.Heard(now, options_.grace);
+  }
+}
+
+void Membership::Impl::RebuildLinks(Time now) {
+  if (!std::exchange(links_outdated_, false)) {
+    return;
+  }
+  std::vector<const InstanceId*> fleet = {&self_.id};
+  std::vector<const InstanceId*> domain = {&self_.id};
+  for (const auto& [id, entry] : table_.entries()) {
+    const MemberState state = entry.member.state;
+    if (state == MemberState::kDead || state == MemberState::kSuspect) {
+      continue;
+    }
+    fleet.push_back(&id);
+    if (entry.member.info.place.domain == self_.place.domain) {
+      domain.push_back(&id);
+    }
+  }
+  std::map<InstanceId, Duration> wanted;
+  for (const uint64_t ring : kDomainRings) {
+    AddLinks(domain, ring, options_.heartbeat, wanted);
+  }
+  AddLinks(fleet, kFleetRing, options_.heartbeat * options_.fleet_every,
+           wanted);
+  // A suspect stays a neighbour until it is cleared or dead; the one behind it
+  // on the ring is a neighbour already.
+  std::erase_if(links_, [&](const auto& item) {
+    const parts::MemberEntry* entry = table_.Find(item.first);
+    const bool suspect =
+        entry != nullptr && entry->member.state == MemberState::kSuspect;
+    return !wanted.contains(item.first) && !suspect;
+  });
+  for (const auto& [id, interval] : wanted) {
+    const auto [link, added] = links_.try_emplace(id);
+    link->second.interval = interval;
+    if (added) {
+      // A ping finds out at once whether the new neighbour lives.
+      link->second.heard = now;
+      link->second.expected = now;
+      link->second.Queue(self_.id, options_.gossip_repeats, now,
+                         options_.news_every);
+    }
+  }
+}
+
+void Membership::Impl::AddLinks(std::vector<const InstanceId*> ids,
+                                uint64_t salt, Duration interval,
+                                std::map<InstanceId, Duration>& wanted) const {
+  for (const size_t index : parts::RingNeighbours(self_.id, ids, salt)) {
+    const auto [slot, added] = wanted.try_emplace(*ids[index], interval);
+    slot->second = std::min(slot->second, interval);
+  }
+}
+
+void Membership::Impl::Beat(Time now) {
+  if (now < next_beat_) {
+    return;
+  }
+  next_beat_ = now + Jittered(options_.heartbeat, kBeatJitter);
+  ++beats_;
+  const bool fleet_beat =
+      beats_ % static_cast<uint64_t>(options_.fleet_every) == 0;
+  for (auto& [id, link] : links_) {
+    if (link.interval > options_.heartbeat && !fleet_beat) {
+      continue;
+    }
+    MembershipMessage heartbeat = Message(MembershipKind::kHeartbeat);
+    heartbeat.updates = TakeNews(link, now);
+    Send(id, std::move(heartbeat));
+  }
+  table_.ForgetDeadSince(now - options_.forget_dead);
+  std::erase_if(relays_,
+                [&](const auto& item) { return item.second.expires < now; });
+}
+
+void Membership::Impl::ProbeSilentLinks(Time now) {
+  for (auto& [id, link] : links_) {
+    const Time due =
+        link.next_probe == Time::max() ? link.expected : link.next_probe;
+    if (now >= due) {
+      ProbeRound(id, link, now);
+    }
+  }
+}
+
+void Membership::Impl::ProbeRound(const InstanceId& target,
+                                  parts::GossipLink& link, Time now) {
+  ++counters_.probes;
+  ++link.probe_round;
+  link.next_probe = now + options_.probe_timeout;
+  if (link.probe_round == options_.probe_rounds + 1) {
+    const MemberUpdate suspicion = {
+        .id = target,
+        .claim = MemberClaim::kSuspect,
+        .incarnation = table_.Find(target)->member.incarnation,
+        .info = std::nullopt};
+    const parts::ClaimOutcome outcome = table_.Take(
+        suspicion, /*trusted=*/true, now,
+        {.suspicion_ends = now + options_.suspicion, .doubt_ends = now});
+    if (outcome.result == parts::ClaimResult::kChanged) {
+      ++counters_.suspicions;
+      Notify(target, outcome);
+      Spread(target, InstanceId(), now);
+    }
+  }
+  SendPing(target, ++sequence_);
+  if (link.probe_round > 1) {
+    ProbeIndirectly(target);
+  }
+}
+
+// Asks a few of our own neighbours, to which connections are open.
+void Membership::Impl::ProbeIndirectly(const InstanceId& target) {
+  std::vector<InstanceId> helpers;
+  for (const auto& [id, link] : links_) {
+    if (id != target && link.probe_round == 0) {
+      helpers.push_back(id);
+    }
+  }
+  std::ranges::shuffle(helpers, gen_);
+  helpers.resize(std::min<size_t>(
+      helpers.size(), static_cast<size_t>(options_.indirect_probes)));
+  for (const InstanceId& helper : helpers) {
+    MembershipMessage request = Message(MembershipKind::kPingRequest);
+    request.sequence = ++sequence_;
+    request.target = target;
+    if (const auto claim = ClaimInDoubt(target)) {
+      request.updates.push_back(*claim);
+    }
+    Send(helper, std::move(request));
+  }
+}
+
+void Membership::Impl::ExpireDeadlines(Time now) {
+  for (const InstanceId& id : table_.Expired(now)) {
+    const MemberUpdate death = {
+        .id = id,
+        .claim = MemberClaim::kDead,
+        .incarnation = table_.Find(id)->member.incarnation,
+        .info = std::nullopt};
+    const parts::ClaimOutcome outcome =
+        table_.Take(death, /*trusted=*/true, now, Times(now));
+    ++counters_.deaths;
+    Notify(id, outcome);
+    Spread(id, InstanceId(), now);
+  }
+}
+
+void Membership::Impl::SendNews(Time now) {
+  for (auto& [id, link] : links_) {
+    if (now < link.news_at) {
+      continue;
+    }
+    MembershipMessage news = Message(MembershipKind::kUpdates);
+    news.updates = TakeNews(link, now);
+    if (!news.updates.empty()) {
+      Send(id, std::move(news));
+    }
+  }
+}
+
+// Members that are not alive may be again, or never were seen: a partition
+// heals, an instance starts late.
+void Membership::Impl::ProbeAbsent(Time now) {
+  if (now < next_rejoin_) {
+    return;
+  }
+  const std::vector<InstanceId> absent = Absent();
+  if (!absent.empty()) {
+    const InstanceId& target =
+        absent[absl::Uniform<size_t>(gen_, 0, absent.size())];
+    SendPing(target, ++sequence_);
+  }
+  ScheduleRejoin(now);
+}
+
+void Membership::Impl::ScheduleRejoin(Time now) {
+  const std::vector<InstanceId> absent = Absent();
+  if (absent.empty()) {
+    next_rejoin_ = Time::max();
+    return;
+  }
+  const double share = static_cast<double>(table_.live_count() + 1) /
+                       static_cast<double>(absent.size());
+  const Duration interval = std::clamp(Scaled(options_.rejoin_every, share),
+                                       options_.rejoin_every, kLongestRejoin);
+  next_rejoin_ = now + Jittered(interval, 0.5);
+}
+
+std::vector<InstanceId> Membership::Impl::Absent() const {
+  std::vector<InstanceId> absent;
+  for (const auto& [id, info] : candidates_) {
+    if (table_.Find(id) == nullptr) {
+      absent.push_back(id);
+    }
+  }
+  for (const auto& [id, entry] : table_.entries()) {
+    if (!entry.member.reachable()) {
+      absent.push_back(id);
+    }
+  }
+  return absent;
+}
+
+// While alone, asks some candidates for their whole table.
+void Membership::Impl::Join(Time now) {
+  if (table_.live_count() > 0 || candidates_.empty() || now < next_join_) {
+    return;
+  }
+  next_join_ = now + Jittered(options_.join_every, 0.3);
+  std::vector<InstanceId> ids;
+  std::ranges::transform(candidates_, std::back_inserter(ids),
+                         [](const auto& item) { return item.first; });
+  std::ranges::shuffle(ids, gen_);
+  ids.resize(std::min(ids.size(), kJoinProbes));
+  for (const InstanceId& id : ids) {
+    MembershipMessage sync = Message(MembershipKind::kSync);
+    sync.updates = WholeTable();
+    Send(id, std::move(sync));
+  }
+}
+
+std::vector<MemberUpdate> Membership::Impl::WholeTable() const {
+  std::vector<MemberUpdate> updates = {OwnClaim(/*with_info=*/true)};
+  std::ranges::transform(
+      table_.entries(), std::back_inserter(updates), [](const auto& item) {
+        return parts::MemberTable::ClaimOf(item.second, /*with_info=*/false);
+      });
+  return updates;
+}
+
+void Membership::Impl::Spread(const InstanceId& id, const InstanceId& except,
+                              Time now) {
+  const parts::MemberEntry* entry = table_.Find(id);
+  const bool doubtful =
+      entry != nullptr &&
+      (entry->member.state == MemberState::kSuspect || entry->doubted);
+  for (auto& [peer, link] : links_) {
+    // The member itself has to hear that it is doubted, from all who can.
+    if (peer != except && (peer != id || doubtful)) {
+      link.Queue(id, options_.gossip_repeats, now, options_.news_every);
+    }
+  }
+}
+
+void Membership::Impl::Notify(const InstanceId& id,
+                              const parts::ClaimOutcome& outcome) {
+  if (!outcome.state_changed) {
+    return;
+  }
+  links_outdated_ = true;
+  const Member& member = table_.Find(id)->member;
+  actions_.emplace_back(MemberChanged{.info = member.info,
+                                      .state = member.state,
+                                      .restarted = outcome.restarted});
+  if (member.state == MemberState::kDead && next_rejoin_ == Time::max()) {
+    next_rejoin_ = due_ + options_.rejoin_every;
+  }
+}
+
+parts::ClaimTimes Membership::Impl::Times(Time now) const {
+  return {.suspicion_ends = now + Scaled(options_.suspicion, kOthersPatience),
+          .doubt_ends = now + options_.doubt};
+}
+
+MemberUpdate Membership::Impl::OwnClaim(bool with_info) const {
+  MemberUpdate claim = {
+      .id = self_.id,
+      .claim = leaving_ ? MemberClaim::kLeaving : MemberClaim::kAlive,
+      .incarnation = incarnation_,
+      .info = std::nullopt};
+  if (with_info) {
+    claim.info = self_;
+  }
+  return claim;
+}
+
+std::optional<MemberUpdate> Membership::Impl::ClaimAbout(const InstanceId& id,
+                                                         Time now) const {
+  if (id == self_.id) {
+    return OwnClaim(now - started_ < kNewMember);
+  }
+  const parts::MemberEntry* entry = table_.Find(id);
+  if (entry == nullptr) {
+    return std::nullopt;
+  }
+  return parts::MemberTable::ClaimOf(*entry,
+                                     now - entry->known_since < kNewMember);
+}
+
+// What a member has to hear about itself in order to refute it.
+std::optional<MemberUpdate> Membership::Impl::ClaimInDoubt(
+    const InstanceId& id) const {
+  const parts::MemberEntry* entry = table_.Find(id);
+  const bool in_doubt =
+      entry != nullptr && (entry->doubted || !entry->member.reachable() ||
+                           entry->member.state == MemberState::kSuspect);
+  if (!in_doubt) {
+    return std::nullopt;
+  }
+  return parts::MemberTable::ClaimOf(*entry, /*with_info=*/false);
+}
+
+std::vector<MemberUpdate> Membership::Impl::TakeNews(parts::GossipLink& link,
+                                                     Time now) {
+  std::vector<MemberUpdate> news;
+  size_t bytes = 0;
+  while (!link.pending.empty() && bytes < options_.gossip_bytes) {
+    const size_t room = 1 + (options_.gossip_bytes - bytes) / 100;
+    const size_t before = news.size();
+    for (const InstanceId& id : link.TakePending(room)) {
+      const bool told =
+          std::ranges::find(news, id, &MemberUpdate::id) != news.end();
+      const auto claim = told ? std::nullopt : ClaimAbout(id, now);
+      if (claim.has_value()) {
+        bytes += parts::ClaimBytes(*claim);
+        news.push_back(*claim);
+      }
+    }
+    if (news.size() == before) {
+      break;
+    }
+  }
+  link.last_news = now;
+  // What is repeated can wait for the next heartbeat; what did not fit can't.
+  const bool more = std::ranges::any_of(link.pending, [&](const auto& item) {
+    return item.second >= options_.gossip_repeats;
+  });
+  link.news_at = more ? now + options_.news_every : Time::max();
+  return news;
+}
+
+MembershipMessage Membership::Impl::Message(MembershipKind kind) const {
+  MembershipMessage message;
+  message.kind = kind;
+  message.incarnation = incarnation_;
+  message.leaving = leaving_;
+  message.table_digest = digest();
+  return message;
+}
+
+void Membership::Impl::Send(const InstanceId& to, MembershipMessage message) {
+  actions_.emplace_back(
+      SendMembershipMessage{.to = to, .message = std::move(message)});
+}
+
+void Membership::Impl::SendPing(const InstanceId& to, uint64_t sequence) {
+  MembershipMessage ping = Message(MembershipKind::kPing);
+  ping.sequence = sequence;
+  if (const auto claim = ClaimInDoubt(to)) {
+    ping.updates.push_back(*claim);
+  }
+  if (!links_.contains(to)) {
+    // It may know nothing of us.
+    ping.updates.push_back(OwnClaim(/*with_info=*/true));
+  }
+  Send(to, std::move(ping));
+}
+
+uint32_t Membership::Impl::digest() const {
+  return table_.digest() ^ parts::DigestPart(self_.id, incarnation_, leaving_);
+}
+
+Duration Membership::Impl::Jittered(Duration duration, double part) {
+  return Scaled(duration, absl::Uniform(gen_, 1 - part, 1 + part));
+}
+
+}  // namespace oleander
--- a/src/parts/rings.cc
+++ b/src/parts/rings.cc
@@ -63,9 +63,8 @@
     ranked.push_back({.hash = StableHash(ids[i]->value(), salt), .index = i});
   }
   const size_t kept = std::min(count, ranked.size());
-  std::ranges::partial_sort(ranked,
-                            ranked.begin() + static_cast<ptrdiff_t>(kept),
-                            std::greater<>());
+  std::ranges::partial_sort(
+      ranked, ranked.begin() + static_cast<ptrdiff_t>(kept), std::greater<>());
   std::vector<size_t> indices(kept);
   std::ranges::transform(ranked.begin(),
                          ranked.begin() + static_cast<ptrdiff_t>(kept),
