--- a/include/oleander/admission.h
+++ b/include/oleander/admission.h
@@ -7,13 +7,17 @@
 #ifndef OLEANDER_ADMISSION_H_
 #define OLEANDER_ADMISSION_H_
 
+#include <cstddef>
 #include <cstdint>
+#include <deque>
+#include <map>
 #include <memory>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/status/status.h"
 #include "oleander/profile.h"
+#include "oleander/result_code.h"
 #include "oleander/types.h"
 
 namespace oleander {
@@ -57,6 +61,9 @@
   double grow_factor = 1.05;
   double shrink_factor = 0.85;
   double slow_share = 0.05;  // More answers than this past the target shrink.
+  // The part of the first-token target that the engines may use up; the rest is
+  // left for waiting here.
+  double engine_share = 0.7;
   int window_samples = 20;
   Duration window = std::chrono::seconds(1);
   // Room above the limit that only a workspace within its share may use.
@@ -98,8 +105,8 @@
   int in_flight(const ServiceId& service) const;
   int queued(const ServiceId& service) const;
   int limit(const ServiceId& service) const;
-  // Refusals of a workspace within its share that another's excess caused; an
-  // invariant keeps it at zero.
+  // Requests within their workspace's share that were refused for load; an
+  // invariant keeps this at zero.
   uint64_t fairness_violations() const { return fairness_violations_; }
   uint64_t refused() const { return refused_; }
 
@@ -111,20 +118,25 @@
 
   Service& ServiceOf(Time now, const ServiceId& id);
   const Service* Find(const ServiceId& id) const;
-  bool WithinShare(const Service& service, const Workspace& workspace,
-                   double more_tokens) const;
-  double ShareOf(const Service& service, const Workspace& workspace) const;
-  Duration ExpectedWait(const Service& service, const Workspace& workspace,
-                        const AdmissionQuery& query) const;
   bool HasRoom(const Service& service, bool within_share) const;
   void Start(Time now, Service& service, const AdmissionQuery& query);
-  absl::Status Refusal(const AdmissionQuery& query, Duration wait,
-                       bool over_share) const;
+  void Enqueue(Time now, Service& service, const AdmissionQuery& query,
+               bool within_share);
+  AdmissionDecision Refuse(Time now, Service& service,
+                           const AdmissionQuery& query, ResultCode code,
+                           Duration too_late_by);
   void GiveUpLate(Time now, Service& service,
                   std::vector<AdmissionRelease>& out);
   void ReleaseReady(Time now, Service& service,
                     std::vector<AdmissionRelease>& out);
+  void GiveUp(Time now, Service& service, const Waiting& waiting,
+              ResultCode code, std::vector<AdmissionRelease>& out);
   void AdjustLimit(Time now, Service& service);
+  static void Withdraw(Service& service, AdmissionId id);
+  static Waiting RemoveWaiting(Service& service, Workspace& workspace,
+                               std::deque<Waiting>& queue,
+                               std::ptrdiff_t position);
+  static void DropIdle(Time now, Service& service, const WorkspaceId& id);
 
   AdmissionOptions options_;
   uint64_t fairness_violations_ = 0;
--- a/include/oleander/routing.h
+++ b/include/oleander/routing.h
@@ -121,7 +121,6 @@
   uint64_t dispatched = 0;
   uint64_t crossed = 0;
   int64_t crossed_bytes = 0;
-  uint64_t link_refusals = 0;  // Choices that the link's budget ruled out.
   uint64_t shed = 0;
 };
 
@@ -175,18 +174,26 @@
   Server* Find(const ServerId& server);
   const Server* Find(const ServerId& server) const;
   bool Usable(Time now, const Server& server) const;
-  int RingOf(const Server& server) const;
+  bool Alive(Time now, const Server& server) const;
   double LinkBytesLeft(Time now) const;
   void SpendLink(Time now, int64_t bytes);
   Candidate Score(Time now, const Server& server, const RouteQuery& query,
                   int cached_blocks) const;
   void Consider(Time now, const RouteQuery& query, ServerSlot slot,
-                Candidate& best) const;
+                int cached_blocks, Candidate& best) const;
+  void ConsiderRandom(Time now, const RouteQuery& query,
+                      std::span<const ServerSlot> ring, uint64_t draw,
+                      Candidate& best) const;
+  void ConsiderHolders(Time now, const RouteQuery& query,
+                       Candidate& best) const;
   absl::StatusOr<Route> ChooseForRead(Time now, const RouteQuery& query,
                                       const Pool& pool,
                                       const WriteMark& mark) const;
-  absl::Status NoServer(const RouteQuery& query) const;
-  void RebuildPools(Time now);
+  absl::StatusOr<Route> ChooseAny(Time now, const RouteQuery& query,
+                                  const Pool& pool) const;
+  Route RouteTo(const RouteQuery& query, const Candidate& candidate) const;
+  void AddServer(const ServerInfo& info);
+  void RebuildPools();
   void ForgetOldMarks(Time now);
 
   struct StoredMark {
@@ -201,7 +208,7 @@
   std::vector<std::unique_ptr<Server>> servers_;
   absl::flat_hash_map<ServerId, ServerSlot> slots_;
   absl::flat_hash_map<ServiceId, std::unique_ptr<Pool>> pools_;
-  absl::flat_hash_map<uint64_t, Flight> flights_;
+  absl::flat_hash_map<uint64_t, std::unique_ptr<Flight>> flights_;
   absl::flat_hash_map<std::pair<ServiceId, WorkspaceId>, StoredMark> marks_;
   double link_bytes_ = 0;
   Time link_at_{};
--- /dev/null
+++ b/src/parts/admission.cc
@@ -0,0 +1,489 @@
+#include "oleander/admission.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <cmath>
+#include <deque>
+#include <limits>
+#include <utility>
+
+#include "oleander/invariant.h"
+#include "oleander/result_code.h"
+
+namespace oleander {
+namespace {
+
+using Seconds = std::chrono::duration<double>;
+
+constexpr int kPriorities = 3;
+constexpr double kAverageWeight = 0.05;  // Of a new sample.
+constexpr Seconds kFirstHold{2};         // Until answers have been measured.
+constexpr Duration kLeastComeBack = std::chrono::milliseconds(100);
+constexpr Duration kMostComeBack = std::chrono::minutes(5);
+// A queued request is given up when its estimate passes its limit by this
+// factor: estimates waver, and a refusal is final.
+constexpr double kEstimateSlack = 1.25;
+// An instance whose batch of answers kept this much of the limit busy may ask
+// for a higher one.
+constexpr double kBusyShare = 0.9;
+
+Duration ToDuration(Seconds seconds) {
+  return std::chrono::duration_cast<Duration>(seconds);
+}
+
+// How long a request may wait here: until its target, or its deadline, less
+// what the engine will take.
+Duration WaitAllowed(const AdmissionQuery& query, Time offered) {
+  Duration allowed = Duration::max();
+  if (query.first_token_target > Duration::zero()) {
+    allowed = query.first_token_target - query.expected_first_token;
+  }
+  if (query.deadline != Time::max()) {
+    allowed = std::min(allowed,
+                       query.deadline - offered - query.expected_first_token);
+  }
+  return allowed;
+}
+
+}  // namespace
+
+struct Admission::Running {
+  WorkspaceId workspace;
+  double cost_tokens = 1;
+  Time since{};
+  Duration target{};
+  bool measured = false;
+};
+
+struct Admission::Waiting {
+  AdmissionQuery query;
+  Time offered{};
+  // Of the fair queue's virtual time, in tokens per unit of share.
+  double start_tag = 0;
+  // Was within its workspace's share when it came: never refused for load.
+  bool within_share = false;
+};
+
+struct Admission::Workspace {
+  double share = 1;
+  int in_flight = 0;
+  double in_flight_tokens = 0;
+  double queued_tokens = 0;
+  double finish_tag = 0;
+  // Refused requests were told to come back no sooner than in turn up to here.
+  Time promised_until{};
+  std::array<std::deque<Waiting>, kPriorities> queues;
+
+  int queued() const {
+    size_t sum = 0;
+    for (const auto& queue : queues) sum += queue.size();
+    return static_cast<int>(sum);
+  }
+  bool active() const { return in_flight > 0 || queued() > 0; }
+};
+
+struct Admission::Service {
+  double limit = 0;
+  int in_flight = 0;
+  int queued = 0;
+  double queued_tokens = 0;
+  double virtual_time = 0;
+  double mean_cost = 1;
+  bool cost_known = false;
+  Seconds mean_hold = kFirstHold;
+  absl::flat_hash_map<AdmissionId, Running> running;
+  std::map<WorkspaceId, Workspace> workspaces;
+  // Of the window of the adaptive limit.
+  Time window_since{};
+  int samples = 0;
+  int slow_samples = 0;
+  int most_in_flight = 0;
+
+  double ActiveShares(const Workspace& with) const {
+    double sum = 0;
+    for (const auto& [id, workspace] : workspaces) {
+      if (workspace.active() || &workspace == &with) sum += workspace.share;
+    }
+    return sum;
+  }
+
+  double Fraction(const Workspace& workspace) const {
+    return workspace.share / ActiveShares(workspace);
+  }
+
+  // By Little's law: what runs at the limit, over how long it stays.
+  double TokensPerSecond() const {
+    return limit * mean_cost / std::max(mean_hold.count(), 1e-3);
+  }
+
+  // Whether the workspace stays within its share of the limit with one more.
+  bool WithinShare(const Workspace& workspace, double more_tokens) const {
+    if (!workspace.active()) return true;
+    return workspace.in_flight_tokens + workspace.queued_tokens + more_tokens <=
+           Fraction(workspace) * limit * mean_cost;
+  }
+
+  // How long until `tokens` of the workspace, queued one after another, have
+  // been let through.
+  Seconds WaitFor(const Workspace& workspace, double tokens) const {
+    const double rate = std::max(TokensPerSecond(), 1e-3);
+    const double by_share = tokens / (rate * Fraction(workspace));
+    const double by_all =
+        (queued_tokens - workspace.queued_tokens + tokens) / rate;
+    const double next_end = mean_hold.count() / std::max(limit, 1.0);
+    return Seconds(std::min(by_share, by_all) + next_end);
+  }
+};
+
+Admission::Admission(const AdmissionOptions& options) : options_(options) {}
+
+Admission::~Admission() = default;
+
+Admission::Service& Admission::ServiceOf(Time now, const ServiceId& id) {
+  std::unique_ptr<Service>& service = services_[id];
+  if (!service) {
+    service = std::make_unique<Service>();
+    service->limit = options_.first_limit;
+    service->window_since = now;
+  }
+  return *service;
+}
+
+const Admission::Service* Admission::Find(const ServiceId& id) const {
+  const auto found = services_.find(id);
+  return found == services_.end() ? nullptr : found->second.get();
+}
+
+AdmissionDecision Admission::Offer(Time now, const AdmissionQuery& query) {
+  Service& service = ServiceOf(now, query.service);
+  Workspace& workspace = service.workspaces[query.workspace];
+  workspace.share = std::max(query.share, 1e-3);
+  if (query.max_in_flight > 0 &&
+      workspace.in_flight + workspace.queued() >= query.max_in_flight) {
+    return Refuse(now, service, query, ResultCode::kWorkspaceOverShare,
+                  Duration::zero());
+  }
+  // What no queue can mend: the engine alone takes longer than the caller
+  // waits.
+  if (query.deadline != Time::max() &&
+      now + query.expected_first_token > query.deadline) {
+    return Refuse(now, service, query, ResultCode::kDeadlineUnreachable,
+                  now + query.expected_first_token - query.deadline);
+  }
+  const bool within_share = service.WithinShare(workspace, query.cost_tokens);
+  const bool first_in_line = within_share || service.queued == 0;
+  if (first_in_line && workspace.queued() == 0 &&
+      HasRoom(service, within_share)) {
+    Start(now, service, query);
+    return {.kind = AdmissionKind::kAdmit, .status = absl::OkStatus()};
+  }
+  if (!within_share) {
+    const Duration wait = ToDuration(service.WaitFor(
+        workspace, workspace.queued_tokens + query.cost_tokens));
+    const Duration allowed = WaitAllowed(query, now);
+    if (wait > allowed) {
+      return Refuse(now, service, query, ResultCode::kOverloaded,
+                    wait - allowed);
+    }
+    if (service.queued >= options_.max_queued) {
+      return Refuse(now, service, query, ResultCode::kOverloaded, wait);
+    }
+  }
+  Enqueue(now, service, query, within_share);
+  return {.kind = AdmissionKind::kQueue, .status = absl::OkStatus()};
+}
+
+bool Admission::HasRoom(const Service& service, bool within_share) const {
+  const double room = within_share ? 1 + options_.within_share_room : 1;
+  return service.in_flight < std::max(1.0, std::floor(service.limit * room));
+}
+
+void Admission::Start(Time now, Service& service,
+                      const AdmissionQuery& query) {
+  Workspace& workspace = service.workspaces[query.workspace];
+  const auto [owner, added] = owners_.try_emplace(query.id, &service);
+  if (!CheckInvariant(added, "admitted_once", [&] {
+        return fmt::format("Request {} was admitted twice.", query.id);
+      })) {
+    return;
+  }
+  service.running[query.id] = {.workspace = query.workspace,
+                               .cost_tokens = query.cost_tokens,
+                               .since = now,
+                               .target = query.first_token_target};
+  ++service.in_flight;
+  ++workspace.in_flight;
+  workspace.in_flight_tokens += query.cost_tokens;
+  service.most_in_flight = std::max(service.most_in_flight, service.in_flight);
+  if (!service.cost_known) service.mean_cost = query.cost_tokens;
+  service.cost_known = true;
+  service.mean_cost +=
+      kAverageWeight * (query.cost_tokens - service.mean_cost);
+}
+
+void Admission::Enqueue(Time now, Service& service, const AdmissionQuery& query,
+                        bool within_share) {
+  Workspace& workspace = service.workspaces[query.workspace];
+  const double start = std::max(service.virtual_time, workspace.finish_tag);
+  workspace.finish_tag = start + query.cost_tokens / workspace.share;
+  workspace.queued_tokens += query.cost_tokens;
+  service.queued_tokens += query.cost_tokens;
+  ++service.queued;
+  owners_[query.id] = &service;
+  workspace.queues[static_cast<size_t>(query.priority)].push_back(
+      {query, now, start, within_share});
+}
+
+AdmissionDecision Admission::Refuse(Time now, Service& service,
+                                    const AdmissionQuery& query,
+                                    ResultCode code, Duration too_late_by) {
+  ++refused_;
+  Workspace& workspace = service.workspaces[query.workspace];
+  // Callers that are refused together are told to come back in turn, at the
+  // rate at which the workspace is served.
+  const Seconds turn(query.cost_tokens / (service.TokensPerSecond() *
+                                          service.Fraction(workspace)));
+  workspace.promised_until =
+      std::max(workspace.promised_until, now + too_late_by) + ToDuration(turn);
+  const Duration come_back = std::clamp(workspace.promised_until - now,
+                                        kLeastComeBack, kMostComeBack);
+  std::string message = fmt::format(
+      "Service {} has {} requests under way of at most {} and {} queued; "
+      "request {} of workspace {} would be {} ms late.",
+      query.service.value(), service.in_flight,
+      static_cast<int>(service.limit), service.queued, query.id,
+      query.workspace.value(),
+      std::chrono::duration_cast<std::chrono::milliseconds>(too_late_by)
+          .count());
+  return {.kind = AdmissionKind::kRefuse,
+          .status = MakeError(
+              {.code = code, .ran = Ran::kNo, .retry_after = come_back},
+              message)};
+}
+
+void Admission::OnFirstToken(Time now, AdmissionId id) {
+  const auto owner = owners_.find(id);
+  if (owner == owners_.end()) return;
+  Service& service = *owner->second;
+  const auto found = service.running.find(id);
+  if (found == service.running.end() || found->second.measured) return;
+  Running& running = found->second;
+  running.measured = true;
+  if (running.target == Duration::zero()) return;
+  ++service.samples;
+  if (Seconds(now - running.since) >
+      options_.engine_share * Seconds(running.target)) {
+    ++service.slow_samples;
+  }
+}
+
+void Admission::OnFinished(Time now, AdmissionId id,
+                           const AdmissionFinish& finish) {
+  const auto owner = owners_.find(id);
+  if (owner == owners_.end()) return;
+  Service& service = *owner->second;
+  owners_.erase(owner);
+  const auto found = service.running.find(id);
+  if (found == service.running.end()) {
+    Withdraw(service, id);
+    return;
+  }
+  const Running running = found->second;
+  service.running.erase(found);
+  Workspace& workspace = service.workspaces[running.workspace];
+  --service.in_flight;
+  --workspace.in_flight;
+  workspace.in_flight_tokens -= running.cost_tokens;
+  if (workspace.in_flight == 0) workspace.in_flight_tokens = 0;
+  CheckInvariant(service.in_flight >= 0 && workspace.in_flight >= 0,
+                 "admitted_not_negative", [&] {
+                   return fmt::format("Request {} ended more than once.", id);
+                 });
+  if (finish.answered) {
+    service.mean_hold +=
+        kAverageWeight * (Seconds(now - running.since) - service.mean_hold);
+  }
+  DropIdle(now, service, running.workspace);
+}
+
+void Admission::Withdraw(Service& service, AdmissionId id) {
+  for (auto& [name, workspace] : service.workspaces) {
+    for (std::deque<Waiting>& queue : workspace.queues) {
+      const auto found = std::ranges::find_if(
+          queue, [id](const Waiting& each) { return each.query.id == id; });
+      if (found == queue.end()) continue;
+      RemoveWaiting(service, workspace, queue, found - queue.begin());
+      return;
+    }
+  }
+}
+
+Admission::Waiting Admission::RemoveWaiting(Service& service,
+                                            Workspace& workspace,
+                                            std::deque<Waiting>& queue,
+                                            std::ptrdiff_t position) {
+  const auto place = queue.begin() + position;
+  const Waiting gone = *place;
+  queue.erase(place);
+  --service.queued;
+  service.queued_tokens -= gone.query.cost_tokens;
+  workspace.queued_tokens -= gone.query.cost_tokens;
+  if (service.queued == 0) service.queued_tokens = 0;
+  if (workspace.queued() == 0) workspace.queued_tokens = 0;
+  return gone;
+}
+
+// A workspace without work and without promises is forgotten; what it used in
+// an idle hour gives it no claim and no debt.
+void Admission::DropIdle(Time now, Service& service, const WorkspaceId& id) {
+  const auto found = service.workspaces.find(id);
+  if (found == service.workspaces.end()) return;
+  const Workspace& workspace = found->second;
+  if (!workspace.active() && workspace.promised_until <= now &&
+      workspace.finish_tag <= service.virtual_time) {
+    service.workspaces.erase(found);
+  }
+}
+
+std::vector<AdmissionRelease> Admission::Tick(Time now) {
+  std::vector<AdmissionRelease> released;
+  for (auto& [id, service] : services_) {
+    AdjustLimit(now, *service);
+    ReleaseReady(now, *service, released);
+    GiveUpLate(now, *service, released);
+  }
+  return released;
+}
+
+void Admission::ReleaseReady(Time now, Service& service,
+                             std::vector<AdmissionRelease>& out) {
+  while (service.queued > 0) {
+    Workspace* chosen = nullptr;
+    std::deque<Waiting>* chosen_queue = nullptr;
+    std::pair<double, double> least(std::numeric_limits<double>::infinity(), 0);
+    for (auto& [id, workspace] : service.workspaces) {
+      for (std::deque<Waiting>& queue : workspace.queues) {
+        if (queue.empty()) continue;
+        const Waiting& head = queue.front();
+        if (!HasRoom(service, head.within_share)) continue;
+        const double aged = std::floor(Seconds(now - head.offered) /
+                                       Seconds(options_.ageing));
+        const std::pair order(static_cast<double>(head.query.priority) - aged,
+                              head.start_tag);
+        if (order >= least) continue;
+        least = order;
+        chosen = &workspace;
+        chosen_queue = &queue;
+      }
+    }
+    if (chosen == nullptr) return;
+    const Waiting next = RemoveWaiting(service, *chosen, *chosen_queue, 0);
+    owners_.erase(next.query.id);
+    service.virtual_time = std::max(service.virtual_time, next.start_tag);
+    if (next.query.deadline <= now) {
+      GiveUp(now, service, next, ResultCode::kDeadlineUnreachable, out);
+      continue;
+    }
+    Start(now, service, next.query);
+    out.push_back({next.query.id, absl::OkStatus()});
+  }
+}
+
+void Admission::GiveUpLate(Time now, Service& service,
+                           std::vector<AdmissionRelease>& out) {
+  for (auto& [id, workspace] : service.workspaces) {
+    double ahead = 0;
+    for (std::deque<Waiting>& queue : workspace.queues) {
+      for (size_t i = 0; i < queue.size();) {
+        const Waiting& waiting = queue[i];
+        const double tokens = ahead + waiting.query.cost_tokens;
+        const Duration left =
+            WaitAllowed(waiting.query, waiting.offered) -
+            (now - waiting.offered);
+        const bool past_deadline = waiting.query.deadline <= now;
+        const bool too_late =
+            !waiting.within_share &&
+            (left < Duration::zero() ||
+             service.WaitFor(workspace, tokens) >
+                 kEstimateSlack * Seconds(left));
+        if (!past_deadline && !too_late) {
+          ahead = tokens;
+          ++i;
+          continue;
+        }
+        const Waiting gone = RemoveWaiting(service, workspace, queue,
+                                           static_cast<std::ptrdiff_t>(i));
+        owners_.erase(gone.query.id);
+        GiveUp(now, service, gone,
+               past_deadline ? ResultCode::kDeadlineUnreachable
+                             : ResultCode::kOverloaded,
+               out);
+      }
+    }
+  }
+}
+
+void Admission::GiveUp(Time now, Service& service, const Waiting& waiting,
+                       ResultCode code, std::vector<AdmissionRelease>& out) {
+  // Only the caller's own deadline ends a request that was within its share.
+  const bool fair =
+      !waiting.within_share || code == ResultCode::kDeadlineUnreachable;
+  if (!fair) ++fairness_violations_;
+  CheckInvariant(fair, "share_respected", [&] {
+    return fmt::format(
+        "Request {} of workspace {} was within its share and was refused.",
+        waiting.query.id, waiting.query.workspace.value());
+  });
+  const Duration late =
+      std::max(Duration::zero(),
+               (now - waiting.offered) - WaitAllowed(waiting.query,
+                                                     waiting.offered));
+  out.push_back(
+      {waiting.query.id,
+       Refuse(now, service, waiting.query, code, late).status});
+}
+
+// Raises the limit while it is used up and answers are quick, and lowers it as
+// soon as too many first tokens come late.
+void Admission::AdjustLimit(Time now, Service& service) {
+  const bool enough = service.samples >= options_.window_samples;
+  if (now - service.window_since < options_.window || !enough) return;
+  const bool slow = service.slow_samples >
+                    options_.slow_share * static_cast<double>(service.samples);
+  const bool busy = service.most_in_flight >= kBusyShare * service.limit;
+  if (slow) {
+    service.limit = options_.shrink_factor *
+                    std::min(service.limit,
+                             static_cast<double>(service.most_in_flight));
+  } else if (busy) {
+    service.limit = service.limit * options_.grow_factor + 1;
+  }
+  service.limit =
+      std::clamp(service.limit, static_cast<double>(options_.min_limit),
+                 static_cast<double>(options_.max_limit));
+  service.window_since = now;
+  service.samples = 0;
+  service.slow_samples = 0;
+  service.most_in_flight = service.in_flight;
+}
+
+int Admission::in_flight(const ServiceId& service) const {
+  const Service* found = Find(service);
+  return found == nullptr ? 0 : found->in_flight;
+}
+
+int Admission::queued(const ServiceId& service) const {
+  const Service* found = Find(service);
+  return found == nullptr ? 0 : found->queued;
+}
+
+int Admission::limit(const ServiceId& service) const {
+  const Service* found = Find(service);
+  return static_cast<int>(found == nullptr ? options_.first_limit
+                                           : found->limit);
+}
+
+}  // namespace oleander
