--- a/include/oleander/capacity.h
+++ b/include/oleander/capacity.h
@@ -10,13 +10,14 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <span>
 #include <string>
 #include <variant>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
-#include "absl/status/status.h"
+#include "absl/status/statusor.h"
 #include "oleander/profile.h"
 #include "oleander/types.h"
 #include "oleander/weight_loading.h"
@@ -43,8 +44,10 @@
   Time valid_until{};
 };
 
-// The token is a function of the service, the market and the slot's number, so
-// that a second start of the same slot is no second instance.
+// The token is a function of the service, the market, the instances listed
+// there and the start's number among those of one plan. Two holders of the
+// lease that see the same list thus ask with the same token, which is one
+// instance.
 struct StartInstance {
   ServiceId service;
   MarketKey key;
@@ -121,7 +124,12 @@
   Duration scale_down_after = std::chrono::minutes(3);
   int scale_down_slack = 1;  // Servers too many that are left alone.
   Duration refused_for = std::chrono::seconds(60);  // A refused market rests.
+  // A start that shows on no list by then counts as lost.
   Duration start_timeout = std::chrono::minutes(3);
+  // An engine order whose effect is not seen by then is given again.
+  Duration order_timeout = std::chrono::seconds(30);
+  // No orders from a list that is older than this.
+  Duration list_trusted = std::chrono::seconds(30);
   Duration reclaim_memory = std::chrono::hours(6);  // Half-life.
   // What one reclaim costs, in hours of that instance: the start, the weights
   // and the tokens recomputed.
@@ -144,9 +152,9 @@
   void SetServers(Time now, std::span<const CapacityServer> servers);
   void OnDemand(Time now, const CapacityDemand& demand);
   void OnReclaimed(Time now, const MarketKey& key, int servers);
-  // The cloud's answer to a start.
+  // The cloud's answer to a start: the instance's id, or why it was refused.
   void OnStarted(Time now, const std::string& client_token,
-                 const absl::Status& status);
+                 const absl::StatusOr<ServerId>& started);
   void OnWeightsThrottled(Time now, const ServerId& server,
                           Duration retry_after);
 
@@ -171,41 +179,53 @@
   struct Start {
     MarketKey key;
     Time at{};
-    bool accepted = false;
+    ServerId server;  // Empty until the cloud has answered.
+  };
+  struct Size {
+    int servers = 0;
+    int per_domain = 0;   // At most this many in one failure domain.
+    int reclaimable = 0;  // At most this many that can be reclaimed.
   };
 
-  int NeededServers() const;
-  bool Resting(Time now, const MarketKey& key) const;
-  std::vector<MarketKey> MarketsByPrice(Time now) const;
+  Size WantedSize() const;
+  bool MayUse(Time now, const MarketKey& key) const;
+  size_t ClassRank(const std::string& machine_class) const;
+  CapacityMix Fill(Time now, const Size& size) const;
+  void CapCost(Time now, CapacityMix& mix) const;
   CapacityMix RunningMix() const;
   CapacityMix StartingMix() const;
+  std::string TokenFor(const MarketKey& key, int number) const;
   void DropOldStarts(Time now);
-  void PlanStarts(Time now, const CapacityMix& wanted, const OrderLease& lease,
-                  std::vector<CapacityOrder>& out);
-  void PlanDrains(Time now, const CapacityMix& wanted, const OrderLease& lease,
+  bool MayOrder(Time now, const OrderLease& lease);
+  void PlanStarts(Time now, const CapacityMix& wanted, uint64_t fence,
                   std::vector<CapacityOrder>& out);
-  void PlanStops(const OrderLease& lease, std::vector<CapacityOrder>& out);
-  void PlanModels(Time now, const OrderLease& lease,
+  void PlanDrains(Time now, const CapacityMix& wanted, uint64_t fence,
                   std::vector<CapacityOrder>& out);
-  void Decay(Time now, History& history) const;
+  void PlanStops(uint64_t fence, std::vector<CapacityOrder>& out) const;
+  void PlanModels(Time now, uint64_t fence, std::vector<CapacityOrder>& out);
+  void PlanRoles(Time now, uint64_t fence, std::vector<CapacityOrder>& out);
+  History Decayed(Time now, const History& history) const;
 
   CapacityOptions options_;
   Profile profile_;
   std::map<MarketKey, double> prices_;
-  std::vector<CapacityServer> servers_;
+  std::map<ServerId, CapacityServer> servers_;
   CapacityDemand demand_;
   double utilisation_;
+  Time utilisation_since_{};
   std::map<MarketKey, History> history_;
   std::map<MarketKey, Time> rests_until_;
-  std::map<std::string, Start> starts_;  // By client token.
-  std::map<MarketKey, uint64_t> next_slot_;
-  std::map<ServerId, Time> draining_;
+  std::map<std::string, Start> starts_;   // By client token.
+  std::map<MarketKey, int> generations_;  // Part of the client tokens.
+  std::set<ServerId> gone_;               // Were listed once.
+  std::set<ServerId> draining_;           // By an order of ours.
+  std::map<ServerId, Time> role_orders_;
   WeightLoadQueue weights_;
   Time surplus_since_ = Time::max();
-  Time last_move_{};
+  Time last_move_ = Time::min();
   uint64_t fence_ = 0;
   Time fence_since_{};
-  Time servers_seen_{};
+  Time listed_at_ = Time::min();
 };
 
 }  // namespace oleander
--- a/src/parts/admission.cc
+++ b/src/parts/admission.cc
@@ -201,8 +201,7 @@
   return service.in_flight < std::max(1.0, std::floor(service.limit * room));
 }
 
-void Admission::Start(Time now, Service& service,
-                      const AdmissionQuery& query) {
+void Admission::Start(Time now, Service& service, const AdmissionQuery& query) {
   Workspace& workspace = service.workspaces[query.workspace];
   const auto [owner, added] = owners_.try_emplace(query.id, &service);
   if (!CheckInvariant(added, "admitted_once", [&] {
@@ -220,8 +219,7 @@
   service.most_in_flight = std::max(service.most_in_flight, service.in_flight);
   if (!service.cost_known) service.mean_cost = query.cost_tokens;
   service.cost_known = true;
-  service.mean_cost +=
-      kAverageWeight * (query.cost_tokens - service.mean_cost);
+  service.mean_cost += kAverageWeight * (query.cost_tokens - service.mean_cost);
 }
 
 void Admission::Enqueue(Time now, Service& service, const AdmissionQuery& query,
@@ -244,24 +242,23 @@
   Workspace& workspace = service.workspaces[query.workspace];
   // Callers that are refused together are told to come back in turn, at the
   // rate at which the workspace is served.
-  const Seconds turn(query.cost_tokens / (service.TokensPerSecond() *
-                                          service.Fraction(workspace)));
+  const Seconds turn(query.cost_tokens /
+                     (service.TokensPerSecond() * service.Fraction(workspace)));
   workspace.promised_until =
       std::max(workspace.promised_until, now + too_late_by) + ToDuration(turn);
-  const Duration come_back = std::clamp(workspace.promised_until - now,
-                                        kLeastComeBack, kMostComeBack);
+  const Duration come_back =
+      std::clamp(workspace.promised_until - now, kLeastComeBack, kMostComeBack);
   std::string message = fmt::format(
       "Service {} has {} requests under way of at most {} and {} queued; "
       "request {} of workspace {} would be {} ms late.",
-      query.service.value(), service.in_flight,
-      static_cast<int>(service.limit), service.queued, query.id,
-      query.workspace.value(),
+      query.service.value(), service.in_flight, static_cast<int>(service.limit),
+      service.queued, query.id, query.workspace.value(),
       std::chrono::duration_cast<std::chrono::milliseconds>(too_late_by)
           .count());
-  return {.kind = AdmissionKind::kRefuse,
-          .status = MakeError(
-              {.code = code, .ran = Ran::kNo, .retry_after = come_back},
-              message)};
+  return {
+      .kind = AdmissionKind::kRefuse,
+      .status = MakeError(
+          {.code = code, .ran = Ran::kNo, .retry_after = come_back}, message)};
 }
 
 void Admission::OnFirstToken(Time now, AdmissionId id) {
@@ -369,8 +366,8 @@
         if (queue.empty()) continue;
         const Waiting& head = queue.front();
         if (!HasRoom(service, head.within_share)) continue;
-        const double aged = std::floor(Seconds(now - head.offered) /
-                                       Seconds(options_.ageing));
+        const double aged =
+            std::floor(Seconds(now - head.offered) / Seconds(options_.ageing));
         const std::pair order(static_cast<double>(head.query.priority) - aged,
                               head.start_tag);
         if (order >= least) continue;
@@ -400,15 +397,13 @@
       for (size_t i = 0; i < queue.size();) {
         const Waiting& waiting = queue[i];
         const double tokens = ahead + waiting.query.cost_tokens;
-        const Duration left =
-            WaitAllowed(waiting.query, waiting.offered) -
-            (now - waiting.offered);
+        const Duration left = WaitAllowed(waiting.query, waiting.offered) -
+                              (now - waiting.offered);
         const bool past_deadline = waiting.query.deadline <= now;
         const bool too_late =
             !waiting.within_share &&
-            (left < Duration::zero() ||
-             service.WaitFor(workspace, tokens) >
-                 kEstimateSlack * Seconds(left));
+            (left < Duration::zero() || service.WaitFor(workspace, tokens) >
+                                            kEstimateSlack * Seconds(left));
         if (!past_deadline && !too_late) {
           ahead = tokens;
           ++i;
@@ -437,13 +432,11 @@
         "Request {} of workspace {} was within its share and was refused.",
         waiting.query.id, waiting.query.workspace.value());
   });
-  const Duration late =
-      std::max(Duration::zero(),
-               (now - waiting.offered) - WaitAllowed(waiting.query,
-                                                     waiting.offered));
-  out.push_back(
-      {waiting.query.id,
-       Refuse(now, service, waiting.query, code, late).status});
+  const Duration late = std::max(
+      Duration::zero(),
+      (now - waiting.offered) - WaitAllowed(waiting.query, waiting.offered));
+  out.push_back({waiting.query.id,
+                 Refuse(now, service, waiting.query, code, late).status});
 }
 
 // Raises the limit while it is used up and answers are quick, and lowers it as
@@ -455,9 +448,9 @@
                     options_.slow_share * static_cast<double>(service.samples);
   const bool busy = service.most_in_flight >= kBusyShare * service.limit;
   if (slow) {
-    service.limit = options_.shrink_factor *
-                    std::min(service.limit,
-                             static_cast<double>(service.most_in_flight));
+    service.limit =
+        options_.shrink_factor *
+        std::min(service.limit, static_cast<double>(service.most_in_flight));
   } else if (busy) {
     service.limit = service.limit * options_.grow_factor + 1;
   }
--- a/src/parts/outliers.cc
+++ b/src/parts/outliers.cc
@@ -35,9 +35,9 @@
   const auto found = servers_.find(server);
   if (found == servers_.end()) return;
   State& state = found->second;
-  const double ratio = static_cast<double>(observed.count()) /
-                       static_cast<double>(
-                           std::max(expected, kLeastExpected).count());
+  const double ratio =
+      static_cast<double>(observed.count()) /
+      static_cast<double>(std::max(expected, kLeastExpected).count());
   state.slowness +=
       kSampleWeight * (std::min(ratio, kMostSlowness) - state.slowness);
   ++state.samples;
@@ -95,9 +95,9 @@
   const int in_use_after =
       static_cast<int>(servers_.size()) - shed_count(now) - 1;
   return in_use_after >=
-         std::max(1, static_cast<int>(std::ceil(
-                         options_.floor *
-                         static_cast<double>(servers_.size()))));
+         std::max(1,
+                  static_cast<int>(std::ceil(
+                      options_.floor * static_cast<double>(servers_.size()))));
 }
 
 void OutlierDetector::Shed(Time now, State& state) {
--- a/src/parts/prefix_index.cc
+++ b/src/parts/prefix_index.cc
@@ -26,7 +26,8 @@
   constexpr std::string_view kBlanks = " \t\r\n\v\f";
   size_t begin = text.find_first_not_of(kBlanks);
   while (begin != std::string_view::npos) {
-    const size_t end = std::min(text.find_first_of(kBlanks, begin), text.size());
+    const size_t end =
+        std::min(text.find_first_of(kBlanks, begin), text.size());
     visit(text.substr(begin, end - begin));
     begin = text.find_first_not_of(kBlanks, end);
   }
@@ -50,7 +51,8 @@
 template <typename Held>
 int LongestPrefix(std::span<const BlockHash> blocks, Held held) {
   if (blocks.size() <= kLinearSearch) {
-    const auto last = std::ranges::find_if(blocks.rbegin(), blocks.rend(), held);
+    const auto last =
+        std::ranges::find_if(blocks.rbegin(), blocks.rend(), held);
     return static_cast<int>(blocks.rend() - last);
   }
   size_t low = 0;  // The prefix of this many blocks is held.
@@ -80,7 +82,8 @@
     if (words > 0) XXH64_update(state.get(), " ", 1);
     XXH64_update(state.get(), word.data(), word.size());
     ++words;
-    if (words % kWordsPerBlock == 0) blocks.push_back(XXH64_digest(state.get()));
+    if (words % kWordsPerBlock == 0)
+      blocks.push_back(XXH64_digest(state.get()));
   });
   return blocks;
 }
@@ -134,9 +137,8 @@
 int PrefixIndex::CachedBlocks(Time now, ServerSlot server,
                               std::span<const BlockHash> blocks) const {
   const uint32_t tick = TickOf(now);
-  return LongestPrefix(blocks, [&](BlockHash block) {
-    return Holds(tick, server, block);
-  });
+  return LongestPrefix(
+      blocks, [&](BlockHash block) { return Holds(tick, server, block); });
 }
 
 int PrefixIndex::FindHolders(
@@ -180,8 +182,7 @@
 bool PrefixIndex::Holds(uint32_t now, ServerSlot server,
                         BlockHash block) const {
   const auto position = positions_.find(KeyOf(server, block));
-  return position != positions_.end() &&
-         Fresh(now, entries_[position->second]);
+  return position != positions_.end() && Fresh(now, entries_[position->second]);
 }
 
 bool PrefixIndex::Fresh(uint32_t now, const Entry& entry) const {
@@ -195,8 +196,8 @@
 
 int PrefixIndex::LongestHeldByAny(uint32_t now,
                                   std::span<const BlockHash> blocks) const {
-  return LongestPrefix(
-      blocks, [&](BlockHash block) { return HeldByAny(now, block); });
+  return LongestPrefix(blocks,
+                       [&](BlockHash block) { return HeldByAny(now, block); });
 }
 
 bool PrefixIndex::HeldByAny(uint32_t now, BlockHash block) const {
@@ -221,9 +222,8 @@
   if (added) holders->second.fill(kNoServer);
   // Moves the server to the front; the one that stored longest ago falls out.
   const auto place = std::ranges::find(holders->second, server);
-  const auto end = place == holders->second.end()
-                       ? std::prev(holders->second.end())
-                       : place;
+  const auto end =
+      place == holders->second.end() ? std::prev(holders->second.end()) : place;
   *end = server;
   std::rotate(holders->second.begin(), end, std::next(end));
 }
@@ -251,10 +251,9 @@
       holders_.erase(holders);
     }
   }
-  CheckInvariant(entries_.size() == positions_.size(), "prefix_index_sizes",
-                 [&] {
-                   return "The prefix index has entries without positions.";
-                 });
+  CheckInvariant(
+      entries_.size() == positions_.size(), "prefix_index_sizes",
+      [&] { return "The prefix index has entries without positions."; });
 }
 
 void PrefixIndex::EvictOne(uint32_t now) {
@@ -262,8 +261,7 @@
   uint32_t oldest = 0;
   uint32_t oldest_age = 0;
   for (int i = 0; i < kEvictionSample; ++i) {
-    const auto position =
-        static_cast<uint32_t>(NextRandom() % entries_.size());
+    const auto position = static_cast<uint32_t>(NextRandom() % entries_.size());
     const uint32_t age = now - entries_[position].stamp;
     if (i == 0 || age > oldest_age) {
       oldest = position;
--- a/src/parts/routing.cc
+++ b/src/parts/routing.cc
@@ -115,8 +115,8 @@
   for (std::unique_ptr<Server>& server : servers_) {
     if (!server) continue;
     const auto found = listed.find(server->info.id);
-    const bool kept = found != listed.end() &&
-                      found->second->service == server->info.service;
+    const bool kept =
+        found != listed.end() && found->second->service == server->info.service;
     if (kept) {
       server->info = *found->second;
       server->ring = RingOf(options_.place, server->info.place);
@@ -157,8 +157,8 @@
     pool->servers.push_back(server->info.id);
     server->pool = pool.get();
   }
-  absl::erase_if(pools_,
-                 [](const auto& entry) { return entry.second->servers.empty(); });
+  absl::erase_if(
+      pools_, [](const auto& entry) { return entry.second->servers.empty(); });
   for (auto& [service, pool] : pools_) {
     pool->outliers.SetServers(pool->servers);
   }
@@ -244,8 +244,7 @@
     return fmt::format("Server {} has {} attempts under way.",
                        server->info.id.value(), server->in_flight);
   });
-  server->Add(
-      {now, -1, flight->has_first_token ? 0 : -flight->uncached()});
+  server->Add({now, -1, flight->has_first_token ? 0 : -flight->uncached()});
   OutlierDetector& outliers = server->pool->outliers;
   if (ended.outcome == CallOutcome::kFailed) {
     outliers.OnFailure(now, server->info.id);
@@ -256,7 +255,8 @@
   }
   if (ended.outcome != CallOutcome::kAnswered) return;
   outliers.OnSuccess(server->info.id);
-  const Time begin = flight->has_first_token ? flight->first_token : flight->sent;
+  const Time begin =
+      flight->has_first_token ? flight->first_token : flight->sent;
   Seconds& hold = server->pool->hold;
   hold += kHoldWeight * (Seconds(now - begin) - hold);
   if (ended.measured_cached_tokens >= 0) {
@@ -424,26 +424,25 @@
       std::max(0, load.running + load.waiting + server.delta_calls);
   const int ends_needed = std::max(0, calls + 1 - load.slots);
   const Seconds slot_wait = server.pool->hold * ends_needed / load.slots;
-  const Seconds queue_wait{
-      static_cast<double>(
-          std::max<int64_t>(0, load.queued_tokens + server.delta_prefill)) /
-      rate};
+  const Seconds queue_wait{static_cast<double>(std::max<int64_t>(
+                               0, load.queued_tokens + server.delta_prefill)) /
+                           rate};
   const Seconds recompute{
       static_cast<double>(query.prompt_tokens - candidate.cached_tokens) /
       rate};
   Seconds link{};
   if (server.ring == kOwnRegion) link = 2 * options_.domain_delay;
   if (server.ring == kOtherRegion) {
-    link = 2 * options_.link_delay +
-           Seconds(static_cast<double>(query.bytes) / options_.link_bytes_per_s);
+    link = 2 * options_.link_delay + Seconds(static_cast<double>(query.bytes) /
+                                             options_.link_bytes_per_s);
   }
   candidate.wait = std::max(slot_wait, queue_wait) + recompute + link;
   const double total = query.weights.cost + query.weights.recomputed_tokens;
   const double recompute_weight =
       total > 0 ? query.weights.recomputed_tokens / total : 0;
-  candidate.score =
-      (candidate.wait + options_.recompute_factor * recompute_weight * recompute)
-          .count();
+  candidate.score = (candidate.wait +
+                     options_.recompute_factor * recompute_weight * recompute)
+                        .count();
   return candidate;
 }
 
--- a/src/parts/weight_loading.cc
+++ b/src/parts/weight_loading.cc
@@ -24,9 +24,8 @@
 
 void WeightLoadQueue::Remove(const ServerId& server) {
   loading_.erase(server);
-  std::erase_if(waiting_, [&](const WeightLoad& load) {
-    return load.server == server;
-  });
+  std::erase_if(waiting_,
+                [&](const WeightLoad& load) { return load.server == server; });
 }
 
 void WeightLoadQueue::OnLoaded(Time now, const ServerId& server) {
