--- a/include/oleander/routing.h
+++ b/include/oleander/routing.h
@@ -106,6 +106,10 @@
   // Seconds of expected wait that a token's worth of prefill counts for, per
   // unit of the profile's weight for recomputed tokens.
   double recompute_factor = 1;
+  // How often a reclaimable server goes, and how long a token takes: a long
+  // answer on a reclaimable server may have to be computed again.
+  double reclaims_per_hour = 0.2;
+  Duration token_time = std::chrono::milliseconds(40);
   // A farther ring is looked at when the nearer one's best expected wait
   // passes this.
   Duration spill_wait = std::chrono::milliseconds(700);
--- a/src/parts/capacity.cc
+++ b/src/parts/capacity.cc
@@ -370,13 +370,9 @@
                                  std::vector<CapacityOrder>& out) {
   CapacityMix running = RunningMix();
   int surplus = Total(running) - Total(wanted);
-  // A move leaves a surplus that is meant to go, however small it is.
-  const bool moved = last_move_ != Time::min() &&
-                     std::ranges::any_of(wanted, [&](const auto& entry) {
-                       return CountOf(running, entry.first) < entry.second;
-                     });
-  const bool moving = !moved && last_move_ != Time::min() && surplus > 0 &&
-                      now - last_move_ < options_.move_pause;
+  // After a move to a cheaper market the surplus is meant to go, however small.
+  const bool moving =
+      last_move_ != Time::min() && now - last_move_ < options_.move_pause;
   if (surplus <= (moving ? 0 : options_.scale_down_slack)) {
     surplus_since_ = Time::max();
     return;
--- a/src/parts/routing.cc
+++ b/src/parts/routing.cc
@@ -19,6 +19,7 @@
 // Taken where a server has reported no rate yet.
 constexpr double kFallbackPrefillRate = 4000;  // Tokens a second.
 constexpr Seconds kFallbackHold{3};
+constexpr Seconds kHour{3600};
 constexpr double kHoldWeight = 0.05;  // Of a new sample in the moving average.
 constexpr Duration kComeBackAfter = std::chrono::seconds(1);
 constexpr int kRings = 3;
@@ -437,12 +438,22 @@
                                              options_.link_bytes_per_s);
   }
   candidate.wait = std::max(slot_wait, queue_wait) + recompute + link;
+  // What a reclaim would lose: the prompt and half of the answer, on average.
+  Seconds exposure{};
+  if (server.info.market == Market::kReclaimable) {
+    const Seconds answer =
+        Seconds(options_.token_time) * static_cast<double>(query.max_tokens);
+    const Seconds lost{static_cast<double>(query.prompt_tokens) / rate};
+    exposure =
+        options_.reclaims_per_hour * (answer / kHour) * (lost + answer / 2);
+  }
   const double total = query.weights.cost + query.weights.recomputed_tokens;
   const double recompute_weight =
       total > 0 ? query.weights.recomputed_tokens / total : 0;
-  candidate.score = (candidate.wait +
-                     options_.recompute_factor * recompute_weight * recompute)
-                        .count();
+  candidate.score =
+      (candidate.wait +
+       recompute_weight * (options_.recompute_factor * recompute + exposure))
+          .count();
   return candidate;
 }
 
