--- /dev/null
+++ b/apps/standins/shared_standin.h
@@ -0,0 +1,109 @@
+// What every stand-in has: the listener, routes, `POST /fault`,
+// `GET /records`, and JSON answers.
+//
+//   Standin standin(loop, "127.0.0.1", 9000);
+//   standin.Route("GET", "/v1/load", [&](const ExchangePtr& exchange) {
+//     RespondJson(exchange, 200, {{"running", 0}});
+//   });
+//   return standin.Run();
+#ifndef OLEANDER_APPS_STANDINS_SHARED_STANDIN_H_
+#define OLEANDER_APPS_STANDINS_SHARED_STANDIN_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "io/event_loop.h"
+#include "io/http_server.h"
+
+namespace oleander::standins {
+
+using Json = nlohmann::json;
+using ExchangePtr = std::shared_ptr<io::HttpExchange>;
+using RouteHandler = std::function<void(const ExchangePtr&)>;
+
+// The faults that are switched on, as `POST /fault` gave them. Each post
+// replaces all of them; an empty object clears them.
+class Faults {
+ public:
+  void Replace(Json faults) { faults_ = std::move(faults); }
+
+  bool Flag(std::string_view name) const;
+  double Number(std::string_view name, double fallback) const;
+  Duration Milliseconds(std::string_view name) const;
+
+ private:
+  Json faults_ = Json::object();
+};
+
+void RespondJson(const ExchangePtr& exchange, int status, const Json& body);
+
+// The body as a JSON object; answers 400 and returns nothing where it is none.
+std::optional<Json> JsonBodyOf(const ExchangePtr& exchange);
+
+// Fields of a JSON object, with a fallback where missing or of another type.
+std::string TextField(const Json& object, std::string_view key,
+                      std::string_view fallback = "");
+int64_t IntegerField(const Json& object, std::string_view key,
+                     int64_t fallback);
+
+class Standin {
+ public:
+  Standin(io::EventLoop& loop, const std::string& address, uint16_t port);
+
+  // Routes a path; one that ends in "*" matches every path that begins so. The
+  // first route that matches counts. "*" matches every method.
+  void Route(std::string method, std::string path, RouteHandler handler);
+  // Called after each change of the faults.
+  void OnFault(std::function<void()> callback) { on_fault_ = callback; }
+  // Makes the answer of `GET /records`.
+  void OnRecords(std::function<Json()> callback) { on_records_ = callback; }
+  // Asked first for every routed request; where it returns true it has taken
+  // the exchange.
+  void OnIntercept(std::function<bool(const ExchangePtr&)> callback) {
+    on_intercept_ = callback;
+  }
+
+  const Faults& faults() const { return faults_; }
+  io::EventLoop& loop() { return *loop_; }
+  // Time since the start of this process.
+  int64_t now_ms() const;
+
+  // Runs `callback` after `delay`, at once where it is zero.
+  void Later(Duration delay, std::function<void()> callback);
+  // Keeps an exchange without ever answering it.
+  void KeepSilent(const ExchangePtr& exchange);
+
+  // Listens and serves until SIGTERM; returns the process's exit code.
+  int Run();
+
+ private:
+  struct RouteEntry {
+    std::string method;
+    std::string path;
+    RouteHandler handler;
+  };
+
+  void Handle(const ExchangePtr& exchange);
+  void HandleFault(const ExchangePtr& exchange);
+  bool HandleControl(const ExchangePtr& exchange);
+
+  io::EventLoop* loop_;
+  io::HttpServer server_;
+  Time started_;
+  Faults faults_;
+  std::vector<RouteEntry> routes_;
+  std::function<void()> on_fault_;
+  std::function<Json()> on_records_;
+  std::function<bool(const ExchangePtr&)> on_intercept_;
+  std::vector<ExchangePtr> silent_;
+};
+
+}  // namespace oleander::standins
+
+#endif  // OLEANDER_APPS_STANDINS_SHARED_STANDIN_H_
