--- a/apps/standins/shared_standin.cc
+++ b/apps/standins/shared_standin.cc
@@ -46,8 +46,8 @@
 
 std::optional<Json> JsonBodyOf(const ExchangePtr& exchange) {
   const std::string& body = exchange->request().body;
-  Json value = body.empty() ? Json::object()
-                            : Json::parse(body, nullptr, false);
+  Json value =
+      body.empty() ? Json::object() : Json::parse(body, nullptr, false);
   if (!value.is_object()) {
     RespondJson(exchange, kBadRequest,
                 {{"error", "The body is no JSON object."}});
@@ -59,9 +59,8 @@
 std::string TextField(const Json& object, std::string_view key,
                       std::string_view fallback) {
   const auto found = object.find(key);
-  return found != object.end() && found->is_string()
-             ? found->get<std::string>()
-             : std::string(fallback);
+  return found != object.end() && found->is_string() ? found->get<std::string>()
+                                                     : std::string(fallback);
 }
 
 int64_t IntegerField(const Json& object, std::string_view key,
@@ -83,8 +82,7 @@
 
 void Standin::Route(std::string method, std::string path,
                     RouteHandler handler) {
-  routes_.push_back(
-      {std::move(method), std::move(path), std::move(handler)});
+  routes_.push_back({std::move(method), std::move(path), std::move(handler)});
 }
 
 int64_t Standin::now_ms() const {
