--- /dev/null
+++ b/apps/standins/shared_fleet.h
@@ -0,0 +1,81 @@
+// The instances that the stand-in platform knows: their states, what they
+// cost, the lagging list, notices, and the spare machines that a start takes.
+#ifndef OLEANDER_APPS_STANDINS_SHARED_FLEET_H_
+#define OLEANDER_APPS_STANDINS_SHARED_FLEET_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "nlohmann/json.hpp"
+
+namespace oleander::standins {
+
+enum class InstanceState { kSpare, kStarting, kLive, kLeaving, kGone };
+
+struct FleetInstance {
+  nlohmann::json fields;  // As the list shows it, without the state.
+  InstanceState state = InstanceState::kLive;
+  int64_t started_ms = 0;
+  int64_t ended_ms = -1;
+  double cost = 0;  // In price seconds: price per hour times seconds.
+};
+
+struct Notice {
+  std::string id;
+  int64_t deadline_ms = 0;
+};
+
+// What a caller asks for when it starts an instance.
+struct StartOrder {
+  std::string service;
+  std::string machine_class;
+  std::string domain;
+  std::string market;
+  std::string client_token;
+};
+
+struct StartResult {
+  std::string id;
+  bool repeated = false;  // The client token was known.
+};
+
+class Fleet {
+ public:
+  using Json = nlohmann::json;
+
+  // Reads {"instances":[...],"spares":[...],"prices":[...]}.
+  void Load(const Json& config);
+
+  void Add(const Json& fields, InstanceState state, int64_t now_ms);
+  bool SetState(const std::string& id, InstanceState state, int64_t now_ms);
+  void SetPrices(const Json& prices, int64_t now_ms);
+  void SetNotice(const Notice& notice);
+  // Nothing where no spare machine fits.
+  std::optional<StartResult> Start(const StartOrder& order, int64_t now_ms);
+
+  // The true list as of now.
+  Json List() const;
+  Json Notices(int64_t now_ms) const;
+  const Json& prices() const { return prices_; }
+  Json Records(int64_t now_ms);
+
+ private:
+  double PriceOf(const Json& fields) const;
+  void Accrue(int64_t now_ms);
+
+  std::map<std::string, FleetInstance> instances_;
+  std::map<std::string, Notice> notices_;
+  std::map<std::string, std::string> tokens_;  // Client token to instance.
+  Json prices_ = Json::array();
+  int64_t accrued_ms_ = 0;
+  uint64_t repeated_starts_ = 0;
+};
+
+std::optional<InstanceState> ParseInstanceState(std::string_view text);
+
+}  // namespace oleander::standins
+
+#endif  // OLEANDER_APPS_STANDINS_SHARED_FLEET_H_
