--- a/apps/standins/shared_engine.cc
+++ b/apps/standins/shared_engine.cc
@@ -4,8 +4,8 @@
 
 #include <algorithm>
 #include <numeric>
-#include <random>
 
+#include "absl/random/random.h"
 #include "standins/shared_answer.h"
 
 namespace oleander::standins {
@@ -60,7 +60,7 @@
 Engine::Engine(Standin& standin, EngineOptions options)
     : standin_(&standin),
       options_(std::move(options)),
-      random_(std::seed_seq{options_.seed}),
+      random_(options_.seed),
       cache_(options_.cache) {}
 
 void Engine::Submit(const AttemptPtr& attempt) {
--- a/apps/standins/shared_engine.h
+++ b/apps/standins/shared_engine.h
@@ -10,12 +10,12 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <random>
 #include <string>
 #include <unordered_map>
 #include <utility>
 #include <vector>
 
-#include "absl/random/random.h"
 #include "standins/shared_prefix_cache.h"
 #include "standins/shared_standin.h"
 
@@ -105,7 +105,7 @@
 
   Standin* standin_;
   EngineOptions options_;
-  absl::BitGen random_;
+  std::mt19937_64 random_;
   PrefixCache cache_;
   std::map<std::pair<int, uint64_t>, AttemptPtr> waiting_;
   uint64_t arrivals_ = 0;
--- a/apps/standins/shared_prefix_cache.cc
+++ b/apps/standins/shared_prefix_cache.cc
@@ -4,7 +4,8 @@
 #include <xxhash.h>
 
 #include <algorithm>
-#include <random>
+
+#include "absl/random/random.h"
 
 namespace oleander::standins {
 namespace {
@@ -52,7 +53,7 @@
 }
 
 PrefixCache::PrefixCache(Options options)
-    : options_(options), random_(std::seed_seq{options.seed}) {}
+    : options_(options), random_(options.seed) {}
 
 size_t PrefixCache::Use(const std::vector<uint64_t>& blocks) {
   size_t held = 0;
--- a/apps/standins/shared_prefix_cache.h
+++ b/apps/standins/shared_prefix_cache.h
@@ -6,12 +6,12 @@
 #include <cstdint>
 #include <deque>
 #include <list>
+#include <random>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
 
-#include "absl/random/random.h"
 #include "nlohmann/json.hpp"
 #include "oleander/types.h"
 
@@ -55,7 +55,7 @@
   void Publish(bool stored, uint64_t block, Time now);
 
   Options options_;
-  absl::BitGen random_;
+  std::mt19937_64 random_;
   std::list<uint64_t> by_use_;  // Most recent first.
   std::unordered_map<uint64_t, std::list<uint64_t>::iterator> entries_;
   std::deque<Event> events_;
--- a/apps/standins/standin_desk.cc
+++ b/apps/standins/standin_desk.cc
@@ -96,7 +96,7 @@
 
   Standin standin_;
   io::HttpClient client_;
-  absl::BitGen random_{std::seed_seq{FLAGS_seed}};
+  std::mt19937_64 random_{FLAGS_seed};
   std::vector<Replica> replicas_ = ParseReplicas(FLAGS_replicas);
   std::vector<oleander::standins::Run> runs_;
   std::map<std::string, Account> accounts_;
--- a/apps/standins/standin_engine.cc
+++ b/apps/standins/standin_engine.cc
@@ -103,7 +103,7 @@
   Standin standin_;
   Engine engine_;
   io::HttpClient client_;
-  absl::BitGen random_{std::seed_seq{FLAGS_seed + 1}};
+  std::mt19937_64 random_{FLAGS_seed + 1};
   std::vector<std::string> models_;
   std::string role_ = FLAGS_role;
   int64_t highest_fence_ = 0;
--- a/apps/standins/standin_link.cc
+++ b/apps/standins/standin_link.cc
@@ -106,6 +106,7 @@
 
 // One direction of a relayed connection.
 struct Lane {
+  size_t direction = 0;  // 0 is from the caller to the target.
   int from = -1;
   int to = -1;
   std::deque<Packet> packets;
@@ -281,8 +282,8 @@
     }
     ++connections_;
     pair->silent = standin_.faults().Flag("silence_new");
-    pair->lanes[0] = {.from = fd, .to = to, .packets = {}};
-    pair->lanes[1] = {.from = to, .to = fd, .packets = {}};
+    pair->lanes[0] = {.direction = 0, .from = fd, .to = to, .packets = {}};
+    pair->lanes[1] = {.direction = 1, .from = to, .to = fd, .packets = {}};
     pairs_[fd] = pair;
     pairs_[to] = pair;
     Watch(fd, EPOLLIN, EPOLL_CTL_ADD);
@@ -291,15 +292,14 @@
 }
 
 void Link::QueueBytes(Lane& lane, std::string bytes) {
-  const size_t direction = lane.from < lane.to ? 0 : 1;
   const Time now = standin_.loop().now();
-  Time& free = line_free_[direction];
+  Time& free = line_free_[lane.direction];
   free = std::max(free, now);
   if (const double rate = BytesPerSecond(); rate > 0) {
     free += std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
         static_cast<double>(bytes.size()) / rate));
   }
-  bytes_[direction] += bytes.size();
+  bytes_[lane.direction] += bytes.size();
   lane.queued += bytes.size();
   lane.packets.push_back({.due = free + Delay(), .bytes = std::move(bytes)});
 }
@@ -385,6 +385,9 @@
 }
 
 void Link::Remove(const std::shared_ptr<Pair>& pair) {
+  if (!pair->caller) {
+    return;
+  }
   pairs_.erase(pair->caller->get());
   pairs_.erase(pair->target->get());
   pair->caller.reset();
--- a/apps/standins/standin_platform.cc
+++ b/apps/standins/standin_platform.cc
@@ -101,7 +101,7 @@
   Json Records();
 
   Standin standin_;
-  absl::BitGen random_{std::seed_seq{FLAGS_seed}};
+  std::mt19937_64 random_{FLAGS_seed};
   KeyValues values_;
   KeyValues stale_;  // As of the last change of the faults.
   std::vector<Watch> watches_;
