--- /dev/null
+++ b/apps/load/chat_operation.h
@@ -0,0 +1,64 @@
+// A chat or a long review: streamed, whole, or answered later.
+#ifndef OLEANDER_APPS_LOAD_CHAT_OPERATION_H_
+#define OLEANDER_APPS_LOAD_CHAT_OPERATION_H_
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "load/operation.h"
+#include "load/sse_reader.h"
+
+namespace oleander::load {
+
+// Checks every token against the expected one, and goes on at another entry
+// instance after a `moved` event, a 303 or a lost connection.
+class ChatOperation : public Operation {
+ public:
+  ChatOperation(OperationContext context, const PlannedOperation& plan,
+                std::function<void()> on_end);
+
+  void Start() override;
+
+ private:
+  enum class Stage { kPosting, kStreaming, kPolling };
+
+  void Post();
+  void Follow();
+  void Call(io::HttpCallRequest request);
+  void OnHead(int status, const io::Headers& headers);
+  void OnBody(std::string_view chunk);
+  void OnEnd(const io::HttpCallEnd& end);
+  void OnPostFailed(const io::HttpCallEnd& end);
+  void OnPostAnswered();
+  void OnFollowAnswered();
+  void OnState();
+  void OnEvent(const SseEvent& event);
+  void OnToken(const SseEvent& event);
+  void OnDone();
+  void Recover();
+  void Wrong(std::string detail);
+  void CheckWhole(const std::string& text);
+  void TakeGap();
+  bool whole() const { return plan_.kind == OperationKind::kChatWhole; }
+  bool review() const { return plan_.kind == OperationKind::kLongReview; }
+  bool streams() const;
+
+  std::shared_ptr<io::HttpCall> call_;
+  Stage stage_ = Stage::kPosting;
+  size_t entry_ = 0;
+  int posts_ = 0;
+  int status_ = 0;
+  std::string body_;
+  SseReader reader_;
+  int next_ = 0;  // The next token's index.
+  bool finish_seen_ = false;
+  bool moving_ = false;  // A `moved` event came; nothing more counts here.
+  Time last_token_;
+  Duration recovering_since_{-1};
+  Duration backoff_;
+};
+
+}  // namespace oleander::load
+
+#endif  // OLEANDER_APPS_LOAD_CHAT_OPERATION_H_
--- /dev/null
+++ b/apps/load/deposit_operation.h
@@ -0,0 +1,58 @@
+// A deposit at the order desk: with a key, without, submitted twice at once,
+// or followed by a read of the balance.
+#ifndef OLEANDER_APPS_LOAD_DEPOSIT_OPERATION_H_
+#define OLEANDER_APPS_LOAD_DEPOSIT_OPERATION_H_
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "load/operation.h"
+
+namespace oleander::load {
+
+// A deposit with a key is submitted again, with the same key, while its
+// outcome is unknown; one without is sent once. What was told "not run" is
+// final, so that it can be held against the desk's records.
+class DepositOperation : public Operation {
+ public:
+  DepositOperation(OperationContext context, const PlannedOperation& plan,
+                   std::function<void()> on_end);
+
+  void Start() override;
+
+ private:
+  // One submission and its own retries.
+  struct Submission {
+    size_t entry = 0;
+    int tries = 0;
+    Outcome outcome = Outcome::kOpen;
+    std::string run;  // Names the run, such as "desk-1:17".
+    std::string detail;
+  };
+
+  bool keyed() const;
+  void Submit(size_t index);
+  void OnAnswer(size_t index, const io::HttpAnswer& answer);
+  void OnGood(Submission& submission, const std::string& body);
+  void OnDoubtful(size_t index, const std::string& detail);
+  void Settle(size_t index, Outcome outcome, std::string detail);
+  void FollowLater(size_t index, const std::string& request_id);
+  void Follow(size_t index, const std::string& request_id);
+  void OnState(size_t index, const std::string& request_id,
+               const io::HttpAnswer& answer);
+  void Conclude();
+  void Read();
+  void OnBalance(const io::HttpAnswer& answer);
+  // Keeps one timer per submission.
+  void LaterFor(size_t index, Duration delay, std::function<void()> callback);
+
+  std::string account_;
+  std::vector<Submission> submissions_;
+  std::vector<io::Timer> timers_;
+  int reads_ = 0;
+};
+
+}  // namespace oleander::load
+
+#endif  // OLEANDER_APPS_LOAD_DEPOSIT_OPERATION_H_
--- /dev/null
+++ b/apps/load/sse_reader.h
@@ -0,0 +1,35 @@
+// Splits a stream of server-sent events, as a caller reads it.
+#ifndef OLEANDER_APPS_LOAD_SSE_READER_H_
+#define OLEANDER_APPS_LOAD_SSE_READER_H_
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace oleander::load {
+
+struct SseEvent {
+  std::optional<int64_t> id;
+  std::string type;  // Empty for a plain message.
+  std::string data;
+};
+
+class SseReader {
+ public:
+  // Calls `visit` for each event that `chunk` completes.
+  void Feed(std::string_view chunk,
+            const std::function<void(const SseEvent&)>& visit);
+  void Reset();
+
+ private:
+  void TakeLine(std::string_view line);
+
+  std::string rest_;
+  SseEvent event_;
+};
+
+}  // namespace oleander::load
+
+#endif  // OLEANDER_APPS_LOAD_SSE_READER_H_
--- a/apps/standins/standin_engine.cc
+++ b/apps/standins/standin_engine.cc
@@ -8,6 +8,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "absl/random/random.h"
 #include "io/http_client.h"
 #include "io/log.h"
 #include "standins/shared_answer.h"
