--- a/include/oleander/request_messages.h
+++ b/include/oleander/request_messages.h
@@ -64,9 +64,12 @@
   std::vector<std::string> events;
   std::optional<RequestEnd> end;
 };
-// kOk where the request is held now, else why not.
+// OK where the request is held now with every event below `next`, else why
+// not.
 struct HoldAnswer {
   absl::Status status;
+  uint64_t next = 0;
+  bool end_held = false;
 };
 // Events that the replica lacks.
 struct Progress {
@@ -87,8 +90,11 @@
   std::vector<std::string> events;
   std::optional<RequestEnd> end;
 };
-// The sender is the home now, with the message's ownership.
-struct Adopted {};
+// The sender is the home now, with the message's ownership; it went on from
+// event `agreed`.
+struct Adopted {
+  uint64_t agreed = 0;
+};
 // Drop the copy.
 struct Release {};
 // The sender knows nothing of the request.
@@ -102,10 +108,12 @@
 // Asks for events from index `from` on. Repeated while the follower lives: it
 // is acknowledgement, heartbeat and cure of losses in one.
 struct FollowRequest {
+  uint64_t follower = 0;  // The asker's name for the follower.
   uint64_t from = 0;
   FollowMode mode = FollowMode::kStream;
 };
 struct FollowEvents {
+  uint64_t follower = 0;
   uint64_t first_index = 0;
   std::vector<std::string> events;
   RequestState state = RequestState::kQueued;
@@ -115,10 +123,13 @@
 // The sender doesn't answer for the request. `holder` is who may; `gone` tells
 // that it ended and is kept no longer.
 struct FollowElsewhere {
+  uint64_t follower = 0;
   InstanceId holder;
   bool gone = false;
 };
-struct StopFollowing {};
+struct StopFollowing {
+  uint64_t follower = 0;
+};
 
 using RequestMessageBody =
     std::variant<HoldRequest, HoldAnswer, Progress, ProgressAnswer, Promote,
@@ -128,6 +139,9 @@
 struct RequestMessage {
   RequestId id;
   Ownership ownership;  // As the sender knows it.
+  // Which of the home's replicas in turn this is about; tells a late answer or
+  // Release from the present one.
+  uint64_t link = 0;
   RequestMessageBody body;
 };
 
--- a/include/oleander/requests.h
+++ b/include/oleander/requests.h
@@ -53,7 +53,12 @@
 };
 
 struct RequestTiming {
-  Duration progress_batch = std::chrono::milliseconds(20);
+  // The least time between two Progress messages of one request. The first
+  // event after a pause goes out at once.
+  Duration progress_batch = std::chrono::milliseconds(10);
+  // Events reach followers once the replica holds them, or after so long
+  // without an answer from it.
+  Duration replica_lag_bound = std::chrono::milliseconds(100);
   // How long one instance may take to answer a HoldRequest.
   Duration hold_timeout = std::chrono::milliseconds(150);
   int hold_attempts = 3;  // Before a request is refused.
@@ -116,8 +121,11 @@
   RequestId id;
   absl::Status status;
 };
-// Send this to a backend server and report by OnAttemptStarted, OnTokens and
-// OnAttemptEnded. With resume_from > 0 the engine goes on after resume_text.
+// Send this to a backend server. Report by OnAttemptStarted before the first
+// byte leaves, then OnTokens and OnAttemptEnded. It comes together with the
+// HoldRequest, before RequestAccepted, so that the second copy doesn't delay
+// the first token by a round trip of its own. With resume_from > 0 the engine
+// goes on after resume_text.
 struct DispatchAttempt {
   AttemptKey key;
   std::shared_ptr<const RequestSpec> spec;
@@ -126,6 +134,7 @@
   std::string resume_text;
   std::vector<ServerId> avoid;  // Servers that failed this request of late.
 };
+// Nothing more of the attempt is wanted; where it didn't start, it must not.
 struct CancelAttempt {
   AttemptKey key;
 };
--- a/include/oleander/streams.h
+++ b/include/oleander/streams.h
@@ -72,7 +72,8 @@
 // was next and belongs to the current attempt.
 class EventSequencer {
  public:
-  explicit EventSequencer(SequencerOptions options = {});
+  // `next` is the first event that is wanted.
+  explicit EventSequencer(SequencerOptions options = {}, uint64_t next = 0);
 
   // Makes (epoch, attempt) the current attempt; `from` is the index it starts
   // at and must be next(). Events of earlier attempts count as foreign from
