Capacity driver: planner's orders under a lease

Cause: capacity and engine orders need one holder and a fencing number. Change: one lease for the fleet's capacity duty, planner per managed service, orders checked against the lease right before they leave. Conclusion: profiles switch it on by capacity.managed.

--- a/include/oleander/profile.h
+++ b/include/oleander/profile.h
@@ -36,6 +36,9 @@
 };
 
 struct CapacityRules {
+  // Whether instances are started and stopped to follow the load; else the
+  // platform's list is taken as it is.
+  bool managed = false;
   int min_servers = 1;
   int max_servers = 64;
   double reclaimable_share =
--- a/src/io/engine_client.cc
+++ b/src/io/engine_client.cc
@@ -282,6 +282,30 @@
       });
 }
 
+void EngineClient::FetchState(
+    const ServerInfo& server,
+    std::function<void(absl::StatusOr<EngineState>)> done) {
+  client_->Fetch(
+      NewRequest(server, "GET", "/v1/load", "", kOrderTimeout),
+      [id = server.id, done = std::move(done)](const HttpAnswer& answer) {
+        auto object = ObjectOf(id, answer);
+        if (!object.ok()) {
+          done(object.status());
+          return;
+        }
+        EngineState state;
+        if (object->contains("role") && (*object)["role"].is_string()) {
+          state.role = (*object)["role"].get<std::string>();
+        }
+        for (const json& model : object->value("models", json::array())) {
+          if (model.is_string()) {
+            state.models.push_back(model.get<std::string>());
+          }
+        }
+        done(std::move(state));
+      });
+}
+
 void EngineClient::FetchCacheEvents(
     const ServerInfo& server, uint64_t after,
     std::function<void(absl::StatusOr<CacheEventPage>)> done) {
--- a/src/io/engine_client.h
+++ b/src/io/engine_client.h
@@ -74,6 +74,12 @@
   uint64_t next = 0;
 };
 
+// What an engine has loaded, for the planner of capacity.
+struct EngineState {
+  std::vector<std::string> models;
+  std::string role;
+};
+
 class EngineClient {
  public:
   explicit EngineClient(HttpClient& client) : client_(&client) {}
@@ -85,6 +91,8 @@
   void Cancel(const ServerInfo& server, const std::string& attempt);
   void FetchLoad(const ServerInfo& server, Duration timeout,
                  std::function<void(absl::StatusOr<ServerLoad>)> done);
+  void FetchState(const ServerInfo& server,
+                  std::function<void(absl::StatusOr<EngineState>)> done);
   void FetchCacheEvents(
       const ServerInfo& server, uint64_t after,
       std::function<void(absl::StatusOr<CacheEventPage>)> done);
--- /dev/null
+++ b/src/node/capacity_driver.h
@@ -0,0 +1,97 @@
+// Carries out the capacity planner's orders under a lease, for the profiles
+// that ask for it.
+#ifndef OLEANDER_NODE_CAPACITY_DRIVER_H_
+#define OLEANDER_NODE_CAPACITY_DRIVER_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "io/cloud_client.h"
+#include "io/engine_client.h"
+#include "io/event_loop.h"
+#include "node/load_driver.h"
+#include "node/server_directory.h"
+#include "node/store_gateway.h"
+#include "oleander/capacity.h"
+#include "oleander/leases.h"
+#include "oleander/profiles.h"
+
+namespace oleander::node {
+
+struct CapacityDriverParts {
+  io::EventLoop& loop;
+  io::CloudClient& cloud;
+  io::EngineClient& engines;
+  StoreGateway& store;
+  ServerDirectory& servers;
+  LoadDriver& load;
+  ProfileStore& profiles;
+};
+
+// One instance of the fleet holds the duty at a time. Orders go to the
+// platform, which is where the lease is kept too, so an instance that is cut
+// off from it orders nothing.
+class CapacityDriver {
+ public:
+  CapacityDriver(const CapacityDriverParts& parts, const InstanceId& self,
+                 uint64_t seed);
+
+  // Whether this instance is the one that should hold the duty.
+  void Want(bool want);
+  void OnServers(const std::vector<ServerInfo>& servers);
+  void OnReclaimed(const ServerInfo& server);
+  void Tick();
+
+  bool holds_lease() const;
+  double cost_per_hour() const;
+
+ private:
+  using Planners = std::map<ServiceId, std::unique_ptr<CapacityPlanner>>;
+
+  void PumpLease();
+  void Perform(const StoreRequest& request);
+  void Perform(const LeaseTaken& taken);
+  void Perform(const LeaseDropped& dropped);
+  void Run(const StoreRange& request);
+  void Run(const StoreCas& request);
+  void Run(const StoreLeaseGrant& request);
+  void Run(const StoreLeaseKeepAlive& request);
+  void Run(const StoreLeaseRevoke& request);
+  // The lease watches nothing.
+  void Run(const StoreWatch&) {}
+  void Run(const StoreCancelWatch&) {}
+  std::function<void(const absl::StatusOr<StoreLeaseAnswer>&)> LeaseDone(
+      StoreCall call);
+
+  bool Managed() const;
+  void FollowProfiles();
+  void PollPlatform();
+  void Plan();
+  void PlanService(const ServiceId& service, CapacityPlanner& planner);
+  CapacityDemand DemandOf(const ServiceId& service,
+                          const Profile& profile) const;
+  std::vector<CapacityServer> ServersOf(const ServiceId& service) const;
+  void CarryOut(const ServiceId& service, const CapacityOrder& order);
+  void Order(const ServiceId& service, const StartInstance& order);
+  void Order(const ServiceId& service, const DrainServer& order);
+  void Order(const ServiceId& service, const StopInstance& order);
+  void Order(const ServiceId& service, const EngineOrder& order);
+  void SendEngineOrder(const ServiceId& service, const EngineOrder& order);
+  // Whether the lease lasts long enough for one more order; asked right before
+  // it leaves.
+  bool MayOrder(uint64_t fence) const;
+
+  CapacityDriverParts parts_;
+  LeaseKeeper lease_;
+  Planners planners_;
+  absl::flat_hash_map<ServerId, io::EngineState> states_;
+  Time next_poll_{};
+  Time next_plan_{};
+};
+
+}  // namespace oleander::node
+
+#endif  // OLEANDER_NODE_CAPACITY_DRIVER_H_
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -17,6 +17,7 @@
 #include "io/log.h"
 #include "node/admission_gate.h"
 #include "node/caller_api.h"
+#include "node/capacity_driver.h"
 #include "node/chat_handler.h"
 #include "node/dispatcher.h"
 #include "node/fleet.h"
@@ -133,7 +134,7 @@
                    const io::ReceivedMembership& received);
   void SendHeartbeat(const InstanceId& to, const MembershipMessage& message);
   void SpreadWrite(const WriteMark& mark);
-  void ApplyRetryShares();
+  void OnProfileApplied();
 
   void StartDrain(bool handover, std::optional<Duration> left);
   void CheckDrain();
@@ -165,6 +166,7 @@
   Dispatcher dispatcher_;
   LedgerDriver ledger_;
   Reclaimer reclaimer_;
+  CapacityDriver capacity_;
   ChatHandler chat_;
   PlainHandler plain_;
   RequestApi request_api_;
@@ -202,7 +204,7 @@
           [this](const InstanceId& to, const ProfileMessage& message) {
             mesh_.Send(to, message);
           },
-          [this](const ProfileApplied&) { ApplyRetryShares(); }),
+          [this](const ProfileApplied&) { OnProfileApplied(); }),
       load_(loop_, engines_, router_, servers_, settings.SelfInfo(), {}, seed_),
       requests_(loop_, TableOptions(settings), seed_,
                 [this](const InstanceId& to, const RequestMessage& message) {
@@ -234,6 +236,14 @@
                   .servers = servers_,
                   .place = place_,
                   .self = settings.instance}),
+      capacity_({.loop = loop_,
+                 .cloud = cloud_,
+                 .engines = engines_,
+                 .store = store_,
+                 .servers = servers_,
+                 .load = load_,
+                 .profiles = profiles_.profiles()},
+                settings.instance, seed_),
       chat_({.loop = loop_,
              .requests = requests_,
              .dispatcher = dispatcher_,
@@ -375,6 +385,7 @@
   load_.Tick();
   requests_.Tick();
   ledger_.Tick();
+  capacity_.Tick();
   admission_.Tick(loop_.now());
   if (draining_) {
     CheckDrain();
@@ -392,6 +403,9 @@
     in_domain.push_back(info.id);
   }
   load_.SetLiveInstances(in_domain);
+  // The lowest id of the fleet holds the duty; the lease settles races.
+  const auto lowest = std::ranges::min_element(live, {}, &InstanceInfo::id);
+  capacity_.Want(!draining_ && lowest->id == settings_.instance);
 }
 
 void Node::Impl::OnEntries(const std::vector<EntryPeer>& entries) {
@@ -406,14 +420,19 @@
   servers_.Set(servers);
   router_.SetServers(loop_.now(), servers);
   load_.SetServers(servers);
+  capacity_.OnServers(servers);
 }
 
 void Node::Impl::OnServerLeaving(const ServerId& server,
                                  std::optional<Duration> left) {
   load_.OnLeaving(server);
-  if (left.has_value()) {
-    reclaimer_.OnNotice(server, *left);
+  if (!left.has_value()) {
+    return;
+  }
+  if (const auto info = servers_.Find(server)) {
+    capacity_.OnReclaimed(*info);
   }
+  reclaimer_.OnNotice(server, *left);
 }
 
 void Node::Impl::OnServerGone(const ServerId& server) {
@@ -453,7 +472,8 @@
   }
 }
 
-void Node::Impl::ApplyRetryShares() {
+// A profile came into force here.
+void Node::Impl::OnProfileApplied() {
   for (const ProfileState* state : profiles_.profiles().all()) {
     if (!state->profile.has_value()) {
       continue;
@@ -462,6 +482,7 @@
       retries_.SetShare(service, state->profile->retries.budget_share);
     }
   }
+  OnMembersChanged();  // The profile may ask for managed capacity.
 }
 
 void Node::Impl::StartDrain(bool handover, std::optional<Duration> left) {
@@ -539,6 +560,8 @@
           {"homes_running", gauges.homes_running},
           {"replicas", gauges.replicas},
           {"held_bytes", gauges.bytes},
+          {"holds_capacity_lease", capacity_.holds_lease()},
+          {"cost_per_hour", capacity_.cost_per_hour()},
           {"open_calls", ledger_.ledger().open_calls()},
           {"invariant_failures", invariant_failures()}};
 }
--- a/src/parts/profile.cc
+++ b/src/parts/profile.cc
@@ -64,6 +64,7 @@
 }
 
 void ReadCapacity(FieldReader& reader, CapacityRules& capacity) {
+  capacity.managed = reader.Flag("managed", capacity.managed);
   capacity.min_servers = static_cast<int>(reader.Integer(
       "min_servers",
       {.fallback = capacity.min_servers, .maximum = kMaxServers}));
