--- a/include/oleander/load_spread.h
+++ b/include/oleander/load_spread.h
@@ -8,21 +8,20 @@
 //
 //   LoadSpread spread(self, {}, seed, now);
 //   spread.SetServers(servers, now);
-//   spread.SetLiveInstances(live_of_domain, now);
-//   for (const AskLoad& ask : spread.TakeActions()) ...  // HTTP
-//   GET /v1/load spread.OnLoadReport(server, report, now); LoadUpdate update =
-//   spread.UpdateFor(neighbour, same_domain, now);
+//   spread.SetLiveInstances(live, now);
+//   for (const LoadAction& action : spread.TakeActions()) ...
+//   spread.OnLoadReport(server, report, now);  // GET /v1/load answered.
+//   LoadUpdate update = spread.UpdateFor(neighbour, same_domain, now);
 #ifndef OLEANDER_LOAD_SPREAD_H_
 #define OLEANDER_LOAD_SPREAD_H_
 
 #include <cstdint>
-#include <map>
+#include <memory>
 #include <optional>
 #include <string>
+#include <variant>
 #include <vector>
 
-#include "absl/container/flat_hash_map.h"
-#include "absl/random/random.h"
 #include "oleander/types.h"
 
 namespace oleander {
@@ -44,23 +43,56 @@
   bool operator==(const LoadReport&) const = default;
 };
 
-// One server's figures as they travel. Levels are coarse; see LevelOf().
+// What seldom changes; levels, see LevelOf().
+struct LoadTraits {
+  uint8_t slots = 0;
+  uint8_t tokens_per_s = 0;
+  uint8_t prefill_tokens_per_s = 0;
+  uint8_t kv_total_tokens = 0;
+  uint8_t kv_used_tokens = 0;
+  uint64_t version = 0;
+
+  bool operator==(const LoadTraits&) const = default;
+};
+
+// One server's figures as they travel; levels, see LevelOf().
 struct LoadEntry {
-  uint32_t server = 0;  // Hash of the server's id.
-  uint32_t sample = 0;  // Grows with each report spread by anybody.
+  // The server's position among all servers, or a hash of its id.
+  uint32_t server = 0;
   Duration age{};
-  uint8_t running = 0;  // Levels.
+  uint8_t running = 0;
   uint8_t waiting = 0;
   uint8_t queued_tokens = 0;
-  uint8_t tokens_per_s = 0;
-  uint8_t prefill_tokens_per_s = 0;
-  uint8_t kv_used_percent = 0;
-  uint8_t slots = 0;
   bool leaving = false;
+  std::optional<LoadTraits> traits;
 
   bool operator==(const LoadEntry&) const = default;
 };
 
+// One service's servers in one failure domain as they travel; levels.
+struct LoadSummaryEntry {
+  // Position among all pairs of service and domain, or a hash of the pair.
+  uint32_t pool = 0;
+  Duration age{};
+  uint8_t servers = 0;
+  uint8_t running = 0;
+  uint8_t waiting = 0;
+  uint8_t slots = 0;
+  uint8_t queued_tokens = 0;
+
+  bool operator==(const LoadSummaryEntry&) const = default;
+};
+
+struct LoadUpdate {
+  uint32_t roster = 0;       // Fingerprint of the sender's list of servers.
+  bool by_position = false;  // Else `server` and `pool` are hashes.
+  std::vector<LoadEntry> entries;
+  std::vector<LoadSummaryEntry> summaries;
+
+  bool empty() const { return entries.empty() && summaries.empty(); }
+  bool operator==(const LoadUpdate&) const = default;
+};
+
 // All servers of one service in one failure domain together.
 struct LoadSummary {
   ServiceId service;
@@ -75,14 +107,6 @@
   bool operator==(const LoadSummary&) const = default;
 };
 
-struct LoadUpdate {
-  std::vector<LoadEntry> entries;
-  std::vector<LoadSummary> summaries;
-
-  bool empty() const { return entries.empty() && summaries.empty(); }
-  bool operator==(const LoadUpdate&) const = default;
-};
-
 // A logarithmic scale in quarter powers of two: 0 is zero, and a level and the
 // next differ by 19%.
 uint8_t LevelOf(double value);
@@ -91,18 +115,31 @@
 struct LoadSpreadOptions {
   int askers = 2;                                // Per server.
   Duration ask_every = std::chrono::seconds(2);  // Each asker.
-  Duration ask_timeout = std::chrono::milliseconds(800);
+  Duration ask_timeout = std::chrono::milliseconds(1500);
   // Figures older than this make a server unusable.
-  Duration fresh_bound = std::chrono::seconds(5);
-  Duration spread_every = std::chrono::seconds(2);  // One server's figures.
-  Duration summary_every = std::chrono::seconds(3);
-  size_t update_bytes = 900;  // About; of one update.
+  Duration fresh_bound = std::chrono::seconds(6);
+  // An instance asks by itself for figures that grow older than this.
+  Duration stale_bound = std::chrono::milliseconds(4500);
+  double stale_asks_per_s = 2;  // At most, of one instance.
+  // A server's figures are spread anew at most so often, and at once where they
+  // change by much.
+  Duration spread_every = std::chrono::milliseconds(1900);
+  Duration traits_every = std::chrono::seconds(12);
+  Duration summary_every = std::chrono::seconds(5);
+  Duration summary_bound = std::chrono::seconds(20);
+  // With so many servers or fewer, detail goes to every domain.
+  size_t detail_everywhere = 64;
+  size_t update_bytes = 1200;  // About; of one update.
 };
 
 // Ask this server for its load now.
 struct AskLoad {
   ServerInfo server;
 };
+// Send UpdateFor() each neighbour now, not with the next heartbeat.
+struct SpreadLoadNow {};
+
+using LoadAction = std::variant<AskLoad, SpreadLoadNow>;
 
 // A server's figures with their age at the time asked for.
 struct KnownLoad {
@@ -114,11 +151,14 @@
  public:
   LoadSpread(InstanceInfo self, const LoadSpreadOptions& options, uint64_t seed,
              Time now);
+  ~LoadSpread();
+  LoadSpread(LoadSpread&&) noexcept;
+  LoadSpread& operator=(LoadSpread&&) noexcept;
 
   // The platform's lagging list; servers that vanish from it are forgotten.
   void SetServers(const std::vector<ServerInfo>& servers, Time now);
-  // The live instances of this instance's own failure domain.
-  void SetLiveInstances(const std::vector<InstanceId>& live, Time now);
+  // All live instances, this one included.
+  void SetLiveInstances(const std::vector<InstanceInfo>& live, Time now);
   void OnLoadReport(const ServerId& server, const LoadReport& report, Time now);
   // The server did not answer; it is asked again at its next turn.
   void OnLoadFailed(const ServerId& server, Time now);
@@ -130,7 +170,7 @@
 
   void Tick(Time now);
   Time next_due() const;
-  std::vector<AskLoad> TakeActions();
+  std::vector<LoadAction> TakeActions();
 
   // Whether the server may get new work: figures in bounds and not leaving. A
   // server of another domain has no detail; its summary counts.
@@ -141,8 +181,8 @@
   std::vector<ServerId> asked_here() const;
 
  private:
-  InstanceInfo self_;
-  LoadSpreadOptions options_;
+  class Impl;
+  std::unique_ptr<Impl> impl_;
 };
 
 }  // namespace oleander
--- /dev/null
+++ b/src/parts/load_levels.cc
@@ -0,0 +1,32 @@
+#include <algorithm>
+#include <cmath>
+
+#include "oleander/load_spread.h"
+
+namespace oleander {
+namespace {
+
+constexpr double kLevelsPerDoubling = 4;
+// Level 1 stands for this value; what is smaller but not zero counts as it.
+constexpr double kLeastValue = 0.5;
+constexpr double kHighestLevel = 255;
+
+}  // namespace
+
+uint8_t LevelOf(double value) {
+  if (!(value > 0)) {
+    return 0;
+  }
+  const double level =
+      1 + std::round(kLevelsPerDoubling * std::log2(value / kLeastValue));
+  return static_cast<uint8_t>(std::clamp(level, 1.0, kHighestLevel));
+}
+
+double ValueOf(uint8_t level) {
+  if (level == 0) {
+    return 0;
+  }
+  return kLeastValue * std::exp2((level - 1) / kLevelsPerDoubling);
+}
+
+}  // namespace oleander
--- /dev/null
+++ b/src/parts/load_spread_impl.h
@@ -0,0 +1,115 @@
+// The inside of LoadSpread.
+#ifndef OLEANDER_PARTS_LOAD_SPREAD_IMPL_H_
+#define OLEANDER_PARTS_LOAD_SPREAD_IMPL_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "absl/random/random.h"
+#include "oleander/load_spread.h"
+#include "oleander/types.h"
+#include "parts/server_roster.h"
+
+namespace oleander {
+
+class LoadSpread::Impl {
+ public:
+  Impl(InstanceInfo self, const LoadSpreadOptions& options, uint64_t seed,
+       Time now);
+
+  void SetServers(const std::vector<ServerInfo>& servers, Time now);
+  void SetLiveInstances(const std::vector<InstanceInfo>& live, Time now);
+  void OnLoadReport(const ServerId& server, const LoadReport& report, Time now);
+  void OnLoadFailed(const ServerId& server, Time now);
+  void OnLeaving(const ServerId& server, Time now);
+  void OnUpdate(const InstanceId& from, const LoadUpdate& update, Time now);
+  LoadUpdate UpdateFor(const InstanceId& neighbour, bool same_domain, Time now);
+  void Tick(Time now);
+  Time next_due() const;
+  std::vector<LoadAction> TakeActions();
+
+  bool usable(const ServerId& server, Time now) const;
+  bool leaving(const ServerId& server) const;
+  std::optional<KnownLoad> Find(const ServerId& server, Time now) const;
+  std::vector<LoadSummary> summaries(Time now) const;
+  std::vector<ServerId> asked_here() const;
+
+ private:
+  // Figures as they are passed on, with the time they were taken.
+  struct Published {
+    LoadEntry entry;  // Its age and server number are filled in when sent.
+    LoadTraits traits;
+    Time taken = Time::min();
+    Time traits_taken = Time::min();
+  };
+  struct Server {
+    ServerInfo info;
+    // Asked by this instance itself.
+    std::optional<LoadReport> exact;
+    Time exact_taken = Time::min();
+    Published published;
+    bool leaving = false;
+    Time leaving_since{};
+    bool asker = false;
+    Time next_ask = Time::max();
+    Time answer_due = Time::max();  // Of the question under way.
+    Time stale_since{};             // When this instance may step in.
+  };
+  struct Summary {
+    LoadSummaryEntry entry;
+    Time taken = Time::min();
+    bool produced_here = false;
+  };
+  // What a neighbour is known to have.
+  struct Neighbour {
+    uint32_t roster = 0;
+    Time used{};
+    std::map<ServerId, Time> taken;
+    std::map<ServerId, Time> traits_taken;
+    std::set<ServerId> leaving;
+    std::map<parts::Pool, Time> summaries;
+  };
+
+  void PickAskers(Time now);
+  bool IsAsker(const ServerInfo& server) const;
+  bool InScope(const ServerInfo& server) const;
+  void Ask(Server& server, Time now);
+  void AskStale(Time now);
+  void Publish(Server& server, const LoadReport& report, Time taken);
+  void MarkLeaving(Server& server, Time now);
+  void TakeEntry(Neighbour& from, Server& server, const LoadEntry& entry,
+                 Time now);
+  void TakeSummary(Neighbour& from, const parts::Pool& pool,
+                   const LoadSummaryEntry& entry, Time now);
+  void ProduceSummaries(Time now);
+  void ProduceSummary(const parts::Pool& pool, Summary& summary, Time now);
+  void AddEntries(Neighbour& neighbour, bool same_domain, LoadUpdate& update,
+                  Time now);
+  void AddSummaries(Neighbour& neighbour, LoadUpdate& update, Time now);
+  LoadReport ReportOf(const Server& server, Time now) const;
+  Time TakenOf(const Server& server) const;
+  Server* FindServer(const ServerId& id);
+  const Server* FindServer(const ServerId& id) const;
+  Duration Jittered(Duration duration);
+
+  InstanceInfo self_;
+  LoadSpreadOptions options_;
+  absl::BitGen gen_;
+  parts::ServerRoster roster_;
+  std::vector<InstanceInfo> live_;
+  std::set<DomainId> live_domains_;
+  std::vector<Server> servers_;  // As in the roster.
+  std::map<parts::Pool, Summary> summaries_;
+  std::map<InstanceId, Neighbour> neighbours_;
+  Time next_summaries_;
+  Time next_stale_;
+  double stale_asks_left_ = 0;
+  std::vector<LoadAction> actions_;
+};
+
+}  // namespace oleander
+
+#endif  // OLEANDER_PARTS_LOAD_SPREAD_IMPL_H_
--- /dev/null
+++ b/src/parts/load_updates.cc
@@ -0,0 +1,282 @@
+// How figures travel between neighbours: what is passed on, to whom, how old.
+#include <algorithm>
+#include <array>
+#include <cstdlib>
+#include <utility>
+
+#include "parts/load_spread_impl.h"
+
+namespace oleander {
+namespace {
+
+// Ages travel in coarse steps, so the same figures may look this much newer.
+constexpr Duration kSameAge = std::chrono::milliseconds(400);
+// Levels that differ by more are spread at once: a factor of two.
+constexpr int kBigStep = 4;
+// About what an entry takes up in a message.
+constexpr size_t kEntryBytes = 6;
+constexpr size_t kTraitsBytes = 6;
+constexpr size_t kSummaryBytes = 8;
+constexpr Duration kForgetNeighbour = std::chrono::seconds(30);
+
+bool BigStep(uint8_t a, uint8_t b) {
+  return (a == 0) != (b == 0) || std::abs(a - b) >= kBigStep;
+}
+
+LoadEntry EntryOf(const LoadReport& report) {
+  LoadEntry entry;
+  entry.running = LevelOf(report.running);
+  entry.waiting = LevelOf(report.waiting);
+  entry.queued_tokens = LevelOf(static_cast<double>(report.queued_tokens));
+  return entry;
+}
+
+LoadTraits TraitsOf(const LoadReport& report) {
+  return {
+      .slots = LevelOf(report.slots),
+      .tokens_per_s = LevelOf(report.tokens_per_s),
+      .prefill_tokens_per_s = LevelOf(report.prefill_tokens_per_s),
+      .kv_total_tokens = LevelOf(static_cast<double>(report.kv_total_tokens)),
+      .kv_used_tokens = LevelOf(static_cast<double>(report.kv_used_tokens)),
+      .version = report.version};
+}
+
+bool TraitsDiffer(const LoadTraits& a, const LoadTraits& b) {
+  return a.version != b.version || BigStep(a.slots, b.slots) ||
+         BigStep(a.tokens_per_s, b.tokens_per_s) ||
+         BigStep(a.prefill_tokens_per_s, b.prefill_tokens_per_s) ||
+         BigStep(a.kv_total_tokens, b.kv_total_tokens);
+}
+
+Time ToldAt(const auto& told, const auto& key) {
+  const auto found = told.find(key);
+  return found == told.end() ? Time::min() : found->second;
+}
+
+// Whether figures of `taken` are news to somebody with figures of `known`.
+bool IsNewer(Time taken, Time known) {
+  return taken != Time::min() &&
+         (known == Time::min() || taken - known > kSameAge);
+}
+
+}  // namespace
+
+// Passes figures of this instance's own question on, now or at a later turn.
+void LoadSpread::Impl::Publish(Server& server, const LoadReport& report,
+                               Time taken) {
+  Published& published = server.published;
+  const LoadEntry entry = EntryOf(report);
+  const LoadTraits traits = TraitsOf(report);
+  const bool first = published.taken == Time::min();
+  const bool changed =
+      first || BigStep(entry.running, published.entry.running) ||
+      BigStep(entry.waiting, published.entry.waiting) ||
+      BigStep(entry.queued_tokens, published.entry.queued_tokens);
+  const bool traits_due =
+      first || published.traits_taken == Time::min() ||
+      TraitsDiffer(traits, published.traits) ||
+      taken - published.traits_taken >= options_.traits_every;
+  const bool due =
+      changed || traits_due || taken - published.taken >= options_.spread_every;
+  if (!due || !IsNewer(taken, published.taken)) {
+    return;
+  }
+  published.entry = entry;
+  published.taken = taken;
+  if (traits_due) {
+    published.traits = traits;
+    published.traits_taken = taken;
+  }
+}
+
+void LoadSpread::Impl::OnUpdate(const InstanceId& from,
+                                const LoadUpdate& update, Time now) {
+  Neighbour& neighbour = neighbours_[from];
+  neighbour.roster = update.roster;
+  neighbour.used = now;
+  if (update.by_position && update.roster != roster_.fingerprint()) {
+    return;
+  }
+  for (const LoadEntry& entry : update.entries) {
+    const auto position = roster_.FindServer(entry.server, update.by_position);
+    if (position.has_value()) {
+      TakeEntry(neighbour, servers_[*position], entry, now);
+    }
+  }
+  for (const LoadSummaryEntry& entry : update.summaries) {
+    const auto position = roster_.FindPool(entry.pool, update.by_position);
+    if (position.has_value()) {
+      TakeSummary(neighbour, roster_.pools()[*position], entry, now);
+    }
+  }
+}
+
+void LoadSpread::Impl::TakeEntry(Neighbour& from, Server& server,
+                                 const LoadEntry& entry, Time now) {
+  const Time taken = now - entry.age;
+  from.taken[server.info.id] =
+      std::max(ToldAt(from.taken, server.info.id), taken);
+  if (entry.traits.has_value()) {
+    from.traits_taken[server.info.id] = taken;
+  }
+  if (entry.leaving) {
+    from.leaving.insert(server.info.id);
+    MarkLeaving(server, now);
+  }
+  Published& published = server.published;
+  if (!IsNewer(taken, published.taken)) {
+    return;
+  }
+  published.entry = entry;
+  published.entry.traits.reset();
+  published.taken = taken;
+  if (entry.traits.has_value()) {
+    published.traits = *entry.traits;
+    published.traits_taken = taken;
+  }
+}
+
+void LoadSpread::Impl::TakeSummary(Neighbour& from, const parts::Pool& pool,
+                                   const LoadSummaryEntry& entry, Time now) {
+  const Time taken = now - entry.age;
+  from.summaries[pool] = std::max(ToldAt(from.summaries, pool), taken);
+  Summary& summary = summaries_[pool];
+  if (IsNewer(taken, summary.taken)) {
+    summary = {.entry = entry, .taken = taken, .produced_here = false};
+  }
+}
+
+LoadUpdate LoadSpread::Impl::UpdateFor(const InstanceId& id, bool same_domain,
+                                       Time now) {
+  std::erase_if(neighbours_, [&](const auto& item) {
+    return now - item.second.used > kForgetNeighbour;
+  });
+  Neighbour& neighbour = neighbours_[id];
+  neighbour.used = now;
+  LoadUpdate update;
+  update.roster = roster_.fingerprint();
+  update.by_position = neighbour.roster == update.roster;
+  AddEntries(neighbour, same_domain, update, now);
+  AddSummaries(neighbour, update, now);
+  return update;
+}
+
+void LoadSpread::Impl::AddEntries(Neighbour& neighbour, bool same_domain,
+                                  LoadUpdate& update, Time now) {
+  const bool everywhere = servers_.size() <= options_.detail_everywhere;
+  size_t bytes = 0;
+  for (size_t i = 0; i < servers_.size(); ++i) {
+    const Server& server = servers_[i];
+    const ServerId& id = server.info.id;
+    const bool says_leaving = server.leaving && !neighbour.leaving.contains(id);
+    const bool wanted =
+        everywhere || !live_domains_.contains(server.info.place.domain) ||
+        (same_domain && server.info.place.domain == self_.place.domain);
+    const bool newer =
+        wanted && IsNewer(server.published.taken, ToldAt(neighbour.taken, id));
+    if ((!newer && !says_leaving) || bytes >= options_.update_bytes) {
+      continue;
+    }
+    LoadEntry entry = server.published.entry;
+    entry.server =
+        update.by_position ? static_cast<uint32_t>(i) : parts::HashOf(id);
+    entry.leaving = server.leaving;
+    const bool known = server.published.taken != Time::min();
+    entry.age = known ? now - server.published.taken : options_.fresh_bound;
+    const bool traits = known && IsNewer(server.published.traits_taken,
+                                         ToldAt(neighbour.traits_taken, id));
+    if (traits) {
+      entry.traits = server.published.traits;
+      neighbour.traits_taken[id] = server.published.traits_taken;
+    }
+    if (known) {
+      neighbour.taken[id] = server.published.taken;
+    }
+    if (server.leaving) {
+      neighbour.leaving.insert(id);
+    } else {
+      neighbour.leaving.erase(id);
+    }
+    bytes += kEntryBytes + (traits ? kTraitsBytes : 0);
+    update.entries.push_back(std::move(entry));
+  }
+}
+
+void LoadSpread::Impl::AddSummaries(Neighbour& neighbour, LoadUpdate& update,
+                                    Time now) {
+  size_t bytes = update.entries.size() * kEntryBytes;
+  for (const auto& [pool, summary] : summaries_) {
+    const bool newer =
+        IsNewer(summary.taken, ToldAt(neighbour.summaries, pool)) &&
+        now - summary.taken <= options_.summary_bound;
+    if (!newer || bytes >= options_.update_bytes) {
+      continue;
+    }
+    LoadSummaryEntry entry = summary.entry;
+    const auto position = std::ranges::lower_bound(roster_.pools(), pool);
+    entry.pool = update.by_position ? static_cast<uint32_t>(std::distance(
+                                          roster_.pools().begin(), position))
+                                    : parts::HashOf(pool);
+    entry.age = now - summary.taken;
+    neighbour.summaries[pool] = summary.taken;
+    bytes += kSummaryBytes;
+    update.summaries.push_back(entry);
+  }
+}
+
+LoadSpread::LoadSpread(InstanceInfo self, const LoadSpreadOptions& options,
+                       uint64_t seed, Time now)
+    : impl_(std::make_unique<Impl>(std::move(self), options, seed, now)) {}
+
+LoadSpread::~LoadSpread() = default;
+LoadSpread::LoadSpread(LoadSpread&&) noexcept = default;
+LoadSpread& LoadSpread::operator=(LoadSpread&&) noexcept = default;
+
+void LoadSpread::SetServers(const std::vector<ServerInfo>& servers, Time now) {
+  impl_->SetServers(servers, now);
+}
+void LoadSpread::SetLiveInstances(const std::vector<InstanceInfo>& live,
+                                  Time now) {
+  impl_->SetLiveInstances(live, now);
+}
+void LoadSpread::OnLoadReport(const ServerId& server, const LoadReport& report,
+                              Time now) {
+  impl_->OnLoadReport(server, report, now);
+}
+void LoadSpread::OnLoadFailed(const ServerId& server, Time now) {
+  impl_->OnLoadFailed(server, now);
+}
+void LoadSpread::OnLeaving(const ServerId& server, Time now) {
+  impl_->OnLeaving(server, now);
+}
+void LoadSpread::OnUpdate(const InstanceId& from, const LoadUpdate& update,
+                          Time now) {
+  impl_->OnUpdate(from, update, now);
+}
+LoadUpdate LoadSpread::UpdateFor(const InstanceId& neighbour, bool same_domain,
+                                 Time now) {
+  return impl_->UpdateFor(neighbour, same_domain, now);
+}
+void LoadSpread::Tick(Time now) { impl_->Tick(now); }
+Time LoadSpread::next_due() const { return impl_->next_due(); }
+std::vector<LoadAction> LoadSpread::TakeActions() {
+  return impl_->TakeActions();
+}
+bool LoadSpread::usable(const ServerId& server, Time now) const {
+  return impl_->usable(server, now);
+}
+bool LoadSpread::leaving(const ServerId& server) const {
+  return impl_->leaving(server);
+}
+std::optional<KnownLoad> LoadSpread::Find(const ServerId& server,
+                                          Time now) const {
+  return impl_->Find(server, now);
+}
+std::vector<LoadSummary> LoadSpread::summaries(Time now) const {
+  return impl_->summaries(now);
+}
+std::vector<ServerId> LoadSpread::asked_here() const {
+  return impl_->asked_here();
+}
+
+}  // namespace oleander
--- /dev/null
+++ b/src/parts/server_roster.h
@@ -0,0 +1,52 @@
+// The backend servers in an order that instances with the same list share, so
+// that a position can stand for a name.
+#ifndef OLEANDER_PARTS_SERVER_ROSTER_H_
+#define OLEANDER_PARTS_SERVER_ROSTER_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "oleander/types.h"
+
+namespace oleander::parts {
+
+// One service in one failure domain.
+struct Pool {
+  ServiceId service;
+  DomainId domain;
+
+  auto operator<=>(const Pool&) const = default;
+};
+
+uint32_t HashOf(const ServerId& server);
+uint32_t HashOf(const Pool& pool);
+
+class ServerRoster {
+ public:
+  void Set(std::vector<ServerInfo> servers);
+
+  const std::vector<ServerInfo>& servers() const { return servers_; }
+  const std::vector<Pool>& pools() const { return pools_; }
+  uint32_t fingerprint() const { return fingerprint_; }
+  // Positions in servers() and pools(); nothing where unknown. Two servers
+  // whose hashes are the same are not found by hash.
+  std::optional<size_t> FindServer(const ServerId& id) const;
+  std::optional<size_t> FindServer(uint32_t key, bool by_position) const;
+  std::optional<size_t> FindPool(uint32_t key, bool by_position) const;
+
+ private:
+  using Index = std::unordered_map<uint32_t, std::optional<size_t>>;
+
+  std::vector<ServerInfo> servers_;  // In order of id.
+  std::vector<Pool> pools_;          // In order.
+  Index server_hashes_;
+  Index pool_hashes_;
+  uint32_t fingerprint_ = 0;
+};
+
+}  // namespace oleander::parts
+
+#endif  // OLEANDER_PARTS_SERVER_ROSTER_H_
