--- a/apps/load/report.cc
+++ b/apps/load/report.cc
@@ -94,6 +94,7 @@
   figures["ttft_p99_ms"] = Percentile(first, kP99);
   figures["itl_p50_ms"] = Percentile(gaps, kMedian);
   figures["itl_p95_ms"] = Percentile(gaps, kP95);
+  figures["itl_max_ms"] = Percentile(gaps, 1);
   figures["refusal_p99_ms"] = Percentile(refusals, kP99);
 }
 
--- a/apps/standins/shared_fleet.cc
+++ b/apps/standins/shared_fleet.cc
@@ -50,6 +50,19 @@
   return row == kStateNames.end() ? std::nullopt : std::optional(row->first);
 }
 
+nlohmann::json ListForView(nlohmann::json list, const std::string& view) {
+  for (nlohmann::json& instance : list.at("instances")) {
+    const auto views = instance.find("seen_from");
+    if (views == instance.end()) {
+      continue;
+    }
+    const nlohmann::json seen = views->value(view, nlohmann::json::object());
+    instance.erase("seen_from");
+    instance.update(seen);
+  }
+  return list;
+}
+
 void Fleet::Load(const Json& config) {
   for (const Json& fields : config.value("instances", Json::array())) {
     Add(fields, InstanceState::kLive, 0);
--- a/apps/standins/shared_fleet.h
+++ b/apps/standins/shared_fleet.h
@@ -56,7 +56,8 @@
   // Nothing where no spare machine fits.
   std::optional<StartResult> Start(const StartOrder& order, int64_t now_ms);
 
-  // The true list as of now.
+  // The true list as of now. A field "seen_from" of an instance may give each
+  // view another address and port.
   Json List() const;
   Json Notices(int64_t now_ms) const;
   const Json& prices() const { return prices_; }
@@ -74,6 +75,9 @@
   uint64_t repeated_starts_ = 0;
 };
 
+// The list as one view sees it, without the field "seen_from".
+nlohmann::json ListForView(nlohmann::json list, const std::string& view);
+
 std::optional<InstanceState> ParseInstanceState(std::string_view text);
 
 }  // namespace oleander::standins
--- a/apps/standins/shared_standin.cc
+++ b/apps/standins/shared_standin.cc
@@ -1,6 +1,8 @@
 #include "standins/shared_standin.h"
 
 #include <algorithm>
+#include <cstdlib>
+#include <fstream>
 #include <utility>
 
 #include "io/log.h"
@@ -120,6 +122,33 @@
   RespondJson(exchange, kOk, Json::object());
 }
 
+void Standin::HandleRecords(const ExchangePtr& exchange) {
+  const Json records = on_records_ ? on_records_() : Json::object();
+  const auto file = io::FindQuery(exchange->request().query, "exit");
+  if (!file) {
+    RespondJson(exchange, kOk, records);
+    return;
+  }
+  std::ofstream stream(*file);
+  stream << records.dump() << std::flush;
+  std::_Exit(0);
+}
+
+void Standin::AlsoListen(const std::string& address, uint16_t port,
+                         std::string view) {
+  view_servers_.push_back(std::make_unique<io::HttpServer>(
+      *loop_,
+      io::HttpServerOptions{.address = address,
+                            .port = port,
+                            .max_body_bytes = kMaxBodyBytes,
+                            .tls = std::nullopt},
+      [this, view = std::move(view)](const ExchangePtr& exchange) {
+        view_ = view;
+        Handle(exchange);
+        view_.clear();
+      }));
+}
+
 bool Standin::HandleControl(const ExchangePtr& exchange) {
   const std::string& path = exchange->request().path;
   if (path == "/fault" && exchange->request().method == "POST") {
@@ -127,7 +156,7 @@
     return true;
   }
   if (path == "/records") {
-    RespondJson(exchange, kOk, on_records_ ? on_records_() : Json::object());
+    HandleRecords(exchange);
     return true;
   }
   if (path == "/healthz") {
@@ -157,7 +186,10 @@
 }
 
 int Standin::Run() {
-  const absl::Status listening = server_.Listen();
+  absl::Status listening = server_.Listen();
+  for (const auto& server : view_servers_) {
+    listening.Update(server->Listen());
+  }
   if (!listening.ok()) {
     io::Log(io::LogLevel::kError, "standin.listen_failed",
             {{"error", listening.ToString()}});
--- a/apps/standins/shared_standin.h
+++ b/apps/standins/shared_standin.h
@@ -61,7 +61,9 @@
   void Route(std::string method, std::string path, RouteHandler handler);
   // Called after each change of the faults.
   void OnFault(std::function<void()> callback) { on_fault_ = callback; }
-  // Makes the answer of `GET /records`.
+  // Makes the answer of `GET /records`. `GET /records?exit=FILE` writes it to a
+  // file instead and ends the process at once, as a kill would, so that nothing
+  // runs here after the records were taken.
   void OnRecords(std::function<Json()> callback) { on_records_ = callback; }
   // Asked first for every routed request; where it returns true it has taken
   // the exchange.
@@ -69,6 +71,11 @@
     on_intercept_ = callback;
   }
 
+  // Listens on one more port; requests that come in there carry `view`.
+  void AlsoListen(const std::string& address, uint16_t port, std::string view);
+  // The view of the request that is being handled; empty on the main port.
+  const std::string& view() const { return view_; }
+
   const Faults& faults() const { return faults_; }
   io::EventLoop& loop() { return *loop_; }
   // Time since the start of this process.
@@ -92,9 +99,12 @@
   void Handle(const ExchangePtr& exchange);
   void HandleFault(const ExchangePtr& exchange);
   bool HandleControl(const ExchangePtr& exchange);
+  void HandleRecords(const ExchangePtr& exchange);
 
   io::EventLoop* loop_;
   io::HttpServer server_;
+  std::vector<std::unique_ptr<io::HttpServer>> view_servers_;
+  std::string view_;
   Time started_;
   Faults faults_;
   std::vector<RouteEntry> routes_;
--- a/apps/standins/standin_platform.cc
+++ b/apps/standins/standin_platform.cc
@@ -22,6 +22,9 @@
 DEFINE_uint32(port, 2379, "Port to listen on.");
 DEFINE_string(id, "platform", "Name in logs.");
 DEFINE_string(instances, "", "JSON file with instances, spares and prices.");
+DEFINE_string(
+    views, "",
+    "PORT=VIEW, by commas: more ports, for lists as seen from there.");
 DEFINE_uint32(list_lag_ms, 2000, "Lag of the instance list.");
 DEFINE_uint32(start_ms, 1000, "Time until a started instance is live.");
 DEFINE_uint32(writes_per_s, 400, "Writes that the store takes in a second.");
@@ -75,6 +78,8 @@
  public:
   explicit Platform(io::EventLoop& loop);
   bool LoadInstances(const std::string& file);
+  // Listens on the ports of --views.
+  void AddViews(std::string_view views);
   int Run() { return standin_.Run(); }
 
  private:
@@ -148,6 +153,19 @@
   return true;
 }
 
+void Platform::AddViews(std::string_view views) {
+  while (!views.empty()) {
+    const size_t comma = std::min(views.find(','), views.size());
+    const std::string view(views.substr(0, comma));
+    const size_t equals = std::min(view.find('='), view.size() - 1);
+    standin_.AlsoListen(
+        FLAGS_address,
+        static_cast<uint16_t>(std::strtoul(view.c_str(), nullptr, 10)),
+        view.substr(equals + 1));
+    views.remove_prefix(std::min(comma + 1, views.size()));
+  }
+}
+
 void Platform::ApplyFaults() {
   const Faults& faults = standin_.faults();
   stale_ = values_;
@@ -345,7 +363,7 @@
                    });
   };
   route("GET", "/cloud/v1/instances", [this](const ExchangePtr& exchange) {
-    RespondJson(exchange, kOk, shown_list_);
+    RespondJson(exchange, kOk, ListForView(shown_list_, standin_.view()));
   });
   route("GET", "/cloud/v1/notices", [this](const ExchangePtr& exchange) {
     RespondJson(exchange, kOk, fleet_.Notices(standin_.now_ms()));
@@ -499,5 +517,6 @@
   if (!FLAGS_instances.empty() && !platform.LoadInstances(FLAGS_instances)) {
     return 1;
   }
+  platform.AddViews(FLAGS_views);
   return platform.Run();
 }
