--- /dev/null
+++ b/src/parts/ledger_store.cc
@@ -0,0 +1,295 @@
+// Claims in the key-value service: creating, reading back, taking over and
+// writing the outcome.
+#include <fmt/format.h>
+
+#include <algorithm>
+
+#include "oleander/invariant.h"
+#include "parts/ledger_impl.h"
+
+namespace oleander {
+
+void Ledger::Impl::StartOp(Time now, LedgerEntry& entry, StoreOp op) {
+  ++counts_.store_ops;
+  op.op = static_cast<StoreOpId>(++last_op_);
+  op.key = entry.store_key;
+  op.retention = options_.timing.retention;
+  if (entry.op.has_value()) {
+    ops_.erase(*entry.op);
+  }
+  entry.op = op.op;
+  entry.op_sent = now;
+  entry.retry_at.reset();
+  ops_[op.op] = entry.ticket;
+  actions_.push_back(std::move(op));
+}
+
+Claim Ledger::Impl::OwnClaim(const LedgerEntry& entry) const {
+  return {.attempt = entry.attempt,
+          .holder = options_.self,
+          .digest = entry.digest,
+          .state = ClaimState::kOpen,
+          .answer = std::nullopt};
+}
+
+void Ledger::Impl::Create(Time now, LedgerEntry& entry) {
+  if (!entry.dispatched) {
+    entry.stage = CallStage::kCreating;
+  }
+  StartOp(now, entry,
+          {.kind = StoreOpKind::kCreate,
+           .key = {},
+           .value = EncodeClaim(OwnClaim(entry))});
+}
+
+void Ledger::Impl::Read(Time now, LedgerEntry& entry) {
+  StartOp(now, entry, {.kind = StoreOpKind::kRead, .key = {}, .value = {}});
+}
+
+void Ledger::Impl::TakeOver(Time now, LedgerEntry& entry) {
+  ++counts_.taken_over;
+  entry.stage = CallStage::kTakingOver;
+  StartOp(now, entry,
+          {.kind = StoreOpKind::kReplace,
+           .key = {},
+           .value = EncodeClaim(OwnClaim(entry)),
+           .revision = entry.seen->revision});
+}
+
+void Ledger::Impl::StartStoring(Time now, LedgerEntry& entry,
+                                ClaimState outcome) {
+  const bool claiming = entry.stage == CallStage::kCreating ||
+                        entry.stage == CallStage::kTakingOver;
+  entry.maybe_claimed =
+      entry.maybe_claimed || (claiming && entry.op.has_value());
+  entry.outcome = entry.dispatched ? outcome : ClaimState::kAbandoned;
+  entry.stage = CallStage::kStoring;
+  entry.retry_at.reset();
+  entry.status_due.reset();
+  entry.status_next.reset();
+  entry.store_until = now + options_.timing.outcome_kept;
+  entry.backoff.Reset();
+  if (!entry.keyed()) {
+    return;
+  }
+  if (entry.revision != 0) {
+    StoreOutcome(now, entry);
+  } else if (entry.maybe_claimed || entry.dispatched) {
+    // A create or takeover may have taken effect, or may yet: the record must
+    // not stay open in the name of an attempt that won't run.
+    entry.retry_at = now + entry.backoff.Next();
+  }
+}
+
+void Ledger::Impl::StoreOutcome(Time now, LedgerEntry& entry) {
+  Claim claim = OwnClaim(entry);
+  claim.state = entry.outcome;
+  const bool fits =
+      entry.answer.has_value() &&
+      entry.answer->body.size() <= options_.limits.max_stored_body;
+  if (fits) {
+    claim.answer = entry.answer;
+  }
+  StartOp(now, entry,
+          {.kind = StoreOpKind::kReplace,
+           .key = {},
+           .value = EncodeClaim(claim),
+           .revision = entry.revision});
+}
+
+void Ledger::Impl::RetryStore(Time now, LedgerEntry& entry) {
+  switch (entry.stage) {
+    case CallStage::kCreating:
+      Create(now, entry);
+      return;
+    case CallStage::kReading:
+    case CallStage::kTakingOver:
+      entry.stage = CallStage::kReading;
+      Read(now, entry);
+      return;
+    case CallStage::kAskingHolder:
+      AskHolder(now, entry);
+      return;
+    case CallStage::kStoring:
+      if (entry.revision != 0) {
+        StoreOutcome(now, entry);
+      } else {
+        Read(now, entry);
+      }
+      return;
+    case CallStage::kDispatched:
+    case CallStage::kAskingStatus:
+      return;
+  }
+}
+
+void Ledger::Impl::OnStoreResult(Time now, StoreOpId op,
+                                 const StoreResult& result) {
+  const auto found = ops_.find(op);
+  if (found == ops_.end()) {
+    return;
+  }
+  LedgerEntry& entry = *entries_.at(found->second);
+  ops_.erase(found);
+  entry.op.reset();
+  switch (entry.stage) {
+    case CallStage::kCreating:
+      OnCreated(now, entry, result);
+      break;
+    case CallStage::kReading:
+      OnRead(now, entry, result);
+      break;
+    case CallStage::kTakingOver:
+      OnTakenOver(now, entry, result);
+      break;
+    case CallStage::kStoring:
+      OnStored(now, entry, result);
+      break;
+    case CallStage::kAskingHolder:
+    case CallStage::kDispatched:
+    case CallStage::kAskingStatus:
+      break;
+  }
+  Settle(entry);
+}
+
+void Ledger::Impl::OnCreated(Time now, LedgerEntry& entry,
+                             const StoreResult& result) {
+  const bool lost = result.outcome == StoreOutcome::kUnknown &&
+                    !options_.mutations.lost_create_is_not_created;
+  if (lost) {
+    entry.maybe_claimed = true;
+    entry.claimed_over = 0;
+  }
+  if (result.outcome == StoreOutcome::kDone) {
+    Won(now, entry, result.revision);
+  } else if (result.outcome == StoreOutcome::kConflict &&
+             result.record.has_value()) {
+    Examine(now, entry, *result.record);
+  } else if (result.outcome == StoreOutcome::kConflict || lost) {
+    ++counts_.read_back;
+    entry.stage = CallStage::kReading;
+    entry.retry_at = now + entry.backoff.Next();
+  } else {
+    AnswerNotRun(now, entry, ResultCode::kClaimStoreDown,
+                 "The key-value service took no claim, so the call was not "
+                 "sent.");
+  }
+}
+
+void Ledger::Impl::OnRead(Time now, LedgerEntry& entry,
+                          const StoreResult& result) {
+  if (result.outcome != StoreOutcome::kDone) {
+    entry.retry_at = now + entry.backoff.Next();
+    return;
+  }
+  if (result.record.has_value()) {
+    Examine(now, entry, *result.record);
+    return;
+  }
+  // An earlier create may still be under way. Creating again with the same
+  // attempt's name is safe: only one of them can take effect.
+  Create(now, entry);
+}
+
+void Ledger::Impl::OnTakenOver(Time now, LedgerEntry& entry,
+                               const StoreResult& result) {
+  if (result.outcome == StoreOutcome::kDone) {
+    Won(now, entry, result.revision);
+    return;
+  }
+  if (result.outcome == StoreOutcome::kConflict && result.record.has_value()) {
+    Examine(now, entry, *result.record);
+    return;
+  }
+  if (result.outcome == StoreOutcome::kUnknown) {
+    entry.maybe_claimed = true;
+    entry.claimed_over = entry.seen->revision;
+  }
+  entry.stage = CallStage::kReading;
+  entry.retry_at = now + entry.backoff.Next();
+}
+
+void Ledger::Impl::OnStored(Time now, LedgerEntry& entry,
+                            const StoreResult& result) {
+  if (result.outcome == StoreOutcome::kDone && entry.revision != 0) {
+    return;  // The outcome is stored.
+  }
+  const bool readable = result.outcome == StoreOutcome::kConflict ||
+                        result.outcome == StoreOutcome::kDone;
+  if (!readable) {
+    if (now < entry.store_until) {
+      entry.retry_at = now + entry.backoff.Next();
+    }
+    return;
+  }
+  const std::optional<Claim> claim = result.record.has_value()
+                                         ? DecodeClaim(result.record->value)
+                                         : std::nullopt;
+  if (!claim.has_value()) {
+    // Absent: a late create may still come, so look again for a while.
+    if (!entry.dispatched && now < entry.store_until) {
+      entry.retry_at = now + options_.timing.store_retry_maximum;
+    }
+    return;
+  }
+  if (claim->attempt != entry.attempt) {
+    CheckInvariant(!entry.dispatched || entry.outcome == ClaimState::kAbandoned,
+                   "one_winner_per_claim", [&] {
+                     return fmt::format(
+                         "Attempt {} was dispatched, but the claim {} names "
+                         "attempt {}.",
+                         entry.attempt, entry.store_key, claim->attempt);
+                   });
+    return;
+  }
+  if (claim->state == ClaimState::kOpen) {
+    entry.revision = result.record->revision;
+    StoreOutcome(now, entry);
+  }
+}
+
+void Ledger::Impl::Examine(Time now, LedgerEntry& entry,
+                           const StoreRecord& record) {
+  const std::optional<Claim> claim = DecodeClaim(record.value);
+  entry.seen = record;
+  if (!claim.has_value()) {
+    AnswerUnknown(now, entry, ResultCode::kClaimHolderUnknown,
+                  "The claim in the key-value service can't be read.");
+    return;
+  }
+  entry.seen_claim = *claim;
+  if (claim->attempt == entry.attempt) {
+    entry.seen.reset();
+    Won(now, entry, record.revision);
+    return;
+  }
+  if (record.revision != entry.claimed_over) {
+    entry.maybe_claimed = false;  // This attempt's write can't succeed now.
+  }
+  if (claim->digest != entry.digest) {
+    AnswerError(entry, MakeError(ResultCode::kKeyReusedWithOtherBody,
+                                 fmt::format("Idempotency-Key {} was used "
+                                             "with another call.",
+                                             *entry.call.key)));
+    StartStoring(now, entry, ClaimState::kOpen);
+    return;
+  }
+  ExamineOther(now, entry);
+}
+
+void Ledger::Impl::Won(Time now, LedgerEntry& entry, int64_t revision) {
+  entry.revision = revision;
+  // The evidence is as old as the operation that brought it. A holder that was
+  // paused since reads the claim again.
+  const bool fresh = now - entry.op_sent <= options_.timing.claim_lease ||
+                     options_.mutations.skip_lease_check;
+  if (!fresh) {
+    entry.stage = CallStage::kReading;
+    Read(now, entry);
+    return;
+  }
+  Dispatch(now, entry);
+}
+
+}  // namespace oleander
--- /dev/null
+++ b/src/parts/reclaim.cc
@@ -0,0 +1,273 @@
+#include "oleander/reclaim.h"
+
+#include <algorithm>
+#include <array>
+#include <limits>
+#include <map>
+#include <numeric>
+#include <optional>
+#include <utility>
+
+namespace oleander {
+namespace {
+
+// The exports over one link: one after another, each at the lane's rate.
+struct Lane {
+  double bytes_per_second = 0;
+  Duration busy_until{};
+};
+
+struct Placement {
+  size_t target = 0;
+  Duration starts{};
+  Duration ends{};
+};
+
+Duration TransferTime(int64_t bytes, double bytes_per_second) {
+  const double seconds = static_cast<double>(bytes) / bytes_per_second;
+  return std::chrono::duration_cast<Duration>(
+             std::chrono::duration<double>(seconds)) +
+         Duration(1);
+}
+
+// What is left of the notice, the links and the targets while a plan grows.
+class ExportSchedule {
+ public:
+  explicit ExportSchedule(const ReclaimNotice& notice)
+      : notice_(&notice), usable_(notice.notice - notice.safety_margin) {
+    free_tokens_.reserve(notice.targets.size());
+    for (const ReclaimTarget& target : notice.targets) {
+      free_tokens_.push_back(target.free_kv_tokens);
+    }
+    ShareOutServerRate();
+  }
+
+  // Places the export at the target where it ends first; nothing where no
+  // target can take it in time.
+  std::optional<Placement> Place(const RunningRequest& request) {
+    std::optional<Placement> best;
+    for (size_t i = 0; i < notice_->targets.size(); ++i) {
+      const std::optional<Placement> placement = TryTarget(request, i);
+      if (placement.has_value() &&
+          (!best.has_value() || IsBetter(*placement, *best))) {
+        best = placement;
+      }
+    }
+    if (best.has_value()) {
+      LaneOf(best->target).busy_until = best->ends;
+      free_tokens_[best->target] -= request.cached_tokens;
+    }
+    return best;
+  }
+
+ private:
+  // Every link but the fastest gets its own share of what the server can send;
+  // the fastest takes the rest. So all lanes may be busy at once.
+  void ShareOutServerRate() {
+    for (const ReclaimTarget& target : notice_->targets) {
+      double& rate = lanes_[target.link_group].bytes_per_second;
+      rate = std::max(rate, target.bytes_per_second);
+    }
+    for (const LinkShare& link : notice_->links) {
+      const auto lane = lanes_.find(link.link_group);
+      if (lane != lanes_.end()) {
+        double& rate = lane->second.bytes_per_second;
+        rate = std::min(rate, link.bytes_per_second);
+      }
+    }
+    double left = notice_->export_bytes_per_second;
+    std::vector<Lane*> by_rate;
+    for (auto& [group, lane] : lanes_) {
+      by_rate.push_back(&lane);
+    }
+    std::ranges::sort(by_rate, {}, &Lane::bytes_per_second);
+    for (Lane* lane : by_rate) {
+      lane->bytes_per_second = std::min(lane->bytes_per_second, left);
+      left -= lane->bytes_per_second;
+    }
+  }
+
+  std::optional<Placement> TryTarget(const RunningRequest& request,
+                                     size_t index) {
+    const ReclaimTarget& target = notice_->targets[index];
+    const Lane& lane = LaneOf(index);
+    const double rate =
+        std::min(lane.bytes_per_second, target.bytes_per_second);
+    if (free_tokens_[index] < request.cached_tokens || rate <= 0) {
+      return std::nullopt;
+    }
+    const Duration ends =
+        lane.busy_until + TransferTime(request.kv_bytes, rate);
+    if (ends > usable_) {
+      return std::nullopt;
+    }
+    return Placement{.target = index, .starts = lane.busy_until, .ends = ends};
+  }
+
+  // The earlier end; among equals the fuller target, so that room for a large
+  // cache stays in one piece.
+  bool IsBetter(const Placement& a, const Placement& b) const {
+    if (a.ends != b.ends) {
+      return a.ends < b.ends;
+    }
+    return free_tokens_[a.target] < free_tokens_[b.target];
+  }
+
+  Lane& LaneOf(size_t target) {
+    return lanes_[notice_->targets[target].link_group];
+  }
+
+  const ReclaimNotice* notice_;
+  Duration usable_;
+  std::vector<int64_t> free_tokens_;
+  std::map<int, Lane> lanes_;
+};
+
+bool FinishesInTime(const ReclaimNotice& notice,
+                    const RunningRequest& request) {
+  return request.expected_to_finish <= notice.notice - notice.safety_margin;
+}
+
+void AddStep(ReclaimPlan& plan, ReclaimStep step) {
+  plan.recomputed_tokens += step.recomputed_tokens;
+  plan.steps.push_back(std::move(step));
+}
+
+ReclaimStep ResumeStep(const RunningRequest& request) {
+  return {.attempt = request.attempt,
+          .choice = ReclaimChoice::kResume,
+          .target = {},
+          .starts = {},
+          .ends = {},
+          .recomputed_tokens = ResumeCost(request)};
+}
+
+// Exports in the given order whatever fits; the rest resumes.
+ReclaimPlan ExportInOrder(const ReclaimNotice& notice,
+                          const std::vector<const RunningRequest*>& order) {
+  ReclaimPlan plan;
+  ExportSchedule schedule(notice);
+  std::vector<const RunningRequest*> left;
+  for (const RunningRequest* request : order) {
+    const std::optional<Placement> placement = schedule.Place(*request);
+    if (!placement.has_value()) {
+      left.push_back(request);
+      continue;
+    }
+    plan.exported_bytes += request->kv_bytes;
+    AddStep(plan, {.attempt = request->attempt,
+                   .choice = ReclaimChoice::kExport,
+                   .target = notice.targets[placement->target].server,
+                   .starts = placement->starts,
+                   .ends = placement->ends,
+                   .recomputed_tokens = 0});
+  }
+  for (const RunningRequest* request : left) {
+    AddStep(plan, ResumeStep(*request));
+  }
+  return plan;
+}
+
+double SavedPerByte(const RunningRequest* request) {
+  return static_cast<double>(ResumeCost(*request)) /
+         static_cast<double>(std::max<int64_t>(1, request->kv_bytes));
+}
+
+int64_t Saved(const RunningRequest* request) { return ResumeCost(*request); }
+
+// The orders that are tried; the best plan wins. By density is near the
+// optimum where caches are small against the notice, by size where one large
+// cache fills it.
+using Order = std::vector<const RunningRequest*>;
+
+Order ByDensity(Order order) {
+  std::ranges::stable_sort(order, std::ranges::greater{}, SavedPerByte);
+  return order;
+}
+
+Order BySaving(Order order) {
+  std::ranges::stable_sort(order, std::ranges::greater{}, Saved);
+  return order;
+}
+
+Order ByArrival(Order order) { return order; }
+
+// By density, but the one request that just missed its place goes first.
+Order ByDensityWithFirstMissAhead(const ReclaimNotice& notice, Order order) {
+  order = ByDensity(std::move(order));
+  ExportSchedule schedule(notice);
+  const auto miss = std::ranges::find_if(order, [&](const auto* request) {
+    return !schedule.Place(*request).has_value();
+  });
+  if (miss != order.end()) {
+    std::rotate(order.begin(), miss, miss + 1);
+  }
+  return order;
+}
+
+ReclaimPlan BestExports(const ReclaimNotice& notice, const Order& candidates) {
+  const std::array<Order, 4> orders = {
+      ByDensity(candidates), BySaving(candidates),
+      ByDensityWithFirstMissAhead(notice, candidates), ByArrival(candidates)};
+  ReclaimPlan best = ExportInOrder(notice, orders.front());
+  for (const Order& order : orders) {
+    ReclaimPlan plan = ExportInOrder(notice, order);
+    if (plan.recomputed_tokens < best.recomputed_tokens) {
+      best = std::move(plan);
+    }
+  }
+  return best;
+}
+
+}  // namespace
+
+int64_t ResumeCost(const RunningRequest& request) {
+  return std::max<int64_t>(0, request.cached_tokens - request.cached_elsewhere);
+}
+
+ReclaimPlan PlanReclaim(const ReclaimNotice& notice,
+                        std::span<const RunningRequest> requests) {
+  Order candidates;
+  std::vector<const RunningRequest*> cached_elsewhere;
+  ReclaimPlan finishing;
+  for (const RunningRequest& request : requests) {
+    if (FinishesInTime(notice, request)) {
+      AddStep(finishing, {.attempt = request.attempt,
+                          .choice = ReclaimChoice::kFinish,
+                          .target = {},
+                          .starts = {},
+                          .ends = {},
+                          .recomputed_tokens = 0});
+    } else if (ResumeCost(request) == 0) {
+      cached_elsewhere.push_back(&request);
+    } else {
+      candidates.push_back(&request);
+    }
+  }
+  ReclaimPlan plan = BestExports(notice, candidates);
+  for (const RunningRequest* request : cached_elsewhere) {
+    AddStep(plan, ResumeStep(*request));
+  }
+  std::ranges::move(finishing.steps, std::back_inserter(plan.steps));
+  return plan;
+}
+
+ReclaimPlan PlanAlwaysResume(const ReclaimNotice& /*notice*/,
+                             std::span<const RunningRequest> requests) {
+  ReclaimPlan plan;
+  for (const RunningRequest& request : requests) {
+    AddStep(plan, ResumeStep(request));
+  }
+  return plan;
+}
+
+ReclaimPlan PlanExportInOrder(const ReclaimNotice& notice,
+                              std::span<const RunningRequest> requests) {
+  Order order;
+  for (const RunningRequest& request : requests) {
+    order.push_back(&request);
+  }
+  return ExportInOrder(notice, order);
+}
+
+}  // namespace oleander
--- /dev/null
+++ b/src/parts/request_replication.cc
@@ -0,0 +1,362 @@
+// The home's side of the second copy: choosing a replica, keeping it up to
+// date, handing over and stepping down.
+#include <fmt/format.h>
+
+#include <algorithm>
+
+#include "oleander/invariant.h"
+#include "oleander/result_code.h"
+#include "parts/requests_impl.h"
+
+namespace oleander {
+namespace {
+
+// Between two looks for a replica while none can be had.
+constexpr Duration kNoReplicaPause = std::chrono::seconds(1);
+
+template <typename Container>
+auto PickOne(const Container& candidates, std::mt19937_64& random) {
+  std::uniform_int_distribution<size_t> index(0, candidates.size() - 1);
+  return candidates[index(random)];
+}
+
+}  // namespace
+
+std::optional<InstanceId> RequestTable::Impl::ChooseReplica(
+    const HeldRequest& request) {
+  std::vector<InstanceId> other_domain;
+  std::vector<InstanceId> same_domain;
+  for (const auto& [id, peer] : peers_) {
+    if (!IsUsable(id) || request.excluded.contains(id) ||
+        peer.info.place.region != options_.self.place.region) {
+      continue;
+    }
+    const bool same = peer.info.place.domain == options_.self.place.domain;
+    (same ? same_domain : other_domain).push_back(id);
+  }
+  if (!other_domain.empty()) {
+    return PickOne(other_domain, random_);
+  }
+  if (same_domain.empty() ||
+      request.spec->replica == ReplicaRule::kOtherDomain) {
+    return std::nullopt;
+  }
+  return PickOne(same_domain, random_);
+}
+
+void RequestTable::Impl::StartReplica(Time now, HeldRequest& request) {
+  std::optional<InstanceId> replica = ChooseReplica(request);
+  if (!replica.has_value() && !request.excluded.empty()) {
+    request.excluded.clear();
+    replica = ChooseReplica(request);
+  }
+  const uint64_t number = request.replica.number + 1;
+  request.replica = {};
+  request.replica.number = number;
+  if (!replica.has_value()) {
+    request.hold_due = now + kNoReplicaPause;
+    return;
+  }
+  request.replica.id = *replica;
+  SendHold(now, request);
+}
+
+void RequestTable::Impl::SendHold(Time now, HeldRequest& request) {
+  ReplicaLink& link = request.replica;
+  link.sent = request.size();
+  link.end_sent = request.ended();
+  link.last_sent = now;
+  request.hold_due = now + options_.timing.hold_timeout;
+  request.unanswered.insert(link.id);
+  const Duration remaining =
+      request.deadline.has_value()
+          ? std::max(Duration(1), *request.deadline - now)
+          : Duration::zero();
+  Send(link.id, request,
+       HoldRequest{.spec = request.spec,
+                   .remaining = remaining,
+                   .events = request.events,
+                   .end = request.end});
+}
+
+void RequestTable::Impl::LoseReplica(Time now, HeldRequest& request) {
+  if (request.replica.held) {
+    ++counts_.replicas_replaced;
+    request.unanswered.insert(request.replica.id);
+  }
+  request.promote_due.reset();
+  TryNextReplica(now, request);
+}
+
+void RequestTable::Impl::TryNextReplica(Time now, HeldRequest& request) {
+  if (request.phase == RequestPhase::kAccepting &&
+      ++request.hold_attempts >= options_.timing.hold_attempts) {
+    RefuseAccept(request);
+    return;
+  }
+  if (!request.replica.id.empty()) {
+    request.excluded.insert(request.replica.id);
+  }
+  StartReplica(now, request);
+}
+
+void RequestTable::Impl::OnHoldTimeout(Time now, HeldRequest& request) {
+  request.hold_due.reset();
+  TryNextReplica(now, request);
+}
+
+void RequestTable::Impl::OnReplicaHolds(Time now, HeldRequest& request,
+                                        uint64_t next, bool end_held) {
+  ReplicaLink& link = request.replica;
+  link.held = true;
+  link.acked = std::max(link.acked, std::min(next, request.size()));
+  link.sent = std::max(link.sent, link.acked);
+  link.end_acked = link.end_acked || (end_held && request.ended());
+  link.end_sent = link.end_sent || link.end_acked;
+  request.hold_due.reset();
+  request.excluded.clear();
+  request.unanswered.erase(link.id);
+  for (const InstanceId& old : request.unanswered) {
+    SendAbout(old, request.id, request.ownership, link.number - 1, Release{});
+  }
+  request.unanswered.clear();
+  if (request.phase == RequestPhase::kAccepting) {
+    ++counts_.accepted;
+    request.phase =
+        request.ended() ? RequestPhase::kEnded : RequestPhase::kRunning;
+    request.visible_moved = now;
+    const auto peer = peers_.find(link.id);
+    const bool other_domain =
+        peer != peers_.end() &&
+        peer->second.info.place.domain != options_.self.place.domain;
+    actions_.push_back(RequestAccepted{
+        .id = request.id, .replica = link.id, .other_domain = other_domain});
+  }
+}
+
+void RequestTable::Impl::On(Time now, const InstanceId& from,
+                            const RequestMessage& message,
+                            const HoldAnswer& answer) {
+  HeldRequest* request = Find(message.id);
+  if (request == nullptr || request->role != RequestRole::kHome ||
+      request->ownership != message.ownership || request->replica.id != from ||
+      request->replica.number != message.link) {
+    return;
+  }
+  if (answer.status.ok()) {
+    OnReplicaHolds(now, *request, answer.next, answer.end_held);
+  } else {
+    request->unanswered.erase(from);
+    TryNextReplica(now, *request);
+    if (Find(message.id) != request) {
+      return;
+    }
+  }
+  Settle(now, *request);
+}
+
+void RequestTable::Impl::SendProgressIfDue(Time now, HeldRequest& request) {
+  ReplicaLink& link = request.replica;
+  if (!link.held) {
+    return;
+  }
+  const bool unacked =
+      link.acked < link.sent || (link.end_sent && !link.end_acked);
+  if (unacked && now >= link.last_sent + options_.timing.resend) {
+    link.sent = link.acked;
+    link.end_sent = link.end_acked;
+  }
+  const bool unsent =
+      link.sent < request.size() || (request.ended() && !link.end_sent);
+  if (!unsent || now < link.last_sent + options_.timing.progress_batch) {
+    return;
+  }
+  Send(link.id, request,
+       Progress{.first_index = link.sent,
+                .events = EventsBetween(request, link.sent, request.size()),
+                .end = request.end});
+  link.sent = request.size();
+  link.end_sent = request.ended();
+  link.last_sent = now;
+}
+
+void RequestTable::Impl::On(Time now, const InstanceId& from,
+                            const RequestMessage& message,
+                            const ProgressAnswer& answer) {
+  HeldRequest* request = Find(message.id);
+  if (request == nullptr) {
+    AnswerForUnknown(from, message);
+    return;
+  }
+  if (message.ownership < request->ownership) {
+    SendAbout(from, message.id, request->ownership, request->replica.number,
+              Release{});
+    return;
+  }
+  if (request->role != RequestRole::kHome ||
+      message.ownership != request->ownership) {
+    return;
+  }
+  if (from != request->replica.id) {
+    SendAbout(from, message.id, request->ownership, request->replica.number - 1,
+              Release{});
+    return;
+  }
+  if (message.link != request->replica.number) {
+    return;
+  }
+  OnReplicaHolds(now, *request, answer.next, answer.end_held);
+  Settle(now, *request);
+}
+
+void RequestTable::Impl::AnswerForUnknown(const InstanceId& from,
+                                          const RequestMessage& message) {
+  const auto known = remembered_.find(message.id);
+  if (known == remembered_.end()) {
+    SendAbout(from, message.id, message.ownership, message.link, NotHeld{});
+    return;
+  }
+  const Remembered& remembered = known->second;
+  SendAbout(from, message.id, std::max(remembered.ownership, message.ownership),
+            std::max(remembered.link, message.link), Release{});
+}
+
+void RequestTable::Impl::ReleaseUnanswered(HeldRequest& request) {
+  for (const InstanceId& id : request.unanswered) {
+    Send(id, request, Release{});
+  }
+  request.unanswered.clear();
+}
+
+void RequestTable::Impl::HandOverIfReady(Time now, HeldRequest& request) {
+  const bool wanted = draining_ && (handover_ || request.ended()) &&
+                      request.phase != RequestPhase::kAccepting &&
+                      !request.deposed_by;
+  if (!wanted) {
+    return;
+  }
+  if (request.replica.id.empty() && !request.hold_due.has_value()) {
+    StartReplica(now, request);
+  }
+  const bool ready =
+      request.replica.held || options_.mutations.hand_over_without_ack;
+  if (!ready || request.replica.id.empty() ||
+      (request.promote_due.has_value() && now < *request.promote_due)) {
+    return;
+  }
+  request.promote_due = now + options_.timing.resend;
+  Send(request.replica.id, request,
+       Promote{.first_index = request.replica.acked,
+               .events = EventsBetween(request, request.replica.acked,
+                                       request.size()),
+               .end = request.end});
+  if (options_.mutations.hand_over_without_ack) {
+    LetGo(request, request.replica.id);
+  }
+}
+
+void RequestTable::Impl::LetGo(HeldRequest& request, const InstanceId& to) {
+  StopAttempt(request);
+  request.unanswered.erase(to);
+  ReleaseUnanswered(request);
+  MoveFollowers(request, to);
+  Drop(request, {.ownership = request.ownership,
+                 .link = request.replica.number,
+                 .moved_to = to,
+                 .gone = false});
+}
+
+void RequestTable::Impl::StepDown(Time now, HeldRequest& request,
+                                  const InstanceId& to,
+                                  const Ownership& ownership, uint64_t agreed) {
+  ++counts_.stepped_down;
+  if (request.phase == RequestPhase::kAccepting) {
+    ++counts_.accepted;
+    actions_.push_back(RequestAccepted{
+        .id = request.id, .replica = to, .other_domain = false});
+    request.phase = RequestPhase::kRunning;
+  }
+  request.unanswered.erase(to);
+  if (request.replica.id != to && !request.replica.id.empty()) {
+    request.unanswered.insert(request.replica.id);
+  }
+  ReleaseUnanswered(request);
+  // Followers that saw events which the new home doesn't have finish here,
+  // since it may sample others in their place.
+  if (request.visible > agreed && ServesFollowers(request)) {
+    request.deposed_by = to;
+    request.replica.id = {};
+    request.replica.held = false;
+    request.hold_due.reset();
+    request.promote_due.reset();
+    Settle(now, request);
+    return;
+  }
+  StopAttempt(request);
+  const std::vector<LocalFollower> local =
+      std::exchange(request.local_followers, {});
+  const RequestId id = request.id;
+  MoveFollowers(request, to);
+  Drop(request,
+       {.ownership = ownership, .link = 0, .moved_to = to, .gone = false});
+  for (const LocalFollower& follower : local) {
+    followed_here_.erase(follower.id);
+    relays_.Start(now, follower.id, id, follower.next, FollowMode::kStream, to);
+  }
+}
+
+void RequestTable::Impl::On(Time now, const InstanceId& from,
+                            const RequestMessage& message,
+                            const Adopted& adopted) {
+  HeldRequest* request = Find(message.id);
+  if (request == nullptr || IsStale(from, message, *request) ||
+      message.ownership == request->ownership) {
+    return;
+  }
+  if (request->role == RequestRole::kHome) {
+    if (request->promote_due.has_value()) {
+      LetGo(*request, from);
+    } else if (!request->deposed_by.has_value()) {
+      StepDown(now, *request, from, message.ownership, adopted.agreed);
+    }
+    return;
+  }
+  request->ownership = message.ownership;
+  request->replica.number = 0;
+  if (request->size() > adopted.agreed) {
+    request->events.resize(adopted.agreed);
+    request->end.reset();
+    request->drop_at.reset();
+    request->phase = RequestPhase::kRunning;
+  }
+  request->check_at = now + options_.timing.replica_check;
+  Settle(now, *request);
+}
+
+void RequestTable::Impl::On(Time now, const InstanceId& from,
+                            const RequestMessage& message,
+                            const ReplicaLeaving& /*leaving*/) {
+  HeldRequest* request = Find(message.id);
+  if (request == nullptr) {
+    AnswerForUnknown(from, message);
+    return;
+  }
+  if (request->role != RequestRole::kHome) {
+    return;
+  }
+  if (request->replica.id == from && request->replica.number == message.link &&
+      request->ownership == message.ownership) {
+    LoseReplica(now, *request);
+    if (Find(message.id) == request) {
+      Settle(now, *request);
+    }
+    return;
+  }
+  // An old copy: the present replica must confirm before it may go.
+  if (request->replica.held) {
+    SendAbout(from, message.id, request->ownership, request->replica.number - 1,
+              Release{});
+  }
+}
+
+}  // namespace oleander
--- /dev/null
+++ b/src/parts/retries.cc
@@ -0,0 +1,75 @@
+#include "oleander/retries.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "oleander/invariant.h"
+
+namespace oleander {
+
+RetryBudget::RetryBudget(RetryBudgetOptions options) : options_(options) {}
+
+void RetryBudget::SetShare(const ServiceId& service, double share) {
+  AccountOf(service).share = share;
+}
+
+void RetryBudget::OnSuccess(const ServiceId& service) {
+  Account& account = AccountOf(service);
+  account.tokens = std::min(options_.burst, account.tokens + account.share);
+}
+
+bool RetryBudget::TryTake(const ServiceId& service) {
+  Account& account = AccountOf(service);
+  if (account.tokens < 1) {
+    return false;
+  }
+  account.tokens -= 1;
+  return true;
+}
+
+double RetryBudget::remaining(const ServiceId& service) const {
+  const auto found = accounts_.find(service);
+  return found == accounts_.end() ? options_.burst : found->second.tokens;
+}
+
+RetryBudget::Account& RetryBudget::AccountOf(const ServiceId& service) {
+  const auto [entry, added] = accounts_.try_emplace(
+      service, Account{.tokens = options_.burst, .share = options_.share});
+  return entry->second;
+}
+
+Backoff::Backoff(BackoffOptions options, uint64_t seed)
+    : options_(options), random_(seed) {}
+
+Duration Backoff::Next() {
+  const double grown = static_cast<double>(options_.initial.count()) *
+                       std::pow(options_.factor, steps_);
+  const double bounded =
+      std::min(grown, static_cast<double>(options_.maximum.count()));
+  if (grown < static_cast<double>(options_.maximum.count())) {
+    ++steps_;
+  }
+  std::uniform_real_distribution<double> share(1 - options_.jitter, 1);
+  return Duration(static_cast<int64_t>(bounded * share(random_)));
+}
+
+void Backoff::Reset() { steps_ = 0; }
+
+bool FitsDeadline(Time now, Duration delay, Duration expected,
+                  std::optional<Time> deadline) {
+  return !deadline.has_value() || now + delay + expected <= *deadline;
+}
+
+bool HedgeIsDue(const HedgeOptions& options, const HedgeQuestion& question) {
+  if (!question.allowed || question.first_token_seen) {
+    return false;
+  }
+  if (question.output_tokens > options.max_output_tokens) {
+    return false;
+  }
+  const auto late = std::chrono::duration_cast<Duration>(
+      question.expected_first_token * options.lateness);
+  return question.waited >= std::max(options.minimum_wait, late);
+}
+
+}  // namespace oleander
