--- a/include/oleander/audit.h
+++ b/include/oleander/audit.h
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "absl/status/statusor.h"
+#include "oleander/store.h"
 #include "oleander/types.h"
 
 namespace oleander {
@@ -47,7 +48,7 @@
   int64_t to_revision = 0;    // Filled in from the key that holds the record.
   bool deleted = false;
   AuditOutcome outcome = AuditOutcome::kAccepted;
-  std::vector<AuditDifference> differences;
+  std::vector<AuditDifference> differences = {};
   bool shortened = false;  // Some differences were left out for size.
 
   bool operator==(const AuditRecord&) const = default;
@@ -63,9 +64,16 @@
 
 std::string AuditKey(const ProfileName& profile, int64_t version);
 std::string AuditPrefix(const ProfileName& profile);
+// Where an edit that was refused is noted; a small ring of its own.
+std::string RefusedAuditKey(const ProfileName& profile,
+                            std::string_view edit_id);
 std::string EncodeAuditRecord(const AuditRecord& record);
 absl::StatusOr<AuditRecord> DecodeAuditRecord(std::string_view text);
 
+// The records among what a read of AuditPrefix() gave, oldest first. Entries
+// that are no records are left out.
+std::vector<AuditRecord> AuditRecordsOf(const std::vector<StoreEntry>& entries);
+
 }  // namespace oleander
 
 #endif  // OLEANDER_AUDIT_H_
--- a/include/oleander/profiles.h
+++ b/include/oleander/profiles.h
@@ -14,15 +14,12 @@
 #define OLEANDER_PROFILES_H_
 
 #include <cstdint>
-#include <deque>
-#include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <variant>
 #include <vector>
 
-#include "absl/container/flat_hash_map.h"
-#include "absl/random/random.h"
 #include "absl/status/status.h"
 #include "absl/status/statusor.h"
 #include "oleander/audit.h"
@@ -77,8 +74,8 @@
   DomainId domain;
   int in_force = 0;
   int members = 0;  // Live ones, as the answering instance knows.
-  std::vector<InstanceId> behind;  // Live, but not known to have it.
-  bool reached = false;            // Some instance of the domain answered.
+  std::vector<InstanceId> behind = {};  // Live, but not known to have it.
+  bool reached = false;                 // Some instance of the domain answered.
 
   bool operator==(const DomainInForce&) const = default;
 };
@@ -95,11 +92,11 @@
 
 struct ProfileMessage {
   ProfileMessageKind kind = ProfileMessageKind::kAnnounce;
-  ProfileDigest digest;
-  std::vector<ProfileHave> have;
-  std::vector<ProfileRevision> revisions;
-  ProfileHave query;
-  DomainInForce domain;
+  ProfileDigest digest = {};
+  std::vector<ProfileHave> have = {};
+  std::vector<ProfileRevision> revisions = {};
+  ProfileHave query = {};
+  DomainInForce domain = {};
 
   bool operator==(const ProfileMessage&) const = default;
 };
@@ -118,18 +115,25 @@
 };
 
 struct ProfileOptions {
+  // Its mod_revision is that of the last change of any profile.
+  std::string head_key = "/oleander/profile-head";
   std::string prefix = "/oleander/profiles/";
   int watchers_per_domain = 2;
-  Duration poll = std::chrono::seconds(60);  // When all is well.
-  Duration isolated_poll =
-      std::chrono::seconds(3);  // Of a watcher whose watch is down.
+  // A failure domain reads everything about once in this, whoever does it.
+  Duration poll = std::chrono::seconds(60);
+  // A watcher reads the head so often, since a watch may go silent unnoticed.
+  Duration head_poll = std::chrono::seconds(4);
+  // Of a watcher whose watch is down, and of an instance that hears nobody.
+  Duration isolated_poll = std::chrono::seconds(3);
   Duration pull_timeout = std::chrono::milliseconds(400);
   Duration edit_timeout = std::chrono::seconds(8);
   Duration in_force_retry = std::chrono::milliseconds(300);
   Duration stale_after = std::chrono::seconds(10);
   size_t max_value_bytes = 256 * 1024;
   size_t push_bytes = 512 * 1024;
-  size_t history = 16;  // Revisions remembered per profile, without documents.
+  // The same news is asked from the same peer again only after this.
+  Duration pull_again = std::chrono::seconds(5);
+  Duration edit_retry = std::chrono::milliseconds(300);
 };
 
 struct SendProfileMessage {
@@ -142,12 +146,14 @@
   int64_t revision = 0;
   std::string edit_id;
 };
-// The answer to an edit. OK: it took effect as `revision`.
+// The answer to an edit. OK: it took effect as `revision`. kStoreAnswerLost: it
+// may have; the same edit id sent again finds out.
 struct EditDone {
   std::string edit_id;
   absl::Status status;
-  int64_t revision = 0;
-  std::string current_document;  // The other side of a conflict.
+  int64_t revision = 0;               // Of a conflict: the one that is there.
+  std::string current_document = {};  // The other side of a conflict.
+  AuditRecord record = {};
 };
 // Progress of WaitInForce(); `done` ends it.
 struct InForceReport {
@@ -177,12 +183,17 @@
   Duration store_age{};  // Since the key-value service was last heard.
   Duration peer_age{};   // Since any peer's digest was heard.
   bool stale = false;    // Neither for longer than stale_after.
+  // Has taken profiles from the service or from a peer since it started.
+  bool ready = false;
 };
 
 class ProfileStore {
  public:
   ProfileStore(InstanceInfo self, const ProfileOptions& options, uint64_t seed,
                Time now);
+  ~ProfileStore();
+  ProfileStore(ProfileStore&&) noexcept;
+  ProfileStore& operator=(ProfileStore&&) noexcept;
 
   // Live members with this instance, and those it exchanges heartbeats with.
   void OnMembers(const std::vector<InstanceInfo>& live,
@@ -218,8 +229,8 @@
   bool watcher() const;
 
  private:
-  InstanceInfo self_;
-  ProfileOptions options_;
+  class Impl;
+  std::unique_ptr<Impl> impl_;
 };
 
 }  // namespace oleander
--- a/src/parts/audit.cc
+++ b/src/parts/audit.cc
@@ -12,6 +12,7 @@
 
 #include "oleander/field_reader.h"
 #include "oleander/result_code.h"
+#include "parts/rings.h"
 
 namespace oleander {
 namespace {
@@ -23,6 +24,7 @@
 // What a record needs beside its differences, at most, in bytes.
 constexpr size_t kFixedBytes = 2048;
 constexpr size_t kLongestReason = 1000;
+constexpr uint64_t kRefusedSlots = 16;
 
 std::string Dump(const json& value) {
   return value.dump(-1, ' ', false, json::error_handler_t::replace);
@@ -130,6 +132,12 @@
   return fmt::format("{}{:03}", AuditPrefix(profile), version % kAuditSlots);
 }
 
+std::string RefusedAuditKey(const ProfileName& profile,
+                            std::string_view edit_id) {
+  return fmt::format("{}refused-{:02}", AuditPrefix(profile),
+                     parts::StableHash(edit_id, 0) % kRefusedSlots);
+}
+
 std::string EncodeAuditRecord(const AuditRecord& record) {
   json differences = json::array();
   std::ranges::transform(record.differences, std::back_inserter(differences),
@@ -178,4 +186,21 @@
   return record;
 }
 
+std::vector<AuditRecord> AuditRecordsOf(
+    const std::vector<StoreEntry>& entries) {
+  std::vector<AuditRecord> records;
+  for (const StoreEntry& entry : entries) {
+    auto record = DecodeAuditRecord(entry.value);
+    if (!record.ok()) {
+      continue;
+    }
+    if (record->outcome == AuditOutcome::kAccepted) {
+      record->to_revision = entry.mod_revision;
+    }
+    records.push_back(*std::move(record));
+  }
+  std::ranges::sort(records, {}, &AuditRecord::when);
+  return records;
+}
+
 }  // namespace oleander
--- a/src/parts/load_spread.cc
+++ b/src/parts/load_spread.cc
@@ -82,11 +82,7 @@
   }
   server->exact = report;
   server->exact_taken = taken;
-  if (report.leaving) {
-    MarkLeaving(*server, now);
-  } else if (server->leaving && taken - server->leaving_since > kLeavingHolds) {
-    server->leaving = false;
-  }
+  NoteLeaving(*server, report.leaving, taken, now);
   Publish(*server, report, taken);
 }
 
@@ -223,6 +219,22 @@
   }
 }
 
+// Whether a sample that was taken at `taken` says that the server leaves.
+void LoadSpread::Impl::NoteLeaving(Server& server, bool leaving, Time taken,
+                                   Time now) {
+  if (leaving) {
+    MarkLeaving(server, now);
+    return;
+  }
+  if (!server.leaving || taken - server.leaving_since <= kLeavingHolds) {
+    return;
+  }
+  server.leaving = false;
+  for (auto& [id, neighbour] : neighbours_) {
+    neighbour.leaving.erase(server.info.id);
+  }
+}
+
 void LoadSpread::Impl::MarkLeaving(Server& server, Time now) {
   server.leaving_since = now;
   if (!std::exchange(server.leaving, true)) {
@@ -279,7 +291,6 @@
     queued += static_cast<double>(report.queued_tokens);
   }
   summary.taken = now;
-  summary.produced_here = true;
   summary.entry.servers = LevelOf(servers);
   summary.entry.running = LevelOf(running);
   summary.entry.waiting = LevelOf(waiting);
--- a/src/parts/load_spread_impl.h
+++ b/src/parts/load_spread_impl.h
@@ -61,7 +61,6 @@
   struct Summary {
     LoadSummaryEntry entry;
     Time taken = Time::min();
-    bool produced_here = false;
   };
   // What a neighbour is known to have.
   struct Neighbour {
@@ -79,6 +78,7 @@
   void Ask(Server& server, Time now);
   void AskStale(Time now);
   void Publish(Server& server, const LoadReport& report, Time taken);
+  void NoteLeaving(Server& server, bool leaving, Time taken, Time now);
   void MarkLeaving(Server& server, Time now);
   void TakeEntry(Neighbour& from, Server& server, const LoadEntry& entry,
                  Time now);
--- a/src/parts/load_updates.cc
+++ b/src/parts/load_updates.cc
@@ -25,6 +25,7 @@
 
 LoadEntry EntryOf(const LoadReport& report) {
   LoadEntry entry;
+  entry.leaving = report.leaving;
   entry.running = LevelOf(report.running);
   entry.waiting = LevelOf(report.waiting);
   entry.queued_tokens = LevelOf(static_cast<double>(report.queued_tokens));
@@ -121,8 +122,8 @@
   }
   if (entry.leaving) {
     from.leaving.insert(server.info.id);
-    MarkLeaving(server, now);
   }
+  NoteLeaving(server, entry.leaving, taken, now);
   Published& published = server.published;
   if (!IsNewer(taken, published.taken)) {
     return;
@@ -142,7 +143,7 @@
   from.summaries[pool] = std::max(ToldAt(from.summaries, pool), taken);
   Summary& summary = summaries_[pool];
   if (IsNewer(taken, summary.taken)) {
-    summary = {.entry = entry, .taken = taken, .produced_here = false};
+    summary = {.entry = entry, .taken = taken};
   }
 }
 
@@ -180,7 +181,7 @@
     LoadEntry entry = server.published.entry;
     entry.server =
         update.by_position ? static_cast<uint32_t>(i) : parts::HashOf(id);
-    entry.leaving = server.leaving;
+    entry.leaving = entry.leaving || says_leaving;
     const bool known = server.published.taken != Time::min();
     entry.age = known ? now - server.published.taken : options_.fresh_bound;
     const bool traits = known && IsNewer(server.published.traits_taken,
@@ -192,10 +193,8 @@
     if (known) {
       neighbour.taken[id] = server.published.taken;
     }
-    if (server.leaving) {
+    if (entry.leaving) {
       neighbour.leaving.insert(id);
-    } else {
-      neighbour.leaving.erase(id);
     }
     bytes += kEntryBytes + (traits ? kTraitsBytes : 0);
     update.entries.push_back(std::move(entry));
--- /dev/null
+++ b/src/parts/profile_reading.cc
@@ -0,0 +1,141 @@
+// How news of profiles come from the key-value service: a first read, a watch,
+// and slow polls that don't trust the watch.
+#include <algorithm>
+#include <utility>
+
+#include "oleander/result_code.h"
+#include "parts/profiles_impl.h"
+
+namespace oleander {
+
+void ProfileStore::Impl::TickReading(Time now) {
+  if (now >= next_read_) {
+    ReadAll(now);
+  }
+  if (now >= next_head_) {
+    ReadHead(now);
+  }
+}
+
+void ProfileStore::Impl::ReadAll(Time now) {
+  read_call_ = NextCall();
+  ScheduleRead(now);
+  if (watch_ == WatchPhase::kOff && watcher_) {
+    watch_ = WatchPhase::kReading;
+  }
+  actions_.emplace_back(StoreRequest(
+      StoreRange{.call = read_call_, .key = options_.prefix, .prefix = true}));
+}
+
+void ProfileStore::Impl::ReadHead(Time now) {
+  head_call_ = NextCall();
+  next_head_ = now + Jittered(options_.head_poll);
+  actions_.emplace_back(StoreRequest(StoreRange{
+      .call = head_call_, .key = options_.head_key, .prefix = false}));
+}
+
+// All instances of a domain together read everything once per poll interval,
+// however many they are.
+void ProfileStore::Impl::ScheduleRead(Time now) {
+  const bool isolated = freshness(now).stale || !ready_ ||
+                        (watcher_ && watch_ != WatchPhase::kWatching);
+  const auto domain_size =
+      static_cast<int64_t>(LiveIn(self_.place.domain).size());
+  const Duration interval =
+      isolated ? options_.isolated_poll
+               : options_.poll * std::max<int64_t>(1, domain_size);
+  next_read_ = now + Jittered(interval);
+}
+
+void ProfileStore::Impl::OnRange(StoreCall call,
+                                 const absl::StatusOr<StoreRangeAnswer>& answer,
+                                 Time now) {
+  if (answer.ok()) {
+    store_heard_ = now;
+  }
+  if (call == read_call_) {
+    OnReadAll(answer, now);
+  } else if (call == head_call_) {
+    OnReadHead(answer, now);
+  } else if (EditUnderWay* edit = EditOf(call)) {
+    OnEditRead(*edit, answer, now);
+  }
+}
+
+void ProfileStore::Impl::OnReadAll(
+    const absl::StatusOr<StoreRangeAnswer>& answer, Time now) {
+  read_call_ = 0;
+  if (!answer.ok()) {
+    if (watch_ == WatchPhase::kReading) {
+      watch_ = WatchPhase::kOff;
+    }
+    ScheduleRead(now);
+    return;
+  }
+  ready_ = true;
+  for (const StoreEntry& entry : answer->entries) {
+    Apply(RevisionOf(entry), InstanceId());
+  }
+  if (watcher_ && watch_ != WatchPhase::kWatching) {
+    StartWatch(answer->revision + 1);
+    next_head_ = now + Jittered(options_.head_poll);
+  }
+  ScheduleRead(now);
+}
+
+void ProfileStore::Impl::OnReadHead(
+    const absl::StatusOr<StoreRangeAnswer>& answer, Time now) {
+  head_call_ = 0;
+  if (!answer.ok() || answer->entries.empty()) {
+    return;
+  }
+  if (answer->entries.front().mod_revision > digest_.highest) {
+    // The watch has missed a change: read, and watch anew from there.
+    StopWatch();
+    ReadAll(now);
+  }
+}
+
+void ProfileStore::Impl::StartWatch(int64_t from_revision) {
+  watch_ = WatchPhase::kWatching;
+  watch_call_ = NextCall();
+  actions_.emplace_back(
+      StoreRequest(StoreWatch{.call = watch_call_,
+                              .prefix = options_.prefix,
+                              .from_revision = from_revision}));
+}
+
+void ProfileStore::Impl::StopWatch() {
+  if (watch_call_ != 0) {
+    actions_.emplace_back(StoreRequest(StoreCancelWatch{.call = watch_call_}));
+  }
+  watch_call_ = 0;
+  watch_ = WatchPhase::kOff;
+  if (!watcher_) {
+    next_head_ = Time::max();
+  }
+}
+
+void ProfileStore::Impl::OnWatch(StoreCall call,
+                                 const absl::StatusOr<StoreWatchEvents>& events,
+                                 Time now) {
+  if (call != watch_call_ || call == 0) {
+    return;
+  }
+  if (events.ok()) {
+    store_heard_ = now;
+    for (const StoreEntry& entry : events->puts) {
+      Apply(RevisionOf(entry), InstanceId());
+    }
+    return;
+  }
+  watch_call_ = 0;
+  watch_ = WatchPhase::kOff;
+  // Compacted: what was missed is in a read. Else the service is away, and its
+  // return must not meet all watchers at once.
+  const bool compacted =
+      CodeOf(events.status()) == ResultCode::kStoreRevisionCompacted;
+  next_read_ = compacted ? now : now + Jittered(options_.isolated_poll / 2);
+}
+
+}  // namespace oleander
--- /dev/null
+++ b/src/parts/profile_spreading.cc
@@ -0,0 +1,326 @@
+// How profiles travel between instances, and how an operator learns where a
+// revision is in force.
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+#include "parts/profiles_impl.h"
+
+namespace oleander {
+namespace {
+
+constexpr Duration kTallyKept = std::chrono::seconds(5);
+
+bool SameQuery(const ProfileHave& a, const ProfileHave& b) { return a == b; }
+
+}  // namespace
+
+void ProfileStore::Impl::OnDigest(const InstanceId& from,
+                                  const ProfileDigest& digest, Time now) {
+  peer_heard_ = now;
+  if (digest == digest_) {
+    ready_ = ready_ || digest.highest > 0;
+    return;
+  }
+  const bool pulling = now < pull_until_;
+  const auto last = pulled_.find(from);
+  const bool asked_before = last != pulled_.end() &&
+                            last->second.digest == digest &&
+                            now - last->second.when < options_.pull_again;
+  if (!pulling && !asked_before && digest.highest > 0) {
+    Pull(from, digest, now);
+  }
+}
+
+void ProfileStore::Impl::OnMessage(const InstanceId& from,
+                                   const ProfileMessage& message, Time now) {
+  switch (message.kind) {
+    case ProfileMessageKind::kAnnounce:
+      OnDigest(from, message.digest, now);
+      return;
+    case ProfileMessageKind::kPull:
+      OnPull(from, message, now);
+      return;
+    case ProfileMessageKind::kPush:
+      OnPush(from, message);
+      OnDigest(from, message.digest, now);
+      return;
+    case ProfileMessageKind::kInForceQuery:
+      OnInForceQuery(from, message);
+      return;
+    case ProfileMessageKind::kInForceAnswer:
+      OnInForceAnswer(from, message);
+      return;
+    case ProfileMessageKind::kDomainQuery:
+      OnDomainQuery(from, message, now);
+      return;
+    case ProfileMessageKind::kDomainAnswer:
+      OnDomainAnswer(message);
+      return;
+  }
+}
+
+void ProfileStore::Impl::Announce(const InstanceId& except) {
+  for (const InstanceId& neighbour : neighbours_) {
+    if (neighbour != except) {
+      Send(neighbour, {.kind = ProfileMessageKind::kAnnounce});
+    }
+  }
+}
+
+void ProfileStore::Impl::Pull(const InstanceId& from,
+                              const ProfileDigest& digest, Time now) {
+  pulling_from_ = from;
+  pull_until_ = now + options_.pull_timeout;
+  pulled_[from] = {.digest = digest, .when = now};
+  std::erase_if(pulled_, [&](const auto& item) {
+    return now - item.second.when > 2 * options_.pull_again;
+  });
+  Send(from, {.kind = ProfileMessageKind::kPull, .have = HaveList()});
+}
+
+void ProfileStore::Impl::OnPull(const InstanceId& from,
+                                const ProfileMessage& message, Time now) {
+  std::map<ProfileName, int64_t> theirs;
+  for (const ProfileHave& have : message.have) {
+    theirs[have.name] = have.revision;
+  }
+  ProfileMessage push = {.kind = ProfileMessageKind::kPush};
+  size_t bytes = 0;
+  for (const auto& [name, slot] : slots_) {
+    const auto their = theirs.find(name);
+    const bool newer =
+        their == theirs.end() || their->second < slot.revision.revision;
+    if (newer && bytes < options_.push_bytes) {
+      bytes += slot.revision.value.size();
+      push.revisions.push_back(slot.revision);
+    }
+  }
+  Send(from, std::move(push));
+  OnDigest(from, message.digest, now);
+}
+
+void ProfileStore::Impl::OnPush(const InstanceId& from,
+                                const ProfileMessage& message) {
+  if (from == pulling_from_) {
+    pull_until_ = Time{};
+    pulling_from_ = InstanceId();
+  }
+  for (const ProfileRevision& revision : message.revisions) {
+    Apply(revision, from);
+  }
+  // An empty push means that the peer has nothing that we lack.
+  ready_ = ready_ || message.digest.highest > 0;
+  if (!message.revisions.empty()) {
+    // More may follow: a push has a limit.
+    pulled_.erase(from);
+  }
+}
+
+uint64_t ProfileStore::Impl::WaitInForce(const ProfileName& name,
+                                         int64_t revision, Time deadline,
+                                         Time now) {
+  Wait wait;
+  wait.id = ++wait_;
+  wait.query = {.name = name, .revision = revision};
+  wait.deadline = deadline;
+  wait.next_ask = now;
+  waits_.push_back(std::move(wait));
+  TickWaits(now);
+  return wait_;
+}
+
+void ProfileStore::Impl::TickWaits(Time now) {
+  std::erase_if(tallies_,
+                [&](const Tally& tally) { return tally.expires <= now; });
+  std::vector<Wait> open;
+  for (Wait& wait : std::exchange(waits_, {})) {
+    if (now >= wait.next_ask) {
+      AskDomains(wait, now);
+      wait.next_ask = now + options_.in_force_retry;
+    }
+    const bool done = Complete(wait) || now >= wait.deadline;
+    Report(wait, done);
+    if (!done) {
+      open.push_back(std::move(wait));
+    }
+  }
+  std::ranges::move(open, std::back_inserter(waits_));
+}
+
+// Of each other domain one instance, another each time, answers for the rest.
+void ProfileStore::Impl::AskDomains(Wait& wait, Time now) {
+  for (const InstanceInfo& info : live_) {
+    wait.domains.try_emplace(info.place.domain,
+                             DomainInForce{.domain = info.place.domain});
+  }
+  for (auto& [domain, result] : wait.domains) {
+    const bool complete = result.reached && result.in_force == result.members;
+    if (complete) {
+      continue;
+    }
+    if (domain == self_.place.domain) {
+      Tally& tally = TallyFor(wait.query, now);
+      AskDomain(tally, now);
+      result = ResultOf(tally);
+      continue;
+    }
+    const std::vector<InstanceId> members = LiveIn(domain);
+    if (!members.empty()) {
+      const size_t turn = (absl::Uniform<size_t>(gen_, 0, members.size()));
+      Send(members[turn],
+           {.kind = ProfileMessageKind::kDomainQuery, .query = wait.query});
+    }
+  }
+  ++wait.rounds;
+}
+
+bool ProfileStore::Impl::Complete(const Wait& wait) const {
+  return std::ranges::all_of(wait.domains, [](const auto& item) {
+    return item.second.reached && item.second.in_force == item.second.members;
+  });
+}
+
+void ProfileStore::Impl::Report(const Wait& wait, bool done) {
+  InForceReport report = {.wait = wait.id, .done = done, .domains = {}};
+  std::ranges::transform(wait.domains, std::back_inserter(report.domains),
+                         [](const auto& item) { return item.second; });
+  actions_.emplace_back(std::move(report));
+}
+
+ProfileStore::Impl::Tally& ProfileStore::Impl::TallyFor(
+    const ProfileHave& query, Time now) {
+  const auto found = std::ranges::find_if(tallies_, [&](const Tally& tally) {
+    return SameQuery(tally.query, query);
+  });
+  Tally& tally = found != tallies_.end() ? *found : tallies_.emplace_back();
+  tally.query = query;
+  tally.expires = now + kTallyKept;
+  if (InForce(query)) {
+    tally.in_force.insert(self_.id);
+  }
+  return tally;
+}
+
+void ProfileStore::Impl::AskDomain(Tally& tally, Time now) {
+  if (now - tally.asked < options_.in_force_retry) {
+    return;
+  }
+  tally.asked = now;
+  for (const InstanceId& member : LiveIn(self_.place.domain)) {
+    if (member != self_.id && !tally.in_force.contains(member)) {
+      Send(member,
+           {.kind = ProfileMessageKind::kInForceQuery, .query = tally.query});
+    }
+  }
+}
+
+void ProfileStore::Impl::OnInForceQuery(const InstanceId& from,
+                                        const ProfileMessage& message) {
+  const ProfileState* state = Find(message.query.name);
+  Send(from, {.kind = ProfileMessageKind::kInForceAnswer,
+              .have = {{.name = message.query.name,
+                        .revision = state == nullptr ? 0 : state->revision}},
+              .query = message.query});
+}
+
+void ProfileStore::Impl::OnInForceAnswer(const InstanceId& from,
+                                         const ProfileMessage& message) {
+  const auto found = std::ranges::find_if(tallies_, [&](const Tally& tally) {
+    return SameQuery(tally.query, message.query);
+  });
+  const bool counts = found != tallies_.end() && !message.have.empty() &&
+                      message.have.front().revision >= message.query.revision;
+  if (!counts || !found->in_force.insert(from).second) {
+    return;
+  }
+  const DomainInForce result = ResultOf(*found);
+  for (Wait& wait : waits_) {
+    if (SameQuery(wait.query, message.query)) {
+      wait.domains[self_.place.domain] = result;
+    }
+  }
+  if (result.in_force < result.members) {
+    return;
+  }
+  for (const InstanceId& requester : found->requesters) {
+    Send(requester, {.kind = ProfileMessageKind::kDomainAnswer,
+                     .query = message.query,
+                     .domain = result});
+  }
+  found->requesters.clear();
+}
+
+void ProfileStore::Impl::OnDomainQuery(const InstanceId& from,
+                                       const ProfileMessage& message,
+                                       Time now) {
+  Tally& tally = TallyFor(message.query, now);
+  AskDomain(tally, now);
+  const DomainInForce result = ResultOf(tally);
+  if (result.in_force < result.members) {
+    tally.requesters.insert(from);
+  }
+  Send(from, {.kind = ProfileMessageKind::kDomainAnswer,
+              .query = message.query,
+              .domain = result});
+}
+
+void ProfileStore::Impl::OnDomainAnswer(const ProfileMessage& message) {
+  for (Wait& wait : waits_) {
+    if (!SameQuery(wait.query, message.query)) {
+      continue;
+    }
+    DomainInForce& known = wait.domains[message.domain.domain];
+    if (!known.reached || message.domain.in_force >= known.in_force) {
+      known = message.domain;
+      known.reached = true;
+    }
+  }
+}
+
+DomainInForce ProfileStore::Impl::ResultOf(const Tally& tally) const {
+  DomainInForce result;
+  result.domain = self_.place.domain;
+  result.reached = true;
+  for (const InstanceId& member : LiveIn(self_.place.domain)) {
+    ++result.members;
+    if (tally.in_force.contains(member)) {
+      ++result.in_force;
+    } else {
+      result.behind.push_back(member);
+    }
+  }
+  return result;
+}
+
+bool ProfileStore::Impl::InForce(const ProfileHave& query) const {
+  const ProfileState* state = Find(query.name);
+  return state != nullptr && state->revision >= query.revision;
+}
+
+std::vector<ProfileHave> ProfileStore::Impl::HaveList() const {
+  std::vector<ProfileHave> have;
+  for (const auto& [name, slot] : slots_) {
+    have.push_back({.name = name, .revision = slot.revision.revision});
+  }
+  return have;
+}
+
+void ProfileStore::Impl::Send(const InstanceId& to, ProfileMessage message) {
+  message.digest = digest_;
+  actions_.emplace_back(
+      SendProfileMessage{.to = to, .message = std::move(message)});
+}
+
+std::vector<InstanceId> ProfileStore::Impl::LiveIn(
+    const DomainId& domain) const {
+  std::vector<InstanceId> ids;
+  for (const InstanceInfo& info : live_) {
+    if (info.place.domain == domain) {
+      ids.push_back(info.id);
+    }
+  }
+  return ids;
+}
+
+}  // namespace oleander
