--- /dev/null
+++ b/src/io/load_codec.h
@@ -0,0 +1,27 @@
+// LoadUpdate to and from its wire form.
+//
+// An entry is packed into a few bytes, in order of server:
+//
+//   varint   difference to the server number before
+//   1 byte   age in steps of 200 ms (6 bits), leaving (bit 6), traits (bit 7)
+//   3 bytes  levels: running, waiting, queued tokens
+//   with traits: 5 bytes of levels and a varint version
+//
+// A summary is a varint difference of pools, one byte of age in steps of
+// 200 ms, and five bytes of levels.
+#ifndef OLEANDER_IO_LOAD_CODEC_H_
+#define OLEANDER_IO_LOAD_CODEC_H_
+
+#include "absl/status/statusor.h"
+#include "load.pb.h"
+#include "oleander/load_spread.h"
+
+namespace oleander::io {
+
+mesh::LoadMessage EncodeLoad(const LoadUpdate& update);
+// kMeshBadFrame where the packed bytes are truncated or run over.
+absl::StatusOr<LoadUpdate> DecodeLoad(const mesh::LoadMessage& message);
+
+}  // namespace oleander::io
+
+#endif  // OLEANDER_IO_LOAD_CODEC_H_
