--- /dev/null
+++ b/src/io/ledger_codec.cc
@@ -0,0 +1,72 @@
+#include "io/ledger_codec.h"
+
+#include <fmt/format.h>
+
+#include "oleander/result_code.h"
+
+namespace oleander::io {
+namespace {
+
+constexpr auto kLastState = static_cast<uint32_t>(AttemptState::kNotKnown);
+
+absl::Status BadFrame(std::string_view field) {
+  return MakeError(
+      ResultCode::kMeshBadFrame,
+      fmt::format("Ledger message: {} is missing or out of range.", field));
+}
+
+}  // namespace
+
+mesh::LedgerMessage EncodeLedgerMessage(const LedgerMessage& message) {
+  mesh::LedgerMessage frame;
+  if (const auto* ask = std::get_if<LedgerAsk>(&message)) {
+    frame.mutable_ask()->set_store_key(ask->store_key);
+    frame.mutable_ask()->set_attempt(ask->attempt);
+    return frame;
+  }
+  const auto& tell = std::get<LedgerTell>(message);
+  mesh::LedgerTell& out = *frame.mutable_tell();
+  out.set_store_key(tell.store_key);
+  out.set_attempt(tell.attempt);
+  out.set_state(static_cast<uint32_t>(tell.state));
+  if (tell.answer.has_value()) {
+    mesh::LedgerAnswer& answer = *out.mutable_answer();
+    answer.set_http_status(tell.answer->http_status);
+    answer.set_content_type(tell.answer->content_type);
+    answer.set_body(tell.answer->body);
+  }
+  return frame;
+}
+
+absl::StatusOr<LedgerMessage> DecodeLedgerMessage(
+    const mesh::LedgerMessage& frame) {
+  if (frame.has_ask()) {
+    if (frame.ask().store_key().empty() || frame.ask().attempt().empty()) {
+      return BadFrame("ask.store_key or ask.attempt");
+    }
+    return LedgerAsk{.store_key = frame.ask().store_key(),
+                     .attempt = frame.ask().attempt()};
+  }
+  if (!frame.has_tell()) {
+    return BadFrame("body");
+  }
+  const mesh::LedgerTell& in = frame.tell();
+  if (in.store_key().empty() || in.attempt().empty()) {
+    return BadFrame("tell.store_key or tell.attempt");
+  }
+  if (in.state() > kLastState) {
+    return BadFrame("tell.state");
+  }
+  LedgerTell tell{.store_key = in.store_key(),
+                  .attempt = in.attempt(),
+                  .state = static_cast<AttemptState>(in.state()),
+                  .answer = std::nullopt};
+  if (in.has_answer()) {
+    tell.answer = StoredAnswer{.http_status = in.answer().http_status(),
+                               .content_type = in.answer().content_type(),
+                               .body = in.answer().body()};
+  }
+  return tell;
+}
+
+}  // namespace oleander::io
