--- a/include/oleander/request_messages.h
+++ b/include/oleander/request_messages.h
@@ -131,17 +131,26 @@
   uint64_t follower = 0;
 };
 
+// Sent now and then to every instance that shares a request with the sender;
+// the answer shows whether that is still the same process.
+struct Beacon {};
+struct BeaconAnswer {};
+
 using RequestMessageBody =
     std::variant<HoldRequest, HoldAnswer, Progress, ProgressAnswer, Promote,
                  Adopted, Release, NotHeld, ReplicaLeaving, FollowRequest,
-                 FollowEvents, FollowElsewhere, StopFollowing>;
+                 FollowEvents, FollowElsewhere, StopFollowing, Beacon,
+                 BeaconAnswer>;
 
 struct RequestMessage {
-  RequestId id;
+  RequestId id;         // Empty in beacons.
   Ownership ownership;  // As the sender knows it.
   // Which of the home's replicas in turn this is about; tells a late answer or
   // Release from the present one.
   uint64_t link = 0;
+  // Differs between two runs of the sender's process: one that was restarted
+  // holds nothing any more.
+  uint64_t run = 0;
   RequestMessageBody body;
 };
 
--- a/include/oleander/requests.h
+++ b/include/oleander/requests.h
@@ -63,8 +63,11 @@
   Duration hold_timeout = std::chrono::milliseconds(150);
   int hold_attempts = 3;  // Before a request is refused.
   Duration resend = std::chrono::milliseconds(200);
-  // A replica that hears nothing for so long asks its home.
-  Duration replica_check = std::chrono::seconds(5);
+  // A replica that hears nothing for so long asks its home whether its copy is
+  // still wanted.
+  Duration replica_check = std::chrono::seconds(30);
+  // Instances that share requests make sure of each other so often.
+  Duration beacon = std::chrono::seconds(5);
   // A follower on another instance asks again every so often, and is dropped
   // when it was silent for so long.
   Duration follow_refresh = std::chrono::milliseconds(500);
--- a/src/io/request_codec.cc
+++ b/src/io/request_codec.cc
@@ -204,6 +204,13 @@
   frame.mutable_stop_following()->set_follower(body.follower);
 }
 
+void Put(const Beacon& /*body*/, mesh::RequestMessage& frame) {
+  frame.mutable_beacon();
+}
+void Put(const BeaconAnswer& /*body*/, mesh::RequestMessage& frame) {
+  frame.mutable_beacon_answer();
+}
+
 template <typename Body, typename Frame>
 Body TakeTail(const Frame& frame, Checks& checks) {
   constexpr uint64_t kMaxIndex = std::numeric_limits<int64_t>::max();
@@ -264,6 +271,10 @@
           .gone = frame.follow_elsewhere().gone()};
     case mesh::RequestMessage::kStopFollowing:
       return StopFollowing{.follower = frame.stop_following().follower()};
+    case mesh::RequestMessage::kBeacon:
+      return Beacon{};
+    case mesh::RequestMessage::kBeaconAnswer:
+      return BeaconAnswer{};
     case mesh::RequestMessage::BODY_NOT_SET:
       break;
   }
@@ -279,6 +290,7 @@
   frame.mutable_ownership()->set_epoch(message.ownership.epoch);
   frame.mutable_ownership()->set_home(message.ownership.home.value());
   frame.set_link(message.link);
+  frame.set_run(message.run);
   std::visit([&](const auto& body) { Put(body, frame); }, message.body);
   return frame;
 }
@@ -286,12 +298,15 @@
 absl::StatusOr<RequestMessage> DecodeRequestMessage(
     const mesh::RequestMessage& frame) {
   Checks checks;
-  checks.Require(!frame.id().empty(), "id");
+  checks.Require(
+      !frame.id().empty() || frame.has_beacon() || frame.has_beacon_answer(),
+      "id");
   RequestMessage message{
       .id = RequestId(frame.id()),
       .ownership = {.epoch = frame.ownership().epoch(),
                     .home = InstanceId(frame.ownership().home())},
       .link = frame.link(),
+      .run = frame.run(),
       .body = TakeBody(frame, checks)};
   if (!checks.status().ok()) {
     return checks.status();
--- a/src/parts/requests.cc
+++ b/src/parts/requests.cc
@@ -10,10 +10,17 @@
 #include "parts/requests_impl.h"
 
 namespace oleander {
+namespace {
+
+// Of one peer; more restarts than this don't fit into a message's lifetime.
+constexpr size_t kMaxPastRuns = 8;
+
+}  // namespace
 
 RequestTable::Impl::Impl(RequestTableOptions options, uint64_t seed)
     : options_(std::move(options)),
       random_(seed),
+      run_(random_()),
       relays_(options_, random_()) {}
 
 void RequestTable::Impl::SetPeers(Time now, std::span<const PeerView> peers) {
@@ -24,11 +31,7 @@
     }
   }
   peers_ = std::move(next);
-  std::vector<RequestId> ids;
-  for (const auto& [id, request] : records_) {
-    ids.push_back(id);
-  }
-  for (const RequestId& id : ids) {
+  for (const RequestId& id : AllIds()) {
     if (HeldRequest* request = Find(id)) {
       OnPeerChange(now, *request);
     }
@@ -229,6 +232,9 @@
   }
   Count(request);
   Reschedule(request);
+  if (!beacon_due_.has_value()) {
+    beacon_due_ = now + options_.timing.beacon;
+  }
 }
 
 void RequestTable::Impl::Reschedule(HeldRequest& request) {
@@ -258,6 +264,9 @@
       OnDue(now, *request);
     }
   }
+  if (beacon_due_.has_value() && *beacon_due_ <= now) {
+    SendBeacons(now);
+  }
   relays_.Tick(now);
   if (handover_) {
     relays_.MoveAll();
@@ -277,7 +286,9 @@
     return;
   }
   if (request.role == RequestRole::kReplica) {
-    if (passed(request.check_at)) {
+    if (passed(request.check_at) && request.ended() && !draining_) {
+      request.check_at.reset();  // It is dropped in time without a question.
+    } else if (passed(request.check_at)) {
       AskHome(now, request);
     }
     Settle(now, request);
@@ -321,6 +332,9 @@
 
 std::optional<Time> RequestTable::Impl::next_due() const {
   std::optional<Time> due = relays_.next_due();
+  if (beacon_due_.has_value() && (!due.has_value() || *beacon_due_ < *due)) {
+    due = beacon_due_;
+  }
   if (!queue_.empty() && (!due.has_value() || queue_.begin()->first < *due)) {
     due = queue_.begin()->first;
   }
@@ -329,26 +343,108 @@
 
 std::vector<RequestAction> RequestTable::Impl::TakeActions() {
   std::ranges::move(relays_.TakeActions(), std::back_inserter(actions_));
+  for (RequestAction& action : actions_) {
+    if (auto* send = std::get_if<SendRequestMessage>(&action)) {
+      send->message.run = run_;
+    }
+  }
   return std::exchange(actions_, {});
 }
 
 void RequestTable::Impl::OnMessage(Time now, const InstanceId& from,
                                    const RequestMessage& message) {
+  if (!NoteRun(now, from, message.run)) {
+    return;
+  }
   std::visit([&](const auto& body) { On(now, from, message, body); },
              message.body);
 }
 
+bool RequestTable::Impl::NoteRun(Time now, const InstanceId& from,
+                                 uint64_t run) {
+  PeerRun& known = peer_runs_[from];
+  if (known.present == run) {
+    return true;
+  }
+  if (std::ranges::find(known.past, run) != known.past.end()) {
+    return false;
+  }
+  const uint64_t before = std::exchange(known.present, run);
+  if (before != 0) {
+    known.past.push_back(before);
+    if (known.past.size() > kMaxPastRuns) {
+      known.past.pop_front();
+    }
+    OnPeerRestart(now, from);
+  }
+  return true;
+}
+
+void RequestTable::Impl::OnPeerRestart(Time now, const InstanceId& peer) {
+  for (const RequestId& id : AllIds()) {
+    HeldRequest* request = Find(id);
+    if (request == nullptr) {
+      continue;
+    }
+    if (request->role == RequestRole::kReplica) {
+      if (request->ownership.home == peer) {
+        ++counts_.adopted_on_loss;
+        Adopt(now, *request);
+      }
+      continue;
+    }
+    if (request->replica.id == peer) {
+      LoseReplica(now, *request);
+      if (Find(id) == request) {
+        Settle(now, *request);
+      }
+    }
+  }
+}
+
+void RequestTable::Impl::SendBeacons(Time now) {
+  std::set<InstanceId> sharers;
+  for (const auto& [id, request] : records_) {
+    sharers.insert(request->role == RequestRole::kHome
+                       ? request->replica.id
+                       : request->ownership.home);
+  }
+  sharers.erase(InstanceId());
+  for (const InstanceId& sharer : sharers) {
+    SendAbout(sharer, {}, {}, 0, Beacon{});
+  }
+  beacon_due_.reset();
+  if (!records_.empty()) {
+    beacon_due_ = now + options_.timing.beacon;
+  }
+}
+
+void RequestTable::Impl::On(Time /*now*/, const InstanceId& from,
+                            const RequestMessage& /*message*/,
+                            const Beacon& /*beacon*/) {
+  SendAbout(from, {}, {}, 0, BeaconAnswer{});
+}
+
+void RequestTable::Impl::On(Time /*now*/, const InstanceId& /*from*/,
+                            const RequestMessage& /*message*/,
+                            const BeaconAnswer& /*answer*/) {}
+
+std::vector<RequestId> RequestTable::Impl::AllIds() const {
+  std::vector<RequestId> ids;
+  ids.reserve(records_.size());
+  for (const auto& [id, request] : records_) {
+    ids.push_back(id);
+  }
+  return ids;
+}
+
 void RequestTable::Impl::Drain(Time now, bool handover) {
   draining_ = true;
   handover_ = handover_ || handover;
   if (handover_) {
     relays_.MoveAll();
   }
-  std::vector<RequestId> ids;
-  for (const auto& [id, request] : records_) {
-    ids.push_back(id);
-  }
-  for (const RequestId& id : ids) {
+  for (const RequestId& id : AllIds()) {
     HeldRequest* request = Find(id);
     if (request == nullptr) {
       continue;
--- a/src/parts/requests_impl.h
+++ b/src/parts/requests_impl.h
@@ -81,6 +81,16 @@
   void Reschedule(HeldRequest& request);
   void OnDue(Time now, HeldRequest& request);
   void OnPeerChange(Time now, HeldRequest& request);
+  void SendBeacons(Time now);
+  // Whether `run` is the present run of `from`; one that was restarted lost
+  // what it held.
+  bool NoteRun(Time now, const InstanceId& from, uint64_t run);
+  void OnPeerRestart(Time now, const InstanceId& peer);
+  std::vector<RequestId> AllIds() const;
+  void On(Time now, const InstanceId& from, const RequestMessage& message,
+          const Beacon& beacon);
+  void On(Time now, const InstanceId& from, const RequestMessage& message,
+          const BeaconAnswer& answer);
   bool IsUsable(const InstanceId& id) const;
   void Send(const InstanceId& to, const HeldRequest& request,
             RequestMessageBody body);
@@ -176,7 +186,14 @@
 
   RequestTableOptions options_;
   std::mt19937_64 random_;
+  uint64_t run_;
   std::map<InstanceId, PeerView> peers_;
+  struct PeerRun {
+    uint64_t present = 0;
+    std::deque<uint64_t> past;  // Late messages of these are dropped.
+  };
+  std::map<InstanceId, PeerRun> peer_runs_;
+  std::optional<Time> beacon_due_;
   Records records_;
   std::set<std::pair<Time, RequestId>> queue_;
   std::map<RequestId, Remembered> remembered_;
--- /dev/null
+++ b/test/support/virtual_time.h
@@ -0,0 +1,77 @@
+// A queue of events in virtual time, for tests that join several copies of a
+// part.
+#ifndef OLEANDER_TEST_SUPPORT_VIRTUAL_TIME_H_
+#define OLEANDER_TEST_SUPPORT_VIRTUAL_TIME_H_
+
+#include <cstdint>
+#include <cstdlib>
+#include <functional>
+#include <map>
+#include <random>
+#include <string>
+#include <utility>
+
+#include "oleander/types.h"
+
+namespace oleander::test {
+
+class VirtualTime {
+ public:
+  Time now() const { return now_; }
+
+  void At(Time time, std::function<void()> event) {
+    events_.emplace(std::max(time, now_), std::move(event));
+  }
+  void After(Duration delay, std::function<void()> event) {
+    At(now_ + delay, std::move(event));
+  }
+
+  // Runs every event up to `end`; returns how many.
+  uint64_t RunUntil(Time end) {
+    uint64_t count = 0;
+    while (!events_.empty() && events_.begin()->first <= end) {
+      now_ = events_.begin()->first;
+      const std::function<void()> event = std::move(events_.begin()->second);
+      events_.erase(events_.begin());
+      event();
+      ++count;
+    }
+    now_ = end;
+    return count;
+  }
+
+ private:
+  Time now_{};
+  std::multimap<Time, std::function<void()>> events_;
+};
+
+// Draws that are the same on every run with the same seed.
+class Draw {
+ public:
+  explicit Draw(uint64_t seed) : random_(seed) {}
+
+  uint64_t Below(uint64_t bound) { return random_() % bound; }
+  bool Chance(double probability) {
+    constexpr double kScale = 1e9;
+    return static_cast<double>(Below(static_cast<uint64_t>(kScale))) <
+           probability * kScale;
+  }
+  Duration Between(Duration low, Duration high) {
+    return low + Duration(static_cast<int64_t>(
+                     Below(static_cast<uint64_t>((high - low).count()) + 1)));
+  }
+  uint64_t Seed() { return random_(); }
+
+ private:
+  std::mt19937_64 random_;
+};
+
+// Reads a number from the environment, for long randomised runs.
+inline uint64_t FromEnvironment(const char* name, uint64_t fallback) {
+  const char* text = std::getenv(name);
+  return text == nullptr ? fallback : std::strtoull(text, nullptr, 10);
+}
+
+}  // namespace oleander::test
+
+#endif  // OLEANDER_TEST_SUPPORT_VIRTUAL_TIME_H_
