--- a/include/oleander/prefix_index.h
+++ b/include/oleander/prefix_index.h
@@ -2,9 +2,9 @@
 //
 // A model engine keeps the prefill of earlier prompts in blocks of 64 words and
 // reuses the blocks that a new prompt starts with. The index learns from the
-// engines' cache events, which come late and with gaps, from this instance's
-// own dispatches, and from the cached tokens that answers report. Its memory is
-// bounded, and an entry that nothing confirms ages out.
+// engines' cache events, which come late and with gaps, and from this
+// instance's own dispatches. Its memory is bounded, and an entry that nothing
+// confirms ages out.
 #ifndef OLEANDER_PREFIX_INDEX_H_
 #define OLEANDER_PREFIX_INDEX_H_
 
@@ -48,9 +48,6 @@
 struct PrefixIndexOptions {
   size_t max_entries = 100'000;  // Pairs of block and server.
   Duration max_age = std::chrono::minutes(10);
-  // After a gap in a server's events, what was known before it counts for no
-  // longer than this: the lost events may have been evictions.
-  Duration doubt_age = std::chrono::seconds(30);
 };
 
 // How many blocks of a prompt a server is believed to hold.
@@ -79,12 +76,6 @@
   // A prompt went to `server`, which will hold its blocks soon.
   void OnDispatched(Time now, ServerSlot server,
                     std::span<const BlockHash> blocks);
-  // The server's answer said that it found `cached_blocks` of the prompt in its
-  // cache, at the time of the dispatch; `expected` were believed to be there.
-  // The prompt is in the cache by now, so this drops nothing of it, but where
-  // blocks were missing the server's older entries fall under doubt.
-  void OnMeasured(Time now, ServerSlot server, int cached_blocks,
-                  int expected_blocks);
   // Forgets a server that is gone.
   void RemoveServer(ServerSlot server);
 
@@ -110,12 +101,6 @@
   };
   // The servers that stored a block last; a slot that is kNoServer is free.
   using Holders = std::array<ServerSlot, kHoldersPerBlock>;
-  struct ServerState {
-    uint64_t next_sequence = 0;
-    uint32_t doubt_before = 0;  // Entries with earlier stamps age sooner.
-    uint32_t doubt_from = 0;    // When the doubt arose.
-  };
-
   bool Holds(uint32_t now, ServerSlot server, BlockHash block) const;
   bool Fresh(uint32_t now, const Entry& entry) const;
   int LongestHeldByAny(uint32_t now, std::span<const BlockHash> blocks) const;
@@ -124,7 +109,6 @@
   void Erase(ServerSlot server, BlockHash block);
   void EraseAt(uint32_t position);
   void EvictOne(uint32_t now);
-  void Doubt(uint32_t now, ServerSlot server);
   uint64_t NextRandom();
 
   PrefixIndexOptions options_;
@@ -133,7 +117,7 @@
   std::vector<Entry> entries_;
   absl::flat_hash_map<uint64_t, uint32_t> positions_;  // By block and server.
   absl::flat_hash_map<BlockHash, Holders> holders_;
-  absl::flat_hash_map<ServerSlot, ServerState> servers_;
+  absl::flat_hash_map<ServerSlot, uint64_t> next_sequences_;
 };
 
 }  // namespace oleander
--- a/include/oleander/routing.h
+++ b/include/oleander/routing.h
@@ -59,6 +59,7 @@
   int64_t prompt_tokens = 0;
   int64_t max_tokens = 0;
   int64_t bytes = 0;  // That would cross the link: body and expected answer.
+  Duration first_token_target = std::chrono::milliseconds(1500);
   Priority priority = Priority::kStandard;
   MeasureWeights weights;
   bool reads_own_writes = false;
@@ -93,7 +94,6 @@
 struct EndedCall {
   CallOutcome outcome = CallOutcome::kAnswered;
   int64_t tokens = 0;
-  int64_t measured_cached_tokens = -1;  // As `usage` said; -1 where unknown.
 };
 
 struct RoutingOptions {
@@ -106,6 +106,11 @@
   // Seconds of expected wait that a token's worth of prefill counts for, per
   // unit of the profile's weight for recomputed tokens.
   double recompute_factor = 1;
+  // What the prefill that a new prompt pushes out of a cache counts for, where
+  // the server's cache changes at the pool's mean pace.
+  double eviction_factor = 1;
+  // What a full batch counts for: each answer in it is slower.
+  Duration crowding = std::chrono::milliseconds(100);
   // How often a reclaimable server goes, and how long a token takes: a long
   // answer on a reclaimable server may have to be computed again.
   double reclaims_per_hour = 0.2;
@@ -170,6 +175,7 @@
   size_t memory_bytes() const;
 
  private:
+  struct Fading;
   struct Server;
   struct Pool;
   struct Candidate;
--- a/src/parts/prefix_index.cc
+++ b/src/parts/prefix_index.cc
@@ -101,11 +101,10 @@
                            std::span<const CacheEvent> events) {
   const uint32_t tick = TickOf(now);
   for (const CacheEvent& event : events) {
-    uint64_t& next = servers_[server].next_sequence;
+    uint64_t& next = next_sequences_[server];
     if (event.sequence < next) continue;
     if (next != 0 && event.sequence > next) {
       ++gaps_;
-      Doubt(tick, server);
     }
     next = event.sequence + 1;
     if (event.kind == CacheEventKind::kStored) {
@@ -122,13 +121,8 @@
   for (const BlockHash block : blocks) Store(tick, server, block);
 }
 
-void PrefixIndex::OnMeasured(Time now, ServerSlot server, int cached_blocks,
-                             int expected_blocks) {
-  if (cached_blocks < expected_blocks) Doubt(TickOf(now), server);
-}
-
 void PrefixIndex::RemoveServer(ServerSlot server) {
-  servers_.erase(server);
+  next_sequences_.erase(server);
   for (size_t i = entries_.size(); i-- > 0;) {
     if (entries_[i].server == server) EraseAt(static_cast<uint32_t>(i));
   }
@@ -176,7 +170,8 @@
   return entries_.capacity() * sizeof(Entry) +
          positions_.capacity() * (sizeof(std::pair<uint64_t, uint32_t>) + 1) +
          holders_.capacity() * (sizeof(std::pair<BlockHash, Holders>) + 1) +
-         servers_.capacity() * (sizeof(std::pair<ServerSlot, ServerState>) + 1);
+         next_sequences_.capacity() *
+             (sizeof(std::pair<ServerSlot, uint64_t>) + 1);
 }
 
 bool PrefixIndex::Holds(uint32_t now, ServerSlot server,
@@ -186,12 +181,7 @@
 }
 
 bool PrefixIndex::Fresh(uint32_t now, const Entry& entry) const {
-  if (now - entry.stamp > TicksIn(options_.max_age)) return false;
-  const auto state = servers_.find(entry.server);
-  if (state == servers_.end() || entry.stamp >= state->second.doubt_before) {
-    return true;
-  }
-  return now - state->second.doubt_from <= TicksIn(options_.doubt_age);
+  return now - entry.stamp <= TicksIn(options_.max_age);
 }
 
 int PrefixIndex::LongestHeldByAny(uint32_t now,
@@ -271,17 +261,6 @@
   EraseAt(oldest);
 }
 
-void PrefixIndex::Doubt(uint32_t now, ServerSlot server) {
-  ServerState& state = servers_[server];
-  // A doubt that has not run out yet keeps its start, so that a steady trickle
-  // of gaps does not put it off for ever.
-  const bool running = state.doubt_before != 0 &&
-                       now - state.doubt_from <= TicksIn(options_.doubt_age);
-  if (running) return;
-  state.doubt_before = now;
-  state.doubt_from = now;
-}
-
 uint64_t PrefixIndex::NextRandom() {
   // SplitMix64.
   random_state_ += 0x9E3779B97F4A7C15ULL;
--- a/src/parts/routing.cc
+++ b/src/parts/routing.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
+#include <cmath>
 #include <limits>
 #include <utility>
 
@@ -20,6 +21,8 @@
 constexpr double kFallbackPrefillRate = 4000;  // Tokens a second.
 constexpr Seconds kFallbackHold{3};
 constexpr Seconds kHour{3600};
+constexpr Seconds kChurnHalfLife{60};
+constexpr Duration kLeastTarget = std::chrono::milliseconds(100);
 constexpr double kHoldWeight = 0.05;  // Of a new sample in the moving average.
 constexpr Duration kComeBackAfter = std::chrono::seconds(1);
 constexpr int kRings = 3;
@@ -36,6 +39,20 @@
 
 }  // namespace
 
+// A sum that forgets: half of it is gone after kChurnHalfLife.
+struct Router::Fading {
+  double sum = 0;
+  Time at{};
+
+  double Value(Time now) const {
+    return sum * std::exp2(-(Seconds(now - at) / kChurnHalfLife));
+  }
+  void Add(Time now, double more) {
+    sum = Value(now) + more;
+    at = now;
+  }
+};
+
 // What this instance knows of one backend server.
 struct Router::Server {
   // A change of the server's load that its last report cannot hold yet.
@@ -54,6 +71,7 @@
   bool reported = false;
   bool leaving = false;
   Time shed_until{};
+  Fading churn;  // Blocks stored in its cache of late.
   int in_flight = 0;
   std::deque<Delta> deltas;  // Own dispatches, first tokens and ends since.
   int delta_calls = 0;
@@ -79,6 +97,7 @@
   std::array<std::vector<ServerSlot>, kRings> rings;
   std::vector<ServerId> servers;
   OutlierDetector outliers;
+  Fading churn;                  // Of all its servers.
   Seconds hold = kFallbackHold;  // How long an answer keeps its batch slot.
 
   explicit Pool(const OutlierOptions& options) : outliers(options) {}
@@ -186,9 +205,13 @@
 
 void Router::OnCacheEvents(Time now, const ServerId& server,
                            std::span<const CacheEvent> events) {
-  if (const Server* known = Find(server)) {
-    prefixes_.OnEvents(now, known->slot, events);
-  }
+  Server* known = Find(server);
+  if (known == nullptr) return;
+  prefixes_.OnEvents(now, known->slot, events);
+  const auto stored = static_cast<double>(
+      std::ranges::count(events, CacheEventKind::kStored, &CacheEvent::kind));
+  known->churn.Add(now, stored);
+  known->pool->churn.Add(now, stored);
 }
 
 void Router::OnDispatched(Time now, const DispatchedCall& call) {
@@ -260,12 +283,6 @@
       flight->has_first_token ? flight->first_token : flight->sent;
   Seconds& hold = server->pool->hold;
   hold += kHoldWeight * (Seconds(now - begin) - hold);
-  if (ended.measured_cached_tokens >= 0) {
-    prefixes_.OnMeasured(
-        now, server->slot,
-        static_cast<int>(ended.measured_cached_tokens / kWordsPerBlock),
-        static_cast<int>(flight->call.cached_tokens / kWordsPerBlock));
-  }
 }
 
 void Router::OnWrite(Time now, const WriteMark& mark) {
@@ -409,7 +426,7 @@
   if (candidate.score < best.score) best = candidate;
 }
 
-Router::Candidate Router::Score(Time /*now*/, const Server& server,
+Router::Candidate Router::Score(Time now, const Server& server,
                                 const RouteQuery& query,
                                 int cached_blocks) const {
   Candidate candidate;
@@ -450,10 +467,25 @@
   const double total = query.weights.cost + query.weights.recomputed_tokens;
   const double recompute_weight =
       total > 0 ? query.weights.recomputed_tokens / total : 0;
+  // A wait costs little while it is short against the target, and more than
+  // itself beyond it.
+  const double pressure =
+      candidate.wait.count() *
+      (candidate.wait / Seconds(std::max(query.first_token_target, kLeastTarget)));
+  // New blocks push out others; where much was stored of late these are young
+  // and likelier to be wanted again.
+  const double pool_churn = server.pool->churn.Value(now);
+  const double relative_churn =
+      pool_churn > 1 ? server.churn.Value(now) / pool_churn *
+                           static_cast<double>(server.pool->servers.size())
+                     : 0;
+  const Seconds eviction = options_.eviction_factor * relative_churn * recompute;
+  const double fill = static_cast<double>(calls) / load.slots;
+  const double crowding = Seconds(options_.crowding).count() * fill * fill;
   candidate.score =
-      (candidate.wait +
-       recompute_weight * (options_.recompute_factor * recompute + exposure))
-          .count();
+      pressure + crowding +
+      (0.5 + recompute_weight) *
+          (options_.recompute_factor * recompute + eviction + exposure).count();
   return candidate;
 }
 
--- /dev/null
+++ b/test/performance/counted_decisions_part_policies.cc
@@ -0,0 +1,257 @@
+// The baselines, and the router under test.
+#include <algorithm>
+
+#include "counted_decisions.h"
+
+namespace oleander::bench {
+namespace {
+
+// What all baselines know: the servers that take work, their last reported
+// load, and this instance's own calls under way.
+class Baseline : public Policy {
+ public:
+  void SetServers(Time, std::span<const ServerInfo> servers) override {
+    std::vector<State> kept;
+    for (const ServerInfo& info : servers) {
+      const auto known = std::ranges::find(servers_, info.id, &State::id);
+      kept.push_back(known == servers_.end() ? State{info.id} : *known);
+    }
+    servers_ = std::move(kept);
+  }
+  void OnLoad(Time, const ServerLoad& load) override {
+    State* server = Find(load.server);
+    if (server == nullptr) return;
+    server->reported = load.running + load.waiting;
+    server->ready = true;
+    server->leaving = server->leaving || load.leaving;
+  }
+  void OnLeaving(Time, const ServerId& id) override {
+    if (State* server = Find(id)) server->leaving = true;
+  }
+  absl::StatusOr<Route> Choose(Time now, const Call& call,
+                               uint64_t draw) override {
+    std::vector<State*> usable;
+    for (State& server : servers_) {
+      if (server.ready && !server.leaving) usable.push_back(&server);
+    }
+    if (usable.empty()) return MakeError(ResultCode::kNoServer, "None.");
+    return Route{.server = Pick(now, call, draw, usable)->id};
+  }
+  void OnDispatched(Time, const Call&, uint64_t attempt,
+                    const Route& route) override {
+    flights_[attempt] = route.server;
+    if (State* server = Find(route.server)) ++server->own;
+  }
+  void OnEnded(Time, uint64_t attempt, bool, int) override {
+    const auto found = flights_.find(attempt);
+    if (found == flights_.end()) return;
+    if (State* server = Find(found->second)) --server->own;
+    flights_.erase(found);
+  }
+
+ protected:
+  struct State {
+    ServerId id;
+    int reported = 0;
+    int own = 0;
+    bool ready = false;
+    bool leaving = false;
+  };
+  virtual State* Pick(Time, const Call&, uint64_t draw,
+                      const std::vector<State*>& usable) = 0;
+  State* Find(const ServerId& id) {
+    const auto found = std::ranges::find(servers_, id, &State::id);
+    return found == servers_.end() ? nullptr : &*found;
+  }
+
+ private:
+  std::vector<State> servers_;
+  absl::flat_hash_map<uint64_t, ServerId> flights_;
+};
+
+class RoundRobin : public Baseline {
+  State* Pick(Time, const Call&, uint64_t,
+              const std::vector<State*>& usable) override {
+    return usable[next_++ % usable.size()];
+  }
+  size_t next_ = 0;
+};
+
+class LeastOutstanding : public Baseline {
+  State* Pick(Time, const Call&, uint64_t draw,
+              const std::vector<State*>& usable) override {
+    std::vector<State*> turned = usable;
+    std::ranges::rotate(turned, turned.begin() + draw % turned.size());
+    return *std::ranges::min_element(turned, {}, &State::own);
+  }
+};
+
+class TwoChoices : public Baseline {
+  State* Pick(Time, const Call&, uint64_t draw,
+              const std::vector<State*>& usable) override {
+    State* first = usable[draw % usable.size()];
+    State* second = usable[(draw >> 32) % usable.size()];
+    const auto load = [](const State* s) { return s->reported + s->own; };
+    return load(second) < load(first) ? second : first;
+  }
+};
+
+// Rendezvous hashing over the prompt's start: of the workspace alone, or with
+// the conversation's first block.
+class PrefixHash : public Baseline {
+ public:
+  explicit PrefixHash(int block) : block_(block) {}
+
+ private:
+  State* Pick(Time, const Call& call, uint64_t,
+              const std::vector<State*>& usable) override {
+    const size_t last = call.blocks.size() - 1;
+    // Status checks and reviews share 8 blocks, chats 24.
+    const size_t at = block_ == 0 ? 0 : std::min<size_t>(
+        call.blocks.size() > 24 && call.blocks.size() < 60 ? 24 : 8, last);
+    return *std::ranges::max_element(usable, {}, [&](const State* server) {
+      uint64_t mixed = std::hash<std::string>{}(server->id.value()) ^
+                       call.blocks[at];
+      mixed = (mixed ^ (mixed >> 30)) * 0xBF58476D1CE4E5B9ULL;
+      return mixed ^ (mixed >> 27);
+    });
+  }
+  int block_;
+};
+
+// The longest prefix by the same index as the router's, else at random.
+class PrefixLongest : public Baseline {
+ public:
+  void OnEvents(Time now, const ServerId& id,
+                std::span<const CacheEvent> events) override {
+    index_.OnEvents(now, SlotOf(id), events);
+  }
+  void OnDispatched(Time now, const Call& call, uint64_t attempt,
+                    const Route& route) override {
+    Baseline::OnDispatched(now, call, attempt, route);
+    index_.OnDispatched(now, SlotOf(route.server), call.blocks);
+  }
+
+ private:
+  State* Pick(Time now, const Call& call, uint64_t draw,
+              const std::vector<State*>& usable) override {
+    State* best = usable[draw % usable.size()];
+    int longest = 0;
+    for (State* server : usable) {
+      const int held =
+          index_.CachedBlocks(now, SlotOf(server->id), call.blocks);
+      if (held > longest) std::tie(longest, best) = std::pair(held, server);
+    }
+    return best;
+  }
+  ServerSlot SlotOf(const ServerId& id) {
+    return slots_.try_emplace(id, slots_.size()).first->second;
+  }
+  PrefixIndex index_{PrefixIndexOptions{}};
+  absl::flat_hash_map<ServerId, ServerSlot> slots_;
+};
+
+// The product's router; `without` names the term that is left out.
+class Ours : public Policy {
+ public:
+  Ours(User user, int instance, uint64_t seed, std::string without)
+      : without_(std::move(without)), router_(Options(instance, seed)) {
+    weights_ = user == User::kTortared ? MeasureWeights{0.7, 0.3}
+                                       : MeasureWeights{0.3, 0.7};
+  }
+  void SetServers(Time now, std::span<const ServerInfo> servers) override {
+    router_.SetServers(now, servers);
+  }
+  void OnLoad(Time now, const ServerLoad& load) override {
+    ServerLoad told = load;
+    if (without_ == "queue") told.running = told.waiting = 0;
+    if (without_ == "queue") told.queued_tokens = 0;
+    if (without_ == "rate") told.prefill_tokens_per_s = Engine::kPrefillRate;
+    router_.OnLoad(now, told);
+  }
+  void OnEvents(Time now, const ServerId& id,
+                std::span<const CacheEvent> events) override {
+    if (without_ != "events") router_.OnCacheEvents(now, id, events);
+  }
+  void OnLeaving(Time now, const ServerId& id) override {
+    router_.OnLeaving(now, id);
+  }
+  absl::StatusOr<Route> Choose(Time now, const Call& call,
+                               uint64_t draw) override {
+    RouteQuery query;
+    query.service = ServiceId("model");
+    if (without_ != "prefix") query.blocks = call.blocks;
+    query.prompt_tokens = call.prompt_tokens;
+    query.max_tokens = call.answer_tokens;
+    query.bytes = Bytes(call);
+    query.weights = weights_;
+    if (!call.interactive) query.first_token_target = std::chrono::seconds(10);
+    query.draw = draw;
+    return router_.Choose(now, query);
+  }
+  void OnDispatched(Time now, const Call& call, uint64_t attempt,
+                    const Route& route) override {
+    router_.OnDispatched(
+        now, {.attempt = attempt, .service = ServiceId("model"),
+              .server = route.server, .blocks = call.blocks,
+              .prompt_tokens = call.prompt_tokens,
+              .cached_tokens = route.cached_tokens,
+              .max_tokens = call.answer_tokens, .bytes = Bytes(call),
+              .expected_first_token = route.expected_first_token});
+    if (without_ == "lag") {
+      router_.OnEnded(now, attempt, {.outcome = CallOutcome::kCancelled});
+    }
+  }
+  void OnFirstToken(Time now, uint64_t attempt) override {
+    router_.OnFirstToken(now, attempt);
+  }
+  void OnEnded(Time now, uint64_t attempt, bool answered, int) override {
+    router_.OnEnded(now, attempt,
+                    {.outcome = answered ? CallOutcome::kAnswered
+                                         : CallOutcome::kCancelled});
+  }
+
+ private:
+  static int64_t Bytes(const Call& call) {
+    return call.prompt_tokens * 6 + call.answer_tokens * 200;
+  }
+  RoutingOptions Options(int instance, uint64_t seed) const {
+    RoutingOptions options;
+    options.place = PlaceOf(instance % kDomains);
+    options.seed = seed;
+    options.reclaims_per_hour = 2;  // The bench's days are short.
+    if (getenv("EF")) options.eviction_factor = atof(getenv("EF"));
+    if (getenv("RF")) options.recompute_factor = atof(getenv("RF"));
+    if (getenv("CR")) options.crowding = std::chrono::milliseconds(atoi(getenv("CR")));
+    if (without_ == "recompute") options.recompute_factor = 0;
+    if (without_ == "exposure") options.reclaims_per_hour = 0;
+    if (without_ == "outliers") options.outliers.slow_factor = 1e9;
+    if (without_ == "spill") options.spill_wait = std::chrono::hours(1);
+    if (without_ == "link") {
+      options.link_delay = options.domain_delay = Duration::zero();
+      options.link_bytes_per_s = options.link_burst_bytes = 1e15;
+    }
+    return options;
+  }
+  std::string without_;
+  Router router_;
+  MeasureWeights weights_;
+};
+
+}  // namespace
+
+std::unique_ptr<Policy> MakePolicy(const std::string& name, User user,
+                                   int instance, uint64_t seed) {
+  if (name == "round robin") return std::make_unique<RoundRobin>();
+  if (name == "least outstanding") return std::make_unique<LeastOutstanding>();
+  if (name == "two choices") return std::make_unique<TwoChoices>();
+  if (name == "prefix workspace") return std::make_unique<PrefixHash>(0);
+  if (name == "prefix conversation") return std::make_unique<PrefixHash>(1);
+  if (name == "prefix longest") return std::make_unique<PrefixLongest>();
+  const size_t dash = name.find('-');
+  return std::make_unique<Ours>(
+      user, instance, seed,
+      dash == std::string::npos ? "" : name.substr(dash + 1));
+}
+
+}  // namespace oleander::bench
