--- a/apps/standins/shared_engine.cc
+++ b/apps/standins/shared_engine.cc
@@ -121,7 +121,7 @@
   attempt.ended_ms = standin_->now_ms();
   open_.erase(attempt.id);
   if (state != AttemptState::kFinished && !attempt.exchange->closed()) {
-    attempt.exchange->Abort();
+    DropConnection(attempt.exchange);
   }
 }
 
--- a/apps/standins/shared_standin.cc
+++ b/apps/standins/shared_standin.cc
@@ -46,6 +46,17 @@
                     body.dump());
 }
 
+void DropConnection(const ExchangePtr& exchange) {
+  if (exchange->closed()) {
+    return;
+  }
+  if (!exchange->begun()) {
+    // Only an answer that has begun can be cut off.
+    exchange->Begin(kOk, {});
+  }
+  exchange->Abort();
+}
+
 std::optional<Json> JsonBodyOf(const ExchangePtr& exchange) {
   const std::string& body = exchange->request().body;
   Json value =
--- a/apps/standins/shared_standin.h
+++ b/apps/standins/shared_standin.h
@@ -43,6 +43,9 @@
 
 void RespondJson(const ExchangePtr& exchange, int status, const Json& body);
 
+// Closes the connection without a whole answer.
+void DropConnection(const ExchangePtr& exchange);
+
 // The body as a JSON object; answers 400 and returns nothing where it is none.
 std::optional<Json> JsonBodyOf(const ExchangePtr& exchange);
 
--- a/apps/standins/standin_desk.cc
+++ b/apps/standins/standin_desk.cc
@@ -145,7 +145,7 @@
   if (restart > 0) {
     restarting_until_ms_ = standin_.now_ms() + restart;
     for (const ExchangePtr& exchange : std::exchange(open_, {})) {
-      exchange->Abort();
+      DropConnection(exchange);
     }
   }
   if (!faults.Flag("leaving")) {
@@ -157,7 +157,7 @@
 
 bool Desk::Intercept(const ExchangePtr& exchange) {
   if (restarting()) {
-    exchange->Abort();
+    DropConnection(exchange);
     return true;
   }
   if (standin_.faults().Flag("mute")) {
@@ -228,7 +228,7 @@
 void Desk::AnswerDeposit(const ExchangePtr& exchange, const Json& answer) {
   const Faults& faults = standin_.faults();
   if (absl::Bernoulli(random_, faults.Number("lose_answer", 0))) {
-    exchange->Abort();
+    DropConnection(exchange);
     return;
   }
   if (absl::Bernoulli(random_, faults.Number("silent_answer", 0))) {
--- a/apps/standins/standin_platform.cc
+++ b/apps/standins/standin_platform.cc
@@ -172,7 +172,7 @@
   if (faults.Flag("kv_down") || faults.Flag("kv_silent") ||
       faults.Flag("kv_drop_watches") || faults.Flag("down")) {
     for (const Watch& watch : std::exchange(watches_, {})) {
-      watch.exchange->Abort();
+      DropConnection(watch.exchange);
     }
   }
   if (faults.Flag("kv_compact")) {
@@ -278,7 +278,7 @@
   }
   ++lost_answers_;
   if (absl::Bernoulli(random_, 0.5)) {
-    exchange->Abort();
+    DropConnection(exchange);
   } else {
     standin_.KeepSilent(exchange);
   }
@@ -427,7 +427,7 @@
         });
   }
   if (absl::Bernoulli(random_, faults.Number("lose_start_answers", 0))) {
-    exchange->Abort();
+    DropConnection(exchange);
     return;
   }
   RespondJson(exchange, kCreated, {{"id", started->id}});
