--- a/include/oleander/leases.h
+++ b/include/oleander/leases.h
@@ -17,6 +17,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -91,6 +92,10 @@
   void Grant(Time now);
   void Renew(Time now);
   Duration Jittered(Duration duration);
+  template <typename Request>
+  void AskStore(Request request) {
+    actions_.emplace_back(std::in_place_type<StoreRequest>, std::move(request));
+  }
   StoreCall NextCall();
 
   LeaseOptions options_;
--- a/src/parts/leases.cc
+++ b/src/parts/leases.cc
@@ -66,13 +66,12 @@
   valid_until_ = asked_at_ + answer->ttl;
   phase_ = Phase::kTaking;
   pending_ = NextCall();
-  actions_.emplace_back(StoreRequest(
-      StoreCas{.call = pending_,
-               .compares = {{.key = key_, .mod_revision = 0}},
-               .puts = {{.key = key_,
-                         .value = HolderValue(options_.self, lease_),
-                         .lease = lease_}},
-               .deletes = {}}));
+  AskStore(StoreCas{.call = pending_,
+                    .compares = {{.key = key_, .mod_revision = 0}},
+                    .puts = {{.key = key_,
+                              .value = HolderValue(options_.self, lease_),
+                              .lease = lease_}},
+                    .deletes = {}});
 }
 
 void LeaseKeeper::OnRenewed(const absl::StatusOr<StoreLeaseAnswer>& answer,
@@ -259,16 +258,14 @@
   if (lease_ == 0) {
     return;
   }
-  actions_.emplace_back(
-      StoreRequest(StoreLeaseRevoke{.call = NextCall(), .lease = lease_}));
+  AskStore(StoreLeaseRevoke{.call = NextCall(), .lease = lease_});
   lease_ = 0;
 }
 
 void LeaseKeeper::AskHolder() {
   phase_ = Phase::kSettling;
   pending_ = NextCall();
-  actions_.emplace_back(
-      StoreRequest(StoreRange{.call = pending_, .key = key_, .prefix = false}));
+  AskStore(StoreRange{.call = pending_, .key = key_, .prefix = false});
 }
 
 // A grant costs writes; a read first keeps those who wait cheap.
@@ -276,8 +273,7 @@
   phase_ = Phase::kLooking;
   pending_ = NextCall();
   next_ = now + Jittered(options_.ttl);
-  actions_.emplace_back(
-      StoreRequest(StoreRange{.call = pending_, .key = key_, .prefix = false}));
+  AskStore(StoreRange{.call = pending_, .key = key_, .prefix = false});
 }
 
 void LeaseKeeper::Grant(Time now) {
@@ -285,16 +281,14 @@
   asked_at_ = now;
   pending_ = NextCall();
   next_ = now + Jittered(options_.ttl);
-  actions_.emplace_back(
-      StoreRequest(StoreLeaseGrant{.call = pending_, .ttl = options_.ttl}));
+  AskStore(StoreLeaseGrant{.call = pending_, .ttl = options_.ttl});
 }
 
 void LeaseKeeper::Renew(Time now) {
   asked_at_ = now;
   pending_ = NextCall();
   next_ = now + options_.renew_every;
-  actions_.emplace_back(
-      StoreRequest(StoreLeaseKeepAlive{.call = pending_, .lease = lease_}));
+  AskStore(StoreLeaseKeepAlive{.call = pending_, .lease = lease_});
 }
 
 Duration LeaseKeeper::Jittered(Duration duration) {
--- a/src/parts/profile_edits.cc
+++ b/src/parts/profile_edits.cc
@@ -83,8 +83,8 @@
 void ProfileStore::Impl::ReadBase(EditUnderWay& edit) {
   edit.phase = EditPhase::kReading;
   edit.call = NextCall();
-  actions_.emplace_back(StoreRequest(StoreRange{
-      .call = edit.call, .key = KeyOf(edit.edit.name), .prefix = false}));
+  AskStore(StoreRange{
+      .call = edit.call, .key = KeyOf(edit.edit.name), .prefix = false});
 }
 
 void ProfileStore::Impl::OnEditRead(
@@ -138,14 +138,14 @@
   edit.call = NextCall();
   const std::string key = KeyOf(edit.edit.name);
   const int64_t version = edit.base.has_value() ? edit.base->version + 1 : 1;
-  actions_.emplace_back(StoreRequest(StoreCas{
+  AskStore(StoreCas{
       .call = edit.call,
       .compares = {{.key = key, .mod_revision = RevisionIn(edit.base)}},
       .puts = {{.key = key, .value = ValueOf(edit)},
                {.key = AuditKey(edit.edit.name, version),
                 .value = EncodeAuditRecord(edit.record)},
                {.key = options_.head_key, .value = edit.edit.name.value()}},
-      .deletes = {}}));
+      .deletes = {}});
 }
 
 void ProfileStore::Impl::OnCas(StoreCall call,
@@ -186,8 +186,8 @@
 void ProfileStore::Impl::Settle(EditUnderWay& edit) {
   edit.phase = EditPhase::kSettling;
   edit.call = NextCall();
-  actions_.emplace_back(StoreRequest(StoreRange{
-      .call = edit.call, .key = KeyOf(edit.edit.name), .prefix = false}));
+  AskStore(StoreRange{
+      .call = edit.call, .key = KeyOf(edit.edit.name), .prefix = false});
 }
 
 void ProfileStore::Impl::OnSettled(EditUnderWay& edit,
@@ -212,8 +212,8 @@
 void ProfileStore::Impl::SearchAudit(EditUnderWay& edit) {
   edit.phase = EditPhase::kSearching;
   edit.call = NextCall();
-  actions_.emplace_back(StoreRequest(StoreRange{
-      .call = edit.call, .key = AuditPrefix(edit.edit.name), .prefix = true}));
+  AskStore(StoreRange{
+      .call = edit.call, .key = AuditPrefix(edit.edit.name), .prefix = true});
 }
 
 void ProfileStore::Impl::OnSearched(EditUnderWay& edit,
@@ -298,12 +298,12 @@
   edit.record.from_revision = edit.edit.base.value_or(0);
   edit.record.to_revision = 0;
   edit.record.differences.clear();
-  actions_.emplace_back(StoreRequest(StoreCas{
+  AskStore(StoreCas{
       .call = NextCall(),
       .compares = {},
       .puts = {{.key = RefusedAuditKey(edit.edit.name, edit.edit.edit_id),
                 .value = EncodeAuditRecord(edit.record)}},
-      .deletes = {}}));
+      .deletes = {}});
   const ProfileValue value = ValueIn(current);
   const int64_t revision = RevisionIn(current);
   FinishEdit(
--- a/src/parts/profile_reading.cc
+++ b/src/parts/profile_reading.cc
@@ -23,15 +23,15 @@
   if (watch_ == WatchPhase::kOff && watcher_) {
     watch_ = WatchPhase::kReading;
   }
-  actions_.emplace_back(StoreRequest(
-      StoreRange{.call = read_call_, .key = options_.prefix, .prefix = true}));
+  AskStore(
+      StoreRange{.call = read_call_, .key = options_.prefix, .prefix = true});
 }
 
 void ProfileStore::Impl::ReadHead(Time now) {
   head_call_ = NextCall();
   next_head_ = now + Jittered(options_.head_poll);
-  actions_.emplace_back(StoreRequest(StoreRange{
-      .call = head_call_, .key = options_.head_key, .prefix = false}));
+  AskStore(StoreRange{
+      .call = head_call_, .key = options_.head_key, .prefix = false});
 }
 
 // All instances of a domain together read everything once per poll interval,
@@ -99,15 +99,14 @@
 void ProfileStore::Impl::StartWatch(int64_t from_revision) {
   watch_ = WatchPhase::kWatching;
   watch_call_ = NextCall();
-  actions_.emplace_back(
-      StoreRequest(StoreWatch{.call = watch_call_,
-                              .prefix = options_.prefix,
-                              .from_revision = from_revision}));
+  AskStore(StoreWatch{.call = watch_call_,
+                      .prefix = options_.prefix,
+                      .from_revision = from_revision});
 }
 
 void ProfileStore::Impl::StopWatch() {
   if (watch_call_ != 0) {
-    actions_.emplace_back(StoreRequest(StoreCancelWatch{.call = watch_call_}));
+    AskStore(StoreCancelWatch{.call = watch_call_});
   }
   watch_call_ = 0;
   watch_ = WatchPhase::kOff;
--- a/src/parts/profiles_impl.h
+++ b/src/parts/profiles_impl.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "absl/random/random.h"
@@ -143,6 +144,10 @@
   EditUnderWay* EditOf(StoreCall call);
   std::string ValueOf(const EditUnderWay& edit) const;
 
+  template <typename Request>
+  void AskStore(Request request) {
+    actions_.emplace_back(std::in_place_type<StoreRequest>, std::move(request));
+  }
   StoreCall NextCall() { return ++call_; }
   Duration Jittered(Duration duration);
 
