--- a/include/oleander/capacity.h
+++ b/include/oleander/capacity.h
@@ -9,6 +9,7 @@
 #define OLEANDER_CAPACITY_H_
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <set>
 #include <span>
@@ -121,6 +122,7 @@
   // Demand over servers at which the target is still met.
   double utilisation = 0.8;
   double missed_step = 0.1;  // Lowers the utilisation aimed at after a miss.
+  // The highest demand of this long is what the fleet is sized for.
   Duration scale_down_after = std::chrono::minutes(3);
   int scale_down_slack = 1;  // Servers too many that are left alone.
   Duration refused_for = std::chrono::seconds(60);  // A refused market rests.
@@ -134,7 +136,8 @@
   // What one reclaim costs, in hours of that instance: the start, the weights
   // and the tokens recomputed.
   double reclaim_cost_hours = 0.25;
-  double move_gain = 0.15;  // A cheaper market must save this share.
+  // A cheaper market must save this share; one server moves at a time.
+  double move_gain = 0.15;
   Duration move_pause = std::chrono::minutes(5);
   Duration order_margin = std::chrono::milliseconds(500);  // Lease left over.
   Duration observe_after_takeover = std::chrono::seconds(5);
@@ -187,6 +190,7 @@
     int reclaimable = 0;  // At most this many that can be reclaimed.
   };
 
+  CapacityDemand HighestDemand() const;
   Size WantedSize() const;
   bool MayUse(Time now, const MarketKey& key) const;
   size_t ClassRank(const std::string& machine_class) const;
@@ -210,7 +214,11 @@
   Profile profile_;
   std::map<MarketKey, double> prices_;
   std::map<ServerId, CapacityServer> servers_;
-  CapacityDemand demand_;
+  struct PastDemand {
+    Time at;
+    CapacityDemand demand;
+  };
+  std::deque<PastDemand> demands_;  // Of the last scale_down_after.
   double utilisation_;
   Time utilisation_since_{};
   std::map<MarketKey, History> history_;
@@ -221,7 +229,6 @@
   std::set<ServerId> draining_;           // By an order of ours.
   std::map<ServerId, Time> role_orders_;
   WeightLoadQueue weights_;
-  Time surplus_since_ = Time::max();
   Time last_move_ = Time::min();
   uint64_t fence_ = 0;
   Time fence_since_{};
--- a/include/oleander/routing.h
+++ b/include/oleander/routing.h
@@ -114,6 +114,9 @@
   // How often a reclaimable server goes, and how long a token takes: a long
   // answer on a reclaimable server may have to be computed again.
   double reclaims_per_hour = 0.2;
+  // How long a prompt's prefix is of use after its answer: until the
+  // conversation's next turns.
+  Duration prefix_use = std::chrono::seconds(60);
   Duration token_time = std::chrono::milliseconds(40);
   // A farther ring is looked at when the nearer one's best expected wait
   // passes this.
--- a/src/parts/capacity.cc
+++ b/src/parts/capacity.cc
@@ -99,7 +99,10 @@
 // A miss lowers the utilisation aimed at by a step, and quiet minutes raise it
 // again little by little.
 void CapacityPlanner::OnDemand(Time now, const CapacityDemand& demand) {
-  demand_ = demand;
+  demands_.push_back({now, demand});
+  while (now - demands_.front().at > options_.scale_down_after) {
+    demands_.pop_front();
+  }
   if (now - utilisation_since_ < kUtilisationInterval) return;
   utilisation_since_ = now;
   utilisation_ =
@@ -158,16 +161,27 @@
   return price->second * (1 + per_hour * options_.reclaim_cost_hours);
 }
 
+CapacityDemand CapacityPlanner::HighestDemand() const {
+  CapacityDemand highest;
+  for (const PastDemand& past : demands_) {
+    highest.interactive =
+        std::max(highest.interactive, past.demand.interactive);
+    highest.total = std::max(highest.total, past.demand.total);
+  }
+  return highest;
+}
+
 // With survive_domain_loss, what is left without the largest domain still
 // carries the interactive load. D domains of equal size do that with
 // D / (D - 1) times the servers that the load needs.
 CapacityPlanner::Size CapacityPlanner::WantedSize() const {
   const CapacityRules& rules = profile_.capacity;
+  const CapacityDemand demand = HighestDemand();
   std::set<DomainId> domains;
   for (const auto& [key, price] : prices_) domains.insert(key.domain);
-  const int interactive = CeilOf(demand_.interactive / utilisation_);
+  const int interactive = CeilOf(demand.interactive / utilisation_);
   int servers =
-      std::max(rules.min_servers, CeilOf(demand_.total / utilisation_));
+      std::max(rules.min_servers, CeilOf(demand.total / utilisation_));
   const auto spread = static_cast<double>(domains.size());
   const bool survive = rules.survive_domain_loss && domains.size() > 1;
   if (survive) {
@@ -342,29 +356,31 @@
                                  std::vector<CapacityOrder>& out) {
   const CapacityMix running = RunningMix();
   const CapacityMix starting = StartingMix();
-  const int missing = Total(wanted) - Total(running) - Total(starting);
-  // With enough servers a start is a move to a cheaper market, which can wait.
-  if (missing <= 0) {
-    if (last_move_ != Time::min() && now - last_move_ < options_.move_pause) {
-      return;
-    }
-    if (!starts_.empty()) return;
+  int missing = Total(wanted) - Total(running) - Total(starting);
+  // With enough servers a start is a move to a cheaper market: one at a time.
+  const bool moving = missing <= 0;
+  if (moving) {
+    const bool paused =
+        last_move_ != Time::min() && now - last_move_ < options_.move_pause;
+    if (paused || missing < 0 || !starts_.empty()) return;
+    missing = 1;
   }
   for (const auto& [key, count] : wanted) {
     const int deficit = count - CountOf(running, key) - CountOf(starting, key);
-    for (int i = 0; i < deficit; ++i) {
+    for (int i = 0; i < deficit && missing > 0; ++i) {
       const std::string token = TokenFor(key, CountOf(starting, key) + i);
       if (!starts_.try_emplace(token, Start{key, now, ServerId()}).second) {
         continue;
       }
-      if (missing <= 0) last_move_ = now;
+      --missing;
+      if (moving) last_move_ = now;
       out.emplace_back(StartInstance{options_.service, key, token, fence});
     }
   }
 }
 
-// Surplus servers are drained once there has been a surplus for a while; the
-// dearest and idlest first, and never so many that fewer than wanted are left.
+// Surplus servers are drained, the dearest and idlest first, and never so many
+// that fewer than wanted are left.
 void CapacityPlanner::PlanDrains(Time now, const CapacityMix& wanted,
                                  uint64_t fence,
                                  std::vector<CapacityOrder>& out) {
@@ -373,12 +389,7 @@
   // After a move to a cheaper market the surplus is meant to go, however small.
   const bool moving =
       last_move_ != Time::min() && now - last_move_ < options_.move_pause;
-  if (surplus <= (moving ? 0 : options_.scale_down_slack)) {
-    surplus_since_ = Time::max();
-    return;
-  }
-  if (surplus_since_ == Time::max()) surplus_since_ = now;
-  if (!moving && now - surplus_since_ < options_.scale_down_after) return;
+  if (surplus <= (moving ? 0 : options_.scale_down_slack)) return;
   std::vector<const CapacityServer*> servers;
   for (const auto& [id, server] : servers_) {
     if (!server.leaving && !draining_.contains(id)) servers.push_back(&server);
@@ -396,7 +407,6 @@
     draining_.insert(server->info.id);
     out.emplace_back(DrainServer{server->info.id, fence});
   }
-  surplus_since_ = Time::max();
 }
 
 void CapacityPlanner::PlanStops(uint64_t fence,
--- a/src/parts/routing.cc
+++ b/src/parts/routing.cc
@@ -455,14 +455,17 @@
                                              options_.link_bytes_per_s);
   }
   candidate.wait = std::max(slot_wait, queue_wait) + recompute + link;
-  // What a reclaim would lose: the prompt and half of the answer, on average.
+  // What a reclaim would lose: the prompt as long as it is of use, and half of
+  // the answer on average.
   Seconds exposure{};
   if (server.info.market == Market::kReclaimable) {
     const Seconds answer =
         Seconds(options_.token_time) * static_cast<double>(query.max_tokens);
-    const Seconds lost{static_cast<double>(query.prompt_tokens) / rate};
+    const Seconds prompt{static_cast<double>(query.prompt_tokens) / rate};
     exposure =
-        options_.reclaims_per_hour * (answer / kHour) * (lost + answer / 2);
+        options_.reclaims_per_hour *
+        ((answer + Seconds(options_.prefix_use)) / kHour * prompt +
+         answer / kHour * answer / 2);
   }
   const double total = query.weights.cost + query.weights.recomputed_tokens;
   const double recompute_weight =
--- a/test/performance/counted_decisions.h
+++ b/test/performance/counted_decisions.h
@@ -61,7 +61,7 @@
 inline constexpr int kInstances = 8;
 inline constexpr int kDomains = 3;
 inline constexpr int kWorkspaces = 5;
-inline constexpr Duration kHour = std::chrono::seconds(40);  // Of the bench.
+inline constexpr Duration kHour = std::chrono::seconds(100);  // Of the bench.
 
 Workload MakeWorkload(User user, Scenario scenario, uint64_t seed);
 Place PlaceOf(int domain);  // Domains 0 and 1 share a region.
@@ -80,6 +80,7 @@
 struct Engine {
   ServerInfo info;
   double speed = 1;
+  double hidden = 1;  // A slowness that its reports don't tell.
   Time starts{};  // Takes work from here on.
   bool listed = false;
   bool leaving = false;
--- a/test/performance/counted_decisions_part_policies.cc
+++ b/test/performance/counted_decisions_part_policies.cc
@@ -219,7 +219,7 @@
     RoutingOptions options;
     options.place = PlaceOf(instance % kDomains);
     options.seed = seed;
-    options.reclaims_per_hour = 2;  // The bench's days are short.
+    options.reclaims_per_hour = getenv("EX") ? atof(getenv("EX")) : 2;  // The bench's days are short.
     if (getenv("EF")) options.eviction_factor = atof(getenv("EF"));
     if (getenv("RF")) options.recompute_factor = atof(getenv("RF"));
     if (getenv("CR")) options.crowding = std::chrono::milliseconds(atoi(getenv("CR")));
--- a/test/performance/counted_decisions_part_run.cc
+++ b/test/performance/counted_decisions_part_run.cc
@@ -17,10 +17,11 @@
 constexpr Duration kRetryAfter = std::chrono::milliseconds(200);
 constexpr Duration kLinkDelay = std::chrono::milliseconds(40);
 constexpr double kLinkBytesPerSecond = 3'750'000;
+constexpr double kHiddenSpeed = 0.1;
 constexpr double kEventLoss = 0.05;
 constexpr int kFirstServers = 9;
 // The planner's clock: one hour of the bench is one of its hours.
-constexpr int kPlannerScale = 90;
+constexpr int kPlannerScale = 36;
 
 Time PlannerTime(Time now) {
   return Time{} + now.time_since_epoch() * kPlannerScale;
@@ -68,6 +69,8 @@
     for (const Cloud::Wave& wave : cloud_.waves()) {
       At(wave.at, [this, wave](Time now) { StartWave(now, wave); });
     }
+    // One server turns slow for two hours and keeps reporting its usual rates.
+    At(Time{} + 13 * kHour, [this](Time now) { SlowDown(now); });
     if (!workload_.calls.empty()) ScheduleArrival(0);
     const Time stop = workload_.end + std::chrono::seconds(60);
     while (!events_.empty() && events_.top().at <= stop) {
@@ -75,7 +78,7 @@
       events_.pop();
       event.run(event.at);
     }
-    fprintf(stderr,"shared %ld elsewhere %ld nowhere %ld\n",dbg[0],dbg[1],dbg[2]);
+    fprintf(stderr,"shared %ld elsewhere %ld nowhere %ld gen %ld killed %ld\n",dbg[0],dbg[1],dbg[2],dbg[3],dbg[4]);
     result_.calls = static_cast<int64_t>(workload_.calls.size());
     result_.first_token_p95 = Percentile95(first_tokens_);
     result_.lossy_p95 = Percentile95(lossy_first_tokens_);
@@ -103,13 +106,13 @@
   static CapacityOptions PlannerOptions() {
     CapacityOptions options;
     options.service = ServiceId("model");
-    options.scale_down_after = std::chrono::minutes(20);
+    options.scale_down_after = std::chrono::minutes(getenv("SD")?atoi(getenv("SD")):45);options.move_gain=getenv("MG")?atof(getenv("MG")):0.15;
     options.refused_for = std::chrono::minutes(30);
     options.start_timeout = std::chrono::hours(1);
     options.list_trusted = std::chrono::hours(1);
     options.move_pause = std::chrono::hours(1);
     options.observe_after_takeover = Duration::zero();
-    options.scale_down_slack = 0;
+    options.scale_down_slack = 1;
     return options;
   }
   Profile PlannerProfile() const {
@@ -223,14 +226,14 @@
     CountRecomputed(call, cached, states_[job.call].generated);
     result_.prefilled_tokens += uncached;
     engine.lane_busy = true;
-    At(now + ToDuration(Seconds(uncached / (Engine::kPrefillRate * engine.speed))),
+    At(now + ToDuration(Seconds(uncached / (Engine::kPrefillRate * engine.speed * engine.hidden))),
        [this, &engine, job, cached](Time at) {
          if (engine.alive) Prefilled(at, engine, job, cached);
        });
   }
 
   void CountRecomputed(const Call& call, int cached, int generated) {
-    result_.recomputed_tokens += generated;
+    result_.recomputed_tokens += generated; dbg[3]+=generated;
     int best=0; bool own=false; for (auto& [id,e]: engines_) if (e->alive && e->starts<=now_) { best=std::max(best,e->CachedBlocks(call.blocks));}
     { int k=0; for (size_t i=cached;i<call.blocks.size();++i) if (computed_.contains(call.blocks[i])) { ++k; bool shared = i < (options_.user==User::kTortared?24:8); if (shared) dbg[0]+=64; else if ((int)i<best) dbg[1]+=64; else dbg[2]+=64; } (void)own; }
     for (size_t i = cached; i < call.blocks.size(); ++i) {
@@ -317,6 +320,15 @@
     return id;
   }
 
+  void SlowDown(Time now) {
+    const auto slow = std::ranges::find_if(engines_, [&](const auto& entry) {
+      return entry.second->alive && !entry.second->leaving && entry.second->starts <= now;
+    });
+    if (slow == engines_.end()) return;
+    slow->second->hidden = kHiddenSpeed;
+    At(now + 2 * kHour, [slow](Time) { slow->second->hidden = 1; });
+  }
+
   // A wave gives notice to a domain's reclaimable servers; a loss gives none.
   void StartWave(Time now, const Cloud::Wave& wave) {
     const DomainId domain = PlaceOf(wave.domain).domain;
@@ -439,6 +451,7 @@
     planner_.OnDemand(planner_now, {.interactive = scaled * interactive, .total = scaled});
     if (now < Time{} + std::chrono::seconds(10)) return;
     for (const CapacityOrder& order : planner_.Plan(planner_now, {.fence = 1, .valid_until = Time::max()})) {
+      if (getenv("TR")) { int n=0; for (auto& [i,e]: engines_) n+=e->alive&&!e->leaving; fprintf(stderr,"%.0f h%.1f order %zu n %d busy %.2f\n", Seconds(now.time_since_epoch()).count(), Seconds(now.time_since_epoch())/Seconds(kHour), order.index(), n, busy_);}
       if (const auto* start = std::get_if<StartInstance>(&order)) {
         const bool refused = cloud_.Refuses(now, start->key);
         const absl::StatusOr<ServerId> answer =
@@ -453,7 +466,7 @@
     }
   }
 
-  long dbg[3]={}; Time now_{};
+  long dbg[5]={}; Time now_{};
   RunOptions options_;
   const Workload& workload_;
   Random random_;
