--- a/src/parts/capacity.cc
+++ b/src/parts/capacity.cc
@@ -20,7 +20,7 @@
 
 using Hours = std::chrono::duration<double, std::ratio<3600>>;
 
-constexpr double kLeastUtilisation = 0.4;
+constexpr double kLeastUtilisation = 0.1;
 constexpr double kRecovery =
     0.01;  // Of utilisation, per interval without miss.
 constexpr Duration kUtilisationInterval = std::chrono::minutes(1);
@@ -49,10 +49,7 @@
 
 CapacityPlanner::CapacityPlanner(const CapacityOptions& options,
                                  const Profile& profile)
-    : options_(options),
-      profile_(profile),
-      utilisation_(options.utilisation),
-      weights_(options.weights) {}
+    : options_(options), profile_(profile), weights_(options.weights) {}
 
 void CapacityPlanner::SetProfile(const Profile& profile) { profile_ = profile; }
 
@@ -99,13 +96,24 @@
 // A miss lowers the utilisation aimed at by a step, and quiet minutes raise it
 // again little by little.
 void CapacityPlanner::OnDemand(Time now, const CapacityDemand& demand) {
-  demand_ = demand;
+  demands_.push_back({now, demand});
+  while (now - demands_.front().at > options_.scale_down_after) {
+    demands_.pop_front();
+  }
   if (now - utilisation_since_ < kUtilisationInterval) return;
   utilisation_since_ = now;
-  utilisation_ =
-      demand.target_missed
-          ? std::max(kLeastUtilisation, utilisation_ - options_.missed_step)
-          : std::min(options_.utilisation, utilisation_ + kRecovery);
+  missed_ = demand.target_missed ? missed_ + options_.missed_step
+                                 : std::max(0.0, missed_ - kRecovery);
+}
+
+double CapacityPlanner::Utilisation() const {
+  const MeasureWeights& weights = profile_.weights;
+  const double total = weights.cost + weights.recomputed_tokens;
+  const double share = total > 0 ? weights.recomputed_tokens / total : 0;
+  const double aim = options_.utilisation_for_cost +
+                     share * (options_.utilisation_for_recompute -
+                              options_.utilisation_for_cost);
+  return std::max(kLeastUtilisation, aim - missed_);
 }
 
 void CapacityPlanner::OnReclaimed(Time now, const MarketKey& key, int servers) {
@@ -158,16 +166,27 @@
   return price->second * (1 + per_hour * options_.reclaim_cost_hours);
 }
 
+CapacityDemand CapacityPlanner::HighestDemand() const {
+  CapacityDemand highest;
+  for (const PastDemand& past : demands_) {
+    highest.interactive =
+        std::max(highest.interactive, past.demand.interactive);
+    highest.total = std::max(highest.total, past.demand.total);
+  }
+  return highest;
+}
+
 // With survive_domain_loss, what is left without the largest domain still
 // carries the interactive load. D domains of equal size do that with
 // D / (D - 1) times the servers that the load needs.
 CapacityPlanner::Size CapacityPlanner::WantedSize() const {
   const CapacityRules& rules = profile_.capacity;
+  const CapacityDemand demand = HighestDemand();
+  const double utilisation = Utilisation();
   std::set<DomainId> domains;
   for (const auto& [key, price] : prices_) domains.insert(key.domain);
-  const int interactive = CeilOf(demand_.interactive / utilisation_);
-  int servers =
-      std::max(rules.min_servers, CeilOf(demand_.total / utilisation_));
+  const int interactive = CeilOf(demand.interactive / utilisation);
+  int servers = std::max(rules.min_servers, CeilOf(demand.total / utilisation));
   const auto spread = static_cast<double>(domains.size());
   const bool survive = rules.survive_domain_loss && domains.size() > 1;
   if (survive) {
@@ -329,7 +348,7 @@
   DropOldStarts(now);
   if (!MayOrder(now, lease)) return orders;
   const CapacityMix wanted = WantedMix(now);
-  PlanStops(fence_, orders);
+  PlanStops(now, fence_, orders);
   PlanStarts(now, wanted, fence_, orders);
   PlanDrains(now, wanted, fence_, orders);
   PlanModels(now, fence_, orders);
@@ -342,29 +361,31 @@
                                  std::vector<CapacityOrder>& out) {
   const CapacityMix running = RunningMix();
   const CapacityMix starting = StartingMix();
-  const int missing = Total(wanted) - Total(running) - Total(starting);
-  // With enough servers a start is a move to a cheaper market, which can wait.
-  if (missing <= 0) {
-    if (last_move_ != Time::min() && now - last_move_ < options_.move_pause) {
-      return;
-    }
-    if (!starts_.empty()) return;
+  int missing = Total(wanted) - Total(running) - Total(starting);
+  // With enough servers a start is a move to a cheaper market: one at a time.
+  const bool moving = missing <= 0;
+  if (moving) {
+    const bool paused =
+        last_move_ != Time::min() && now - last_move_ < options_.move_pause;
+    if (paused || missing < 0 || !starts_.empty()) return;
+    missing = 1;
   }
   for (const auto& [key, count] : wanted) {
     const int deficit = count - CountOf(running, key) - CountOf(starting, key);
-    for (int i = 0; i < deficit; ++i) {
+    for (int i = 0; i < deficit && missing > 0; ++i) {
       const std::string token = TokenFor(key, CountOf(starting, key) + i);
       if (!starts_.try_emplace(token, Start{key, now, ServerId()}).second) {
         continue;
       }
-      if (missing <= 0) last_move_ = now;
+      --missing;
+      if (moving) last_move_ = now;
       out.emplace_back(StartInstance{options_.service, key, token, fence});
     }
   }
 }
 
-// Surplus servers are drained once there has been a surplus for a while; the
-// dearest and idlest first, and never so many that fewer than wanted are left.
+// Surplus servers are drained, the dearest and idlest first, and never so many
+// that fewer than wanted are left.
 void CapacityPlanner::PlanDrains(Time now, const CapacityMix& wanted,
                                  uint64_t fence,
                                  std::vector<CapacityOrder>& out) {
@@ -373,12 +394,7 @@
   // After a move to a cheaper market the surplus is meant to go, however small.
   const bool moving =
       last_move_ != Time::min() && now - last_move_ < options_.move_pause;
-  if (surplus <= (moving ? 0 : options_.scale_down_slack)) {
-    surplus_since_ = Time::max();
-    return;
-  }
-  if (surplus_since_ == Time::max()) surplus_since_ = now;
-  if (!moving && now - surplus_since_ < options_.scale_down_after) return;
+  if (surplus <= (moving ? 0 : options_.scale_down_slack)) return;
   std::vector<const CapacityServer*> servers;
   for (const auto& [id, server] : servers_) {
     if (!server.leaving && !draining_.contains(id)) servers.push_back(&server);
@@ -393,17 +409,19 @@
     if (running[key] <= CountOf(wanted, key)) continue;
     --running[key];
     --surplus;
-    draining_.insert(server->info.id);
-    out.emplace_back(DrainServer{server->info.id, fence});
+    draining_[server->info.id] = now;
+    out.emplace_back(
+        DrainServer{server->info.id, options_.drain_linger, fence});
   }
-  surplus_since_ = Time::max();
 }
 
-void CapacityPlanner::PlanStops(uint64_t fence,
+void CapacityPlanner::PlanStops(Time now, uint64_t fence,
                                 std::vector<CapacityOrder>& out) const {
-  for (const auto& [id, server] : servers_) {
-    // A server that the platform reclaims ends by itself.
-    if (draining_.contains(id) && server.leaving && server.in_flight == 0) {
+  for (const auto& [id, since] : draining_) {
+    const auto server = servers_.find(id);
+    if (server == servers_.end()) continue;
+    const bool lingered = now - since >= options_.drain_linger;
+    if (lingered && server->second.in_flight == 0) {
       out.emplace_back(StopInstance{id, fence});
     }
   }
