--- a/apps/standins/shared_engine.h
+++ b/apps/standins/shared_engine.h
@@ -26,7 +26,7 @@
   size_t slots = 8;
   Duration token_time = std::chrono::milliseconds(10);
   Duration prefill_time = std::chrono::microseconds(200);  // Per token.
-  size_t prefill_chunk = 1024;   // Tokens prefilled per step, all together.
+  size_t prefill_chunk = 100;    // Tokens prefilled per step, all together.
   uint64_t tokens_per_step = 1;  // Per attempt.
   uint64_t seed = 1;
   PrefixCache::Options cache;
--- a/apps/standins/shared_key_values.cc
+++ b/apps/standins/shared_key_values.cc
@@ -131,6 +131,7 @@
     lease->second.keys.insert(key);
   }
   history_.push_back({.kv = kv});
+  writes_.emplace_back(key, revision);
   revision_ = revision;
 }
 
--- a/apps/standins/shared_key_values.h
+++ b/apps/standins/shared_key_values.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "nlohmann/json.hpp"
@@ -60,6 +61,10 @@
   // Events of `range` from `revision` on.
   std::vector<KvEvent> EventsFrom(const KeyRange& range,
                                   int64_t revision) const;
+  // Key and revision of every put since the start, compaction or not.
+  const std::vector<std::pair<std::string, int64_t>>& writes() const {
+    return writes_;
+  }
   int64_t revision() const { return revision_; }
   int64_t compacted() const { return compacted_; }
   Json Header() const;
@@ -80,6 +85,7 @@
   std::map<std::string, KeyValue> values_;
   std::map<int64_t, Lease> leases_;
   std::deque<KvEvent> history_;
+  std::vector<std::pair<std::string, int64_t>> writes_;
   int64_t revision_ = 1;
   int64_t compacted_ = 0;
   int64_t next_lease_ = 7001;
--- a/apps/standins/standin_platform.cc
+++ b/apps/standins/standin_platform.cc
@@ -502,6 +502,11 @@
   records["weight_refusals"] = weight_refusals_;
   records["weights_peak"] = weights_peak_;
   records["revision"] = values_.revision();
+  Json writes = Json::array();
+  for (const auto& [key, revision] : values_.writes()) {
+    writes.push_back({key, revision});
+  }
+  records["writes"] = std::move(writes);
   return records;
 }
 
--- a/tools/experiment.py
+++ b/tools/experiment.py
@@ -21,7 +21,7 @@
 
 from experiment_judge import broken_bounds, figures_of
 from experiment_run import Fleet, Operator, ProfileMonitor, Timeline
-from experiment_topology import Block, Topology, read_jsonc
+from experiment_topology import Block, Topology, merge, read_jsonc
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 LOAD_MARGIN_SECONDS = 120
@@ -33,10 +33,17 @@
     print(text, flush=True)
 
 
+def read_spec(name):
+    """Reads an experiment; fields of its "base" file hold where it has none."""
+    spec = read_jsonc(os.path.join(ROOT, "experiments", f"{name}.jsonc"))
+    base = spec.pop("base", None)
+    return merge(read_spec(base), spec) if base else spec
+
+
 class Experiment:
     def __init__(self, arguments):
         self.arguments = arguments
-        self.spec = read_jsonc(os.path.join(ROOT, "experiments", f"{arguments.name}.jsonc"))
+        self.spec = read_spec(arguments.name)
         self.folder = tempfile.mkdtemp(prefix=f"oleander-{arguments.name}-")
         build = os.path.abspath(arguments.build)
         self.load_program = os.path.join(build, "oleander_load")
--- a/tools/experiment_judge.py
+++ b/tools/experiment_judge.py
@@ -62,6 +62,36 @@
             "deposits_run": sum(runs.values())}
 
 
+def share(part, whole):
+    return len(part) / len(whole) if whole else 1.0
+
+
+def result_figures(results):
+    """Figures that only single results show."""
+    answered = [r for r in results if r["outcome"] == "answered"]
+    refused = [r for r in results if r["outcome"] == "refused"]
+    accepted = [r for r in results if r["accepted"]]
+
+    def answered_share(kinds):
+        return share([r for r in answered if r["kind"] in kinds], [r for r in results if r["kind"] in kinds])
+
+    return {"answered_chats_share": answered_share(("chat_stream", "chat_whole", "long_review")),
+            "answered_plain_share": answered_share(("deposit_without_key",)),
+            "answered_share_of_accepted": share([r for r in accepted if r["outcome"] == "answered"], accepted),
+            "refused_without_retry_after": sum(1 for r in refused if r["retry_after_ms"] < 0)}
+
+
+def lost_changes(fleet, operator):
+    """Accepted profile changes that the store does not hold, or that another one overwrote unseen."""
+    written = set()
+    for records in all_records(fleet, "platform"):
+        written.update(tuple(row) for row in records["writes"])
+    missing = sum(1 for c in operator.accepted
+                  if not any(revision == c.revision and key.endswith("/" + c.profile) for key, revision in written))
+    bases = collections.Counter((c.profile, c.base) for c in operator.accepted if c.base is not None)
+    return missing + sum(times - 1 for times in bases.values())
+
+
 def new_work_after_leaving(fleet):
     """The latest arrival of new work at a leaving server, in ms after it left."""
     latest = 0
@@ -105,9 +135,9 @@
 
 def latency_of(change, samples, away):
     """Seconds from a change, or from coming back after it, until it is in force."""
-    made, profile, revision = change
-    seen = next((t for t, rows in samples if t >= made and rows.get(profile, 0) >= revision), None)
-    start = made
+    seen = next((t for t, rows in samples
+                 if t >= change.at and rows.get(change.profile, 0) >= change.revision), None)
+    start = change.at
     for begin, end in away:
         if end is None and (seen is None or begin < seen):
             return None  # away until the end
@@ -123,8 +153,8 @@
     back = 0
     behind_at_end = 0
     newest = {}
-    for _, profile, revision in operator.accepted:
-        newest[profile] = max(newest.get(profile, 0), revision)
+    for change in operator.accepted:
+        newest[change.profile] = max(newest.get(change.profile, 0), change.revision)
     for name, samples in monitor.samples.items():
         away = monitor.away[name]
         for change in operator.accepted:
@@ -140,7 +170,10 @@
         if samples and not ended_away:
             behind_at_end += any(samples[-1][1].get(p, 0) < r for p, r in newest.items())
     latencies.sort()
-    at = lambda share: round(1000 * latencies[min(len(latencies) - 1, int(share * len(latencies)))], 1) if latencies else 0
+
+    def at(part):
+        return round(1000 * latencies[min(len(latencies) - 1, int(part * len(latencies)))], 1) if latencies else 0
+
     return {"changes": len(operator.accepted), "change_conflicts": operator.conflicts,
             "changes_refused": operator.refused, "changes_doubtful": operator.doubtful,
             "in_force_p50_ms": at(0.5), "in_force_p99_ms": at(0.99), "in_force_max_ms": at(1.0),
@@ -160,7 +193,10 @@
     figures["doubled"] = max(figures["doubled"], figures.pop("ran_twice_seen"))
     figures["attempts"] = sum(len(group) for group in attempts.values())
     figures["new_work_after_leaving_ms"] = new_work_after_leaving(fleet)
-    for part in (recomputed_tokens(fleet, attempts), order_figures(fleet), platform_figures(fleet),
+    for workspace, count in figures.pop("refused_by_workspace").items():
+        figures[f"refused_{workspace}"] = count
+    figures["accepted_changes_lost"] = lost_changes(fleet, operator)
+    for part in (result_figures(results), recomputed_tokens(fleet, attempts), order_figures(fleet), platform_figures(fleet),
                  link_figures(fleet), log_figures(fleet), profile_figures(monitor, operator)):
         figures.update(part)
     return figures
--- a/tools/experiment_run.py
+++ b/tools/experiment_run.py
@@ -1,5 +1,6 @@
 """Starts, disturbs and ends the processes of one experiment."""
 
+import collections
 import http.client
 import json
 import os
@@ -34,6 +35,9 @@
         connection.close()
 
 
+Change = collections.namedtuple("Change", "at profile base revision")
+
+
 class Fleet:
     """The running processes of one topology."""
 
@@ -141,7 +145,7 @@
         self.fleet = fleet
         self.root = root
         self.documents = {}  # profile -> the document last written
-        self.accepted = []  # (time, profile, revision)
+        self.accepted = []  # of Change
         self.refused = 0
         self.conflicts = 0
         self.doubtful = 0
@@ -168,7 +172,7 @@
         with self._lock:
             if status == 200:
                 self.documents[name] = document
-                self.accepted.append((time.monotonic(), name, int(body["revision"])))
+                self.accepted.append(Change(time.monotonic(), name, base, int(body["revision"])))
             elif status == 409:
                 self.conflicts += 1
             elif status == 0 or (isinstance(body, dict) and body.get("error", {}).get("ran") != "no"):
