--- a/src/node/dispatcher.cc
+++ b/src/node/dispatcher.cc
@@ -305,7 +305,6 @@
   const std::string& service = attempt.dispatch.spec->service.value();
   EndedCall ended{.outcome = outcome, .tokens = attempt.tokens};
   if (usage.has_value()) {
-    ended.measured_cached_tokens = usage->cached_tokens;
     parts_.metrics.CountRecomputedTokens(
         service, static_cast<uint64_t>(usage->recomputed_tokens));
   }
--- a/src/node/load_driver.cc
+++ b/src/node/load_driver.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 #include <utility>
+#include <variant>
 
 namespace oleander::node {
 namespace {
@@ -56,31 +57,35 @@
 LoadDriver::LoadDriver(io::EventLoop& loop, io::EngineClient& engines,
                        Router& router, ServerDirectory& servers,
                        const InstanceInfo& self,
-                       const LoadSpreadOptions& options, uint64_t seed)
+                       const LoadSpreadOptions& options, uint64_t seed,
+                       std::function<void()> spread_now)
     : loop_(loop),
       engines_(engines),
       router_(router),
       servers_(servers),
       options_(options),
-      spread_(self, options, seed, loop.now()) {}
+      spread_(self, options, seed, loop.now()),
+      spread_now_(std::move(spread_now)) {}
 
 void LoadDriver::SetServers(const std::vector<ServerInfo>& servers) {
   spread_.SetServers(servers, loop_.now());
   Pump();
 }
 
-void LoadDriver::SetLiveInstances(const std::vector<InstanceId>& live) {
+void LoadDriver::SetLiveInstances(const std::vector<InstanceInfo>& live) {
   spread_.SetLiveInstances(live, loop_.now());
   Pump();
 }
 
 void LoadDriver::OnLeaving(const ServerId& server) {
   spread_.OnLeaving(server, loop_.now());
+  Pump();
   router_.OnLeaving(loop_.now(), server);
 }
 
 void LoadDriver::OnUpdate(const InstanceId& from, const LoadUpdate& update) {
   spread_.OnUpdate(from, update, loop_.now());
+  Pump();
 }
 
 LoadUpdate LoadDriver::UpdateFor(const InstanceId& neighbour,
@@ -101,11 +106,15 @@
 }
 
 void LoadDriver::Pump() {
-  for (const AskLoad& ask : spread_.TakeActions()) {
-    Ask(ask.server);
-    if (ask.server.kind == ServerKind::kEngine) {
-      AskCacheEvents(ask.server);
-    }
+  for (const LoadAction& action : spread_.TakeActions()) {
+    std::visit([this](const auto& typed) { Perform(typed); }, action);
+  }
+}
+
+void LoadDriver::Perform(const AskLoad& action) {
+  Ask(action.server);
+  if (action.server.kind == ServerKind::kEngine) {
+    AskCacheEvents(action.server);
   }
 }
 
@@ -136,6 +145,7 @@
     return;
   }
   spread_.OnLoadReport(server, ReportOf(*load), now);
+  Pump();
   router_.OnLoad(now, *load);
 }
 
--- a/src/node/load_driver.h
+++ b/src/node/load_driver.h
@@ -3,6 +3,7 @@
 #ifndef OLEANDER_NODE_LOAD_DRIVER_H_
 #define OLEANDER_NODE_LOAD_DRIVER_H_
 
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -19,10 +20,11 @@
  public:
   LoadDriver(io::EventLoop& loop, io::EngineClient& engines, Router& router,
              ServerDirectory& servers, const InstanceInfo& self,
-             const LoadSpreadOptions& options, uint64_t seed);
+             const LoadSpreadOptions& options, uint64_t seed,
+             std::function<void()> spread_now);
 
   void SetServers(const std::vector<ServerInfo>& servers);
-  void SetLiveInstances(const std::vector<InstanceId>& live);
+  void SetLiveInstances(const std::vector<InstanceInfo>& live);
   // The server takes no new work, whoever saw it first.
   void OnLeaving(const ServerId& server);
   void OnUpdate(const InstanceId& from, const LoadUpdate& update);
@@ -33,6 +35,8 @@
 
  private:
   void Pump();
+  void Perform(const AskLoad& action);
+  void Perform(const SpreadLoadNow&) { spread_now_(); }
   void Ask(const ServerInfo& server);
   void AskCacheEvents(const ServerInfo& server);
   void OnReport(const ServerId& server, const absl::StatusOr<ServerLoad>& load);
@@ -45,6 +49,8 @@
   ServerDirectory& servers_;
   LoadSpreadOptions options_;
   LoadSpread spread_;
+  // Sends every neighbour what it lacks, without waiting for a heartbeat.
+  std::function<void()> spread_now_;
   Time next_sync_{};
   absl::flat_hash_map<ServerId, uint64_t> cache_events_seen_;
 };
--- a/src/node/mesh_port.cc
+++ b/src/node/mesh_port.cc
@@ -110,20 +110,29 @@
 
 void MeshPort::Send(const InstanceId& to, const ProfileMessage& message) {
   mesh::Envelope envelope;
-  *envelope.mutable_profile() = io::EncodeProfileMessage(message);
+  *envelope.mutable_profile() = io::EncodeProfile(message);
   SendEnvelope(to, std::move(envelope));
 }
 
-void MeshPort::Send(const InstanceId& to, const MembershipMessage& message,
-                    const io::HeartbeatCargo& cargo) {
+void MeshPort::Send(const InstanceId& to, const io::MembershipFrame& frame) {
   mesh::Envelope envelope;
-  *envelope.mutable_membership() = io::EncodeMembershipMessage(message, cargo);
+  *envelope.mutable_membership() = io::EncodeMembership(frame);
+  SendEnvelope(to, std::move(envelope));
+}
+
+void MeshPort::Send(const InstanceId& to, const LoadUpdate& update) {
+  mesh::Envelope envelope;
+  *envelope.mutable_load() = io::EncodeLoad(update);
   SendEnvelope(to, std::move(envelope));
 }
 
 void MeshPort::Send(const InstanceId& to, const WriteMark& mark) {
   mesh::Envelope envelope;
-  *envelope.mutable_load() = io::EncodeLoad({}, {mark});
+  mesh::WriteMark* encoded = envelope.mutable_load()->add_marks();
+  encoded->set_service(mark.service.value());
+  encoded->set_workspace(mark.workspace.value());
+  encoded->set_server(mark.server.value());
+  encoded->set_version(mark.version);
   SendEnvelope(to, std::move(envelope));
 }
 
@@ -152,6 +161,19 @@
            {"message", std::string(message.status().message())}});
 }
 
+void MeshPort::ReceiveLoad(const InstanceId& from,
+                           const mesh::LoadMessage& message) {
+  for (const mesh::WriteMark& mark : message.marks()) {
+    receivers_.write(from, {.service = ServiceId(mark.service()),
+                            .workspace = WorkspaceId(mark.workspace()),
+                            .server = ServerId(mark.server()),
+                            .version = mark.version()});
+  }
+  if (!message.entries().empty() || !message.summaries().empty()) {
+    Pass(from, io::DecodeLoad(message), receivers_.load);
+  }
+}
+
 void MeshPort::Receive(const InstanceId& from, const mesh::Envelope& envelope) {
   switch (envelope.body_case()) {
     case mesh::Envelope::kRequest:
@@ -162,15 +184,14 @@
       Pass(from, io::DecodeLedgerMessage(envelope.ledger()), receivers_.ledger);
       break;
     case mesh::Envelope::kProfile:
-      Pass(from, io::DecodeProfileMessage(envelope.profile()),
-           receivers_.profile);
+      Pass(from, io::DecodeProfile(envelope.profile()), receivers_.profile);
       break;
     case mesh::Envelope::kMembership:
-      Pass(from, io::DecodeMembershipMessage(envelope.membership()),
+      Pass(from, io::DecodeMembership(envelope.membership()),
            receivers_.membership);
       break;
     case mesh::Envelope::kLoad:
-      Pass(from, io::DecodeLoad(envelope.load()), receivers_.load);
+      ReceiveLoad(from, envelope.load());
       break;
     case mesh::Envelope::BODY_NOT_SET:
       metrics_.CountDroppedEvents("mesh_empty", 1);
--- a/src/node/mesh_port.h
+++ b/src/node/mesh_port.h
@@ -9,7 +9,6 @@
 #include "absl/container/flat_hash_map.h"
 #include "absl/status/statusor.h"
 #include "io/event_loop.h"
-#include "io/load_codec.h"
 #include "io/membership_codec.h"
 #include "io/mesh.h"
 #include "node/fleet.h"
@@ -35,9 +34,10 @@
     std::function<void(const InstanceId&, const RequestMessage&)> request;
     std::function<void(const InstanceId&, const LedgerMessage&)> ledger;
     std::function<void(const InstanceId&, const ProfileMessage&)> profile;
-    std::function<void(const InstanceId&, const io::ReceivedMembership&)>
+    std::function<void(const InstanceId&, const io::MembershipFrame&)>
         membership;
-    std::function<void(const InstanceId&, const io::ReceivedLoad&)> load;
+    std::function<void(const InstanceId&, const LoadUpdate&)> load;
+    std::function<void(const InstanceId&, const WriteMark&)> write;
   };
 
   MeshPort(io::EventLoop& loop, const Settings& settings, io::MeshKeys keys,
@@ -52,14 +52,15 @@
   void Send(const InstanceId& to, const RequestMessage& message);
   void Send(const InstanceId& to, const LedgerMessage& message);
   void Send(const InstanceId& to, const ProfileMessage& message);
-  void Send(const InstanceId& to, const MembershipMessage& message,
-            const io::HeartbeatCargo& cargo);
+  void Send(const InstanceId& to, const io::MembershipFrame& frame);
+  void Send(const InstanceId& to, const LoadUpdate& update);
   void Send(const InstanceId& to, const WriteMark& mark);
 
   const io::Mesh& mesh() const { return mesh_; }
 
  private:
   void Receive(const InstanceId& from, const mesh::Envelope& envelope);
+  void ReceiveLoad(const InstanceId& from, const mesh::LoadMessage& message);
   template <typename Message, typename Receiver>
   void Pass(const InstanceId& from, const absl::StatusOr<Message>& message,
             const Receiver& receiver);
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -79,6 +79,8 @@
   RoutingOptions options;
   options.place = settings.place;
   options.seed = seed;
+  // As long as the load spread trusts a figure.
+  options.report_trusted = LoadSpreadOptions().fresh_bound;
   return options;
 }
 
@@ -90,7 +92,7 @@
 
 LedgerOptions LedgerOptionsOf(const Settings& settings) {
   LedgerOptions options;
-  options.self = settings.SelfInfo();
+  options.self = settings.instance;
   return options;
 }
 
@@ -130,8 +132,9 @@
   void OnServers(const std::vector<ServerInfo>& servers);
   void OnServerLeaving(const ServerId& server, std::optional<Duration> left);
   void OnServerGone(const ServerId& server);
-  void OnHeartbeat(const InstanceId& from,
-                   const io::ReceivedMembership& received);
+  void OnHeartbeat(const InstanceId& from, const io::MembershipFrame& frame);
+  bool IsInOwnDomain(const InstanceId& id) const;
+  void SpreadLoadNow();
   void SendHeartbeat(const InstanceId& to, const MembershipMessage& message);
   void SpreadWrite(const WriteMark& mark);
   void OnProfileApplied();
@@ -205,7 +208,8 @@
             mesh_.Send(to, message);
           },
           [this](const ProfileApplied&) { OnProfileApplied(); }),
-      load_(loop_, engines_, router_, servers_, settings.SelfInfo(), {}, seed_),
+      load_(loop_, engines_, router_, servers_, settings.SelfInfo(), {}, seed_,
+            [this] { SpreadLoadNow(); }),
       requests_(loop_, TableOptions(settings), seed_,
                 [this](const InstanceId& to, const RequestMessage& message) {
                   mesh_.Send(to, message);
@@ -295,16 +299,16 @@
                 profiles_.OnMessage(from, message);
               },
           .membership =
-              [this](const InstanceId& from,
-                     const io::ReceivedMembership& received) {
-                OnHeartbeat(from, received);
+              [this](const InstanceId& from, const io::MembershipFrame& frame) {
+                OnHeartbeat(from, frame);
               },
           .load =
-              [this](const InstanceId& from, const io::ReceivedLoad& received) {
-                load_.OnUpdate(from, received.update);
-                for (const WriteMark& mark : received.marks) {
-                  router_.OnWrite(loop_.now(), mark);
-                }
+              [this](const InstanceId& from, const LoadUpdate& update) {
+                load_.OnUpdate(from, update);
+              },
+          .write =
+              [this](const InstanceId&, const WriteMark& mark) {
+                router_.OnWrite(loop_.now(), mark);
               }};
 }
 
@@ -398,11 +402,7 @@
   profiles_.OnMembers(live, members_.membership().neighbours());
   budget_.SetInstances(
       std::max(live.size(), settings_.limits.expected_instances), loop_.now());
-  std::vector<InstanceId> in_domain;
-  for (const InstanceInfo& info : members_.membership().LiveIn(place_.domain)) {
-    in_domain.push_back(info.id);
-  }
-  load_.SetLiveInstances(in_domain);
+  load_.SetLiveInstances(live);
   // The lowest id of the fleet holds the duty; the lease settles races.
   const auto lowest = std::ranges::min_element(live, {}, &InstanceInfo::id);
   capacity_.Want(!draining_ && lowest->id == settings_.instance);
@@ -439,27 +439,38 @@
   requests_.OnServerLost(server);
 }
 
+bool Node::Impl::IsInOwnDomain(const InstanceId& id) const {
+  const auto member = members_.membership().Find(id);
+  return member.has_value() && member->info.place.domain == place_.domain;
+}
+
 void Node::Impl::SendHeartbeat(const InstanceId& to,
                                const MembershipMessage& message) {
-  io::HeartbeatCargo cargo;
+  io::MembershipFrame frame;
+  frame.membership = message;
+  frame.profiles = profiles_.profiles().digest();
   if (message.kind == MembershipKind::kHeartbeat) {
-    const auto member = members_.membership().Find(to);
-    const bool same_domain =
-        member.has_value() && member->info.place.domain == place_.domain;
-    cargo.digest = profiles_.profiles().digest();
-    cargo.load = load_.UpdateFor(to, same_domain);
+    frame.load = load_.UpdateFor(to, IsInOwnDomain(to));
   }
-  mesh_.Send(to, message, cargo);
+  mesh_.Send(to, frame);
 }
 
-void Node::Impl::OnHeartbeat(const InstanceId& from,
-                             const io::ReceivedMembership& received) {
-  members_.OnMessage(from, received.message);
-  if (received.cargo.digest.has_value()) {
-    profiles_.OnDigest(from, *received.cargo.digest);
+void Node::Impl::SpreadLoadNow() {
+  for (const InstanceId& neighbour : members_.membership().neighbours()) {
+    const LoadUpdate update =
+        load_.UpdateFor(neighbour, IsInOwnDomain(neighbour));
+    if (!update.empty()) {
+      mesh_.Send(neighbour, update);
+    }
   }
-  if (received.cargo.load.has_value()) {
-    load_.OnUpdate(from, *received.cargo.load);
+}
+
+void Node::Impl::OnHeartbeat(const InstanceId& from,
+                             const io::MembershipFrame& frame) {
+  members_.OnMessage(from, frame.membership);
+  profiles_.OnDigest(from, frame.profiles);
+  if (!frame.load.empty()) {
+    load_.OnUpdate(from, frame.load);
   }
 }
 
