--- a/src/parts/gossip_link.h
+++ b/src/parts/gossip_link.h
@@ -24,7 +24,6 @@
   Time reset_at{};
   Time news_at = Time::max();  // When news go out without a heartbeat.
   Time last_news{};
-  int mismatches = 0;  // Heartbeats in a row with another digest.
   // Claims to pass on, each with how often still.
   std::map<InstanceId, int> pending;
 
--- a/src/parts/membership_impl.h
+++ b/src/parts/membership_impl.h
@@ -60,10 +60,10 @@
              Time now);
   void OnPingRequest(const InstanceId& from, const MembershipMessage& message,
                      Time now);
-  void OnSync(const InstanceId& from, const MembershipMessage& message,
-              Time now);
+  void OnSync(const InstanceId& from, const MembershipMessage& message);
   void CompareDigest(const InstanceId& from, const MembershipMessage& message,
                      Time now);
+  void ForgetKnown(parts::GossipLink& link);
   void Answer(const InstanceId& from, const MembershipMessage& message,
               Time now);
 
@@ -114,6 +114,7 @@
   Time next_beat_;
   uint64_t beats_ = 0;
   Time next_sync_;
+  int mismatches_ = 0;  // Digests in a row that differed from ours.
   Time next_join_;
   Time next_rejoin_ = Time::max();
   Time due_;  // When Tick should be called next.
--- a/src/parts/membership_messages.cc
+++ b/src/parts/membership_messages.cc
@@ -46,12 +46,13 @@
       break;
     case MembershipKind::kAck:
       OnAck(from, message, now);
+      CompareDigest(from, message, now);
       break;
     case MembershipKind::kPingRequest:
       OnPingRequest(from, message, now);
       break;
     case MembershipKind::kSync:
-      OnSync(from, message, now);
+      OnSync(from, message);
       break;
     case MembershipKind::kPing:
     case MembershipKind::kUpdates:
@@ -129,8 +130,14 @@
   const bool tell = outcome.result == parts::ClaimResult::kStale &&
                     replies_.size() < kMostReplies;
   if (tell) {
-    replies_.push_back(parts::MemberTable::ClaimOf(*table_.Find(claim.id),
-                                                   /*with_info=*/false));
+    MemberUpdate ours = parts::MemberTable::ClaimOf(*table_.Find(claim.id),
+                                                    /*with_info=*/false);
+    // The sender holds for live whom we hold for dead: the two of us may have
+    // been cut off from each other, so the member gets the chance to refute.
+    if (ours.claim == MemberClaim::kDead) {
+      ours.claim = MemberClaim::kDoubt;
+    }
+    replies_.push_back(std::move(ours));
   }
 }
 
@@ -199,7 +206,7 @@
 
 // Answers with everything that the sender lacks or has older.
 void Membership::Impl::OnSync(const InstanceId& from,
-                              const MembershipMessage& message, Time now) {
+                              const MembershipMessage& message) {
   std::map<InstanceId, const MemberUpdate*> theirs;
   for (const MemberUpdate& update : message.updates) {
     theirs.emplace(update.id, &update);
@@ -217,35 +224,27 @@
       reply.updates.push_back(ours);
     }
   }
-  next_sync_ = std::max(next_sync_, now + options_.sync_every / 2);
   Send(from, std::move(reply));
 }
 
 void Membership::Impl::CompareDigest(const InstanceId& from,
                                      const MembershipMessage& message,
                                      Time now) {
-  const auto found = links_.find(from);
-  if (found == links_.end()) {
-    return;
-  }
-  parts::GossipLink& link = found->second;
+  const auto link = links_.find(from);
   if (message.table_digest == digest()) {
-    link.mismatches = 0;
-    // It knows all that the digest covers; only suspicions and doubts are left.
-    std::erase_if(link.pending, [&](const auto& item) {
-      const parts::MemberEntry* entry = table_.Find(item.first);
-      return entry == nullptr ||
-             (entry->member.state != MemberState::kSuspect && !entry->doubted);
-    });
+    mismatches_ = 0;
+    if (link != links_.end()) {
+      ForgetKnown(link->second);
+    }
     return;
   }
-  ++link.mismatches;
-  const bool sync = link.mismatches >= kMismatchesToSync &&
-                    link.pending.empty() && now >= next_sync_;
-  if (!sync) {
+  ++mismatches_;
+  // News on the way explain a difference; one that stays needs a comparison.
+  const bool told = link == links_.end() || link->second.pending.empty();
+  if (mismatches_ < kMismatchesToSync || !told || now < next_sync_) {
     return;
   }
-  link.mismatches = 0;
+  mismatches_ = 0;
   next_sync_ = now + Jittered(options_.sync_every, 0.5);
   MembershipMessage request = Message(MembershipKind::kSync);
   request.updates = WholeTable();
@@ -253,6 +252,16 @@
   Send(from, std::move(request));
 }
 
+// The peer knows all that the digest covers; only suspicions and doubts are
+// left to tell.
+void Membership::Impl::ForgetKnown(parts::GossipLink& link) {
+  std::erase_if(link.pending, [&](const auto& item) {
+    const parts::MemberEntry* entry = table_.Find(item.first);
+    return entry == nullptr ||
+           (entry->member.state != MemberState::kSuspect && !entry->doubted);
+  });
+}
+
 void Membership::Impl::Answer(const InstanceId& from,
                               const MembershipMessage& message, Time now) {
   const bool ping = message.kind == MembershipKind::kPing;
