--- a/include/oleander/admission.h
+++ b/include/oleander/admission.h
@@ -1,9 +1,10 @@
 // Decides whether a request is served now, waits for its turn, or is refused.
 //
-// A refusal is given as soon as it is certain, says that nothing ran, and names
-// an honest time to come back. Workspaces share an instance's capacity by
-// weight: one that stays within its share is never refused because of what
-// another asks for. docs/design/admission.md tells how.
+// A refusal is given at once, says that nothing ran, and names an honest time
+// to come back; a request that was queued is refused only when its own deadline
+// is out of reach. Workspaces share an instance's capacity by weight and
+// max-min fairness: one that stays within its share is never refused because of
+// what another asks for. docs/design/admission.md tells how.
 #ifndef OLEANDER_ADMISSION_H_
 #define OLEANDER_ADMISSION_H_
 
@@ -66,6 +67,10 @@
   double engine_share = 0.7;
   int window_samples = 20;
   Duration window = std::chrono::seconds(1);
+  // A request beyond its workspace's share is queued only where its expected
+  // wait is at most this much of what it may wait; later refusals would come
+  // too late to be of use.
+  double queue_share = 0.4;
   // Room above the limit that only a workspace within its share may use.
   double within_share_room = 0.15;
   // A queued request's effective priority rises by one each time this passes,
@@ -130,7 +135,7 @@
   void ReleaseReady(Time now, Service& service,
                     std::vector<AdmissionRelease>& out);
   void GiveUp(Time now, Service& service, const Waiting& waiting,
-              ResultCode code, std::vector<AdmissionRelease>& out);
+              std::vector<AdmissionRelease>& out);
   void AdjustLimit(Time now, Service& service);
   static void Withdraw(Service& service, AdmissionId id);
   static Waiting RemoveWaiting(Service& service, Workspace& workspace,
--- a/src/parts/admission.cc
+++ b/src/parts/admission.cc
@@ -83,6 +83,7 @@
     return static_cast<int>(sum);
   }
   bool active() const { return in_flight > 0 || queued() > 0; }
+  double tokens() const { return in_flight_tokens + queued_tokens; }
 };
 
 struct Admission::Service {
@@ -102,16 +103,35 @@
   int slow_samples = 0;
   int most_in_flight = 0;
 
-  double ActiveShares(const Workspace& with) const {
-    double sum = 0;
+  double Capacity() const { return limit * mean_cost; }
+
+  // The max-min fair level, in tokens per unit of share: a workspace that uses
+  // no more gets all it asks for, and the others get this much each. Infinite
+  // where everything fits.
+  double FairLevel(const Workspace& asking, double more_tokens) const {
+    std::vector<std::pair<double, double>> uses;  // Per share, and the share.
+    double shares = 0;
     for (const auto& [id, workspace] : workspaces) {
-      if (workspace.active() || &workspace == &with) sum += workspace.share;
+      const double more = &workspace == &asking ? more_tokens : 0;
+      if (!workspace.active() && more == 0) continue;
+      uses.emplace_back((workspace.tokens() + more) / workspace.share,
+                        workspace.share);
+      shares += workspace.share;
+    }
+    std::ranges::sort(uses);
+    double left = Capacity();
+    for (const auto& [use, share] : uses) {
+      if (use * shares > left) return left / shares;
+      left -= use * share;
+      shares -= share;
     }
-    return sum;
+    return std::numeric_limits<double>::infinity();
   }
 
-  double Fraction(const Workspace& workspace) const {
-    return workspace.share / ActiveShares(workspace);
+  // The part of the capacity that the workspace gets while others ask for more.
+  double Fraction(const Workspace& workspace, double more_tokens) const {
+    const double level = FairLevel(workspace, more_tokens);
+    return std::min(1.0, level * workspace.share / Capacity());
   }
 
   // By Little's law: what runs at the limit, over how long it stays.
@@ -119,18 +139,23 @@
     return limit * mean_cost / std::max(mean_hold.count(), 1e-3);
   }
 
-  // Whether the workspace stays within its share of the limit with one more.
+  // One that is over it, but under what another uses, counts as within its
+  // share too: the other one's excess is refused first.
   bool WithinShare(const Workspace& workspace, double more_tokens) const {
     if (!workspace.active()) return true;
-    return workspace.in_flight_tokens + workspace.queued_tokens + more_tokens <=
-           Fraction(workspace) * limit * mean_cost;
+    const double use = (workspace.tokens() + more_tokens) / workspace.share;
+    return use <= FairLevel(workspace, more_tokens) ||
+           std::ranges::any_of(workspaces, [&](const auto& entry) {
+             const Workspace& other = entry.second;
+             return &other != &workspace && other.tokens() / other.share > use;
+           });
   }
 
   // How long until `tokens` of the workspace, queued one after another, have
   // been let through.
   Seconds WaitFor(const Workspace& workspace, double tokens) const {
     const double rate = std::max(TokensPerSecond(), 1e-3);
-    const double by_share = tokens / (rate * Fraction(workspace));
+    const double by_share = tokens / (rate * Fraction(workspace, tokens));
     const double by_all =
         (queued_tokens - workspace.queued_tokens + tokens) / rate;
     const double next_end = mean_hold.count() / std::max(limit, 1.0);
@@ -184,9 +209,9 @@
     const Duration wait = ToDuration(service.WaitFor(
         workspace, workspace.queued_tokens + query.cost_tokens));
     const Duration allowed = WaitAllowed(query, now);
-    if (wait > allowed) {
+    if (Seconds(wait) > options_.queue_share * Seconds(allowed)) {
       return Refuse(now, service, query, ResultCode::kOverloaded,
-                    wait - allowed);
+                    std::max(wait - allowed, Duration::zero()));
     }
     if (service.queued >= options_.max_queued) {
       return Refuse(now, service, query, ResultCode::kOverloaded, wait);
@@ -240,10 +265,19 @@
                                     ResultCode code, Duration too_late_by) {
   ++refused_;
   Workspace& workspace = service.workspaces[query.workspace];
+  const bool fair = code != ResultCode::kOverloaded ||
+                    !service.WithinShare(workspace, query.cost_tokens);
+  if (!fair) ++fairness_violations_;
+  CheckInvariant(fair, "share_respected", [&] {
+    return fmt::format(
+        "Request {} of workspace {} was within its share and was refused.",
+        query.id, query.workspace.value());
+  });
   // Callers that are refused together are told to come back in turn, at the
   // rate at which the workspace is served.
   const Seconds turn(query.cost_tokens /
-                     (service.TokensPerSecond() * service.Fraction(workspace)));
+                     (service.TokensPerSecond() *
+                      service.Fraction(workspace, query.cost_tokens)));
   workspace.promised_until =
       std::max(workspace.promised_until, now + too_late_by) + ToDuration(turn);
   const Duration come_back =
@@ -381,7 +415,7 @@
     owners_.erase(next.query.id);
     service.virtual_time = std::max(service.virtual_time, next.start_tag);
     if (next.query.deadline <= now) {
-      GiveUp(now, service, next, ResultCode::kDeadlineUnreachable, out);
+      GiveUp(now, service, next, out);
       continue;
     }
     Start(now, service, next.query);
@@ -389,22 +423,23 @@
   }
 }
 
+// Being queued is a promise: only the caller's own deadline ends it, and that
+// as soon as the deadline is out of reach.
 void Admission::GiveUpLate(Time now, Service& service,
                            std::vector<AdmissionRelease>& out) {
   for (auto& [id, workspace] : service.workspaces) {
     double ahead = 0;
     for (std::deque<Waiting>& queue : workspace.queues) {
       for (size_t i = 0; i < queue.size();) {
-        const Waiting& waiting = queue[i];
-        const double tokens = ahead + waiting.query.cost_tokens;
-        const Duration left = WaitAllowed(waiting.query, waiting.offered) -
-                              (now - waiting.offered);
-        const bool past_deadline = waiting.query.deadline <= now;
-        const bool too_late =
-            !waiting.within_share &&
-            (left < Duration::zero() || service.WaitFor(workspace, tokens) >
-                                            kEstimateSlack * Seconds(left));
-        if (!past_deadline && !too_late) {
+        const AdmissionQuery& query = queue[i].query;
+        const double tokens = ahead + query.cost_tokens;
+        const Seconds left(query.deadline - now - query.expected_first_token);
+        const bool hopeless =
+            !queue[i].within_share &&
+            service.WaitFor(workspace, tokens) > kEstimateSlack * left;
+        const bool given_up = query.deadline != Time::max() &&
+                              (hopeless || left < Seconds::zero());
+        if (!given_up) {
           ahead = tokens;
           ++i;
           continue;
@@ -412,31 +447,21 @@
         const Waiting gone = RemoveWaiting(service, workspace, queue,
                                            static_cast<std::ptrdiff_t>(i));
         owners_.erase(gone.query.id);
-        GiveUp(now, service, gone,
-               past_deadline ? ResultCode::kDeadlineUnreachable
-                             : ResultCode::kOverloaded,
-               out);
+        GiveUp(now, service, gone, out);
       }
     }
   }
 }
 
 void Admission::GiveUp(Time now, Service& service, const Waiting& waiting,
-                       ResultCode code, std::vector<AdmissionRelease>& out) {
-  // Only the caller's own deadline ends a request that was within its share.
-  const bool fair =
-      !waiting.within_share || code == ResultCode::kDeadlineUnreachable;
-  if (!fair) ++fairness_violations_;
-  CheckInvariant(fair, "share_respected", [&] {
-    return fmt::format(
-        "Request {} of workspace {} was within its share and was refused.",
-        waiting.query.id, waiting.query.workspace.value());
-  });
-  const Duration late = std::max(
-      Duration::zero(),
-      (now - waiting.offered) - WaitAllowed(waiting.query, waiting.offered));
-  out.push_back({waiting.query.id,
-                 Refuse(now, service, waiting.query, code, late).status});
+                       std::vector<AdmissionRelease>& out) {
+  const Duration late =
+      std::max(Duration::zero(), now + waiting.query.expected_first_token -
+                                     waiting.query.deadline);
+  out.push_back(
+      {waiting.query.id, Refuse(now, service, waiting.query,
+                                ResultCode::kDeadlineUnreachable, late)
+                             .status});
 }
 
 // Raises the limit while it is used up and answers are quick, and lowers it as
--- a/src/parts/capacity.cc
+++ b/src/parts/capacity.cc
@@ -185,7 +185,9 @@
   const double utilisation = Utilisation();
   std::set<DomainId> domains;
   for (const auto& [key, price] : prices_) domains.insert(key.domain);
-  const int interactive = CeilOf(demand.interactive / utilisation);
+  const int interactive = CeilOf(
+      demand.interactive /
+      std::max(kLeastUtilisation, options_.utilisation_after_loss - missed_));
   int servers = std::max(rules.min_servers, CeilOf(demand.total / utilisation));
   const auto spread = static_cast<double>(domains.size());
   const bool survive = rules.survive_domain_loss && domains.size() > 1;
