--- a/apps/load/chat_operation.cc
+++ b/apps/load/chat_operation.cc
@@ -252,6 +252,12 @@
   const Json json = Json::parse(event.data, nullptr, false);
   const Json::json_pointer content("/choices/0/delta/content");
   const Json::json_pointer finish("/choices/0/finish_reason");
+  const bool ends =
+      json.is_object() && json.contains(finish) && json[finish].is_string();
+  if (ends && !json.contains(content)) {
+    finish_seen_ = true;  // The closing event may carry no token.
+    return;
+  }
   if (!json.is_object() || !json.contains(content) ||
       !json[content].is_string()) {
     Wrong("an event without content: " + event.data.substr(0, 200));
@@ -276,7 +282,7 @@
   ++result_.tokens;
   recovering_since_ = Duration(-1);
   backoff_ = kFirstBackoff;
-  finish_seen_ |= json.contains(finish) && json[finish].is_string();
+  finish_seen_ |= ends;
 }
 
 void ChatOperation::OnDone() {
--- a/src/node/ledger_driver.cc
+++ b/src/node/ledger_driver.cc
@@ -1,6 +1,7 @@
 #include "node/ledger_driver.h"
 
 #include <fmt/format.h>
+#include <xxhash.h>
 
 #include <algorithm>
 #include <utility>
@@ -73,6 +74,12 @@
                                     : StatusFinding::kFailed;
 }
 
+uint64_t RendezvousWeight(const WorkspaceId& workspace,
+                          const ServerId& server) {
+  const std::string pair = workspace.value() + "/" + server.value();
+  return XXH64(pair.data(), pair.size(), /*seed=*/0);
+}
+
 // "{key}" in a status call's path stands for the idempotency key.
 std::string WithKey(std::string path, const std::string& key) {
   constexpr std::string_view kPlaceholder = "{key}";
@@ -243,17 +250,23 @@
       parts_.http.Start(NewRequest(running, *server), std::move(callbacks));
 }
 
+// All instances pick the same server for a workspace, by rendezvous hashing, so
+// that a service whose servers copy writes late shows a workspace its own.
 std::optional<ServerInfo> LedgerDriver::ChooseServer(const Running& running) {
   if (running.refused.size() >= kMaxConnectTries) {
     return std::nullopt;
   }
-  RouteQuery query;
-  query.service = running.request.call.service;
-  query.workspace = running.request.call.workspace;
-  query.avoid = running.refused;
-  query.draw = random_();
-  const auto route = parts_.router.Choose(parts_.loop.now(), query);
-  return route.ok() ? parts_.servers.Find(route->server) : std::nullopt;
+  const LedgerCall& call = running.request.call;
+  std::vector<ServerId> usable =
+      parts_.router.UsableServers(parts_.loop.now(), call.service);
+  std::erase_if(usable, [&](const ServerId& server) {
+    return std::ranges::find(running.refused, server) != running.refused.end();
+  });
+  const auto chosen =
+      std::ranges::max_element(usable, {}, [&](const ServerId& server) {
+        return RendezvousWeight(call.workspace, server);
+      });
+  return chosen == usable.end() ? std::nullopt : parts_.servers.Find(*chosen);
 }
 
 io::HttpCallRequest LedgerDriver::NewRequest(const Running& running,
--- a/src/node/ledger_driver.h
+++ b/src/node/ledger_driver.h
@@ -9,7 +9,6 @@
 #include <string>
 
 #include "absl/container/flat_hash_map.h"
-#include "absl/random/random.h"
 #include "absl/status/statusor.h"
 #include "io/event_loop.h"
 #include "io/http_client.h"
@@ -91,7 +90,6 @@
   LedgerDriverParts parts_;
   Ledger ledger_;
   SendMessage send_message_;
-  absl::BitGen random_;
   bool pump_scheduled_ = false;
   absl::flat_hash_map<CallTicket, Running> running_;
   // One lease of the store bounds how long all records written here are kept.
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -50,6 +50,8 @@
 // Time for the last answers to leave their sockets.
 constexpr Duration kFlushTime = std::chrono::milliseconds(100);
 constexpr double kRetryBurst = 10;
+// After this the instance is ready even where no server reports.
+constexpr Duration kWarmUpBound = std::chrono::seconds(10);
 
 // Two runs of one instance must not make the same attempt names, so the seed is
 // not repeatable.
@@ -139,6 +141,8 @@
   void SpreadWrite(const WriteMark& mark);
   void OnProfileApplied();
 
+  // Whether every service has a server to send work to.
+  bool HasServers() const;
   void StartDrain(bool handover, std::optional<Duration> left);
   void CheckDrain();
   void Exit();
@@ -181,6 +185,9 @@
   io::Timer tick_;
   io::Timer deadline_;
   io::Timer flush_;
+  Time started_at_{};
+  // Set once the first reports of servers are in, or were waited for in vain.
+  bool warmed_up_ = false;
   bool draining_ = false;
   bool exiting_ = false;
 };
@@ -373,6 +380,7 @@
   });
   loop_.OnTerminationSignal(
       [this] { StartDrain(/*handover=*/false, std::nullopt); });
+  started_at_ = loop_.now();
   fleet_.Start();
   tick_ = loop_.Every(kTick, [this] { Tick(); });
   io::Log(io::LogLevel::kInfo, "daemon.started",
@@ -391,6 +399,8 @@
   ledger_.Tick();
   capacity_.Tick();
   admission_.Tick(loop_.now());
+  warmed_up_ =
+      warmed_up_ || HasServers() || loop_.now() - started_at_ > kWarmUpBound;
   if (draining_) {
     CheckDrain();
   }
@@ -496,6 +506,18 @@
   OnMembersChanged();  // The profile may ask for managed capacity.
 }
 
+bool Node::Impl::HasServers() const {
+  const auto has_server = [this](const ServiceId& service) {
+    return router_.HasServer(loop_.now(), service);
+  };
+  const auto all = profiles_.profiles().all();
+  return !all.empty() &&
+         std::ranges::all_of(all, [&](const ProfileState* state) {
+           return !state->profile.has_value() ||
+                  std::ranges::all_of(state->profile->services, has_server);
+         });
+}
+
 void Node::Impl::StartDrain(bool handover, std::optional<Duration> left) {
   if (!draining_) {
     draining_ = true;
@@ -543,6 +565,9 @@
   if (profiles_.profiles().all().empty()) {
     return "no profile in force";
   }
+  if (!warmed_up_) {
+    return "no reports of servers yet";
+  }
   return "";
 }
 
--- a/src/node/plain_handler.cc
+++ b/src/node/plain_handler.cc
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <array>
-#include <nlohmann/json.hpp>
 #include <utility>
 
 #include "io/log.h"
@@ -14,8 +13,6 @@
 namespace oleander::node {
 namespace {
 
-using nlohmann::json;
-
 constexpr size_t kLongestKey = 255;
 constexpr size_t kLongestWorkspace = 128;
 constexpr int kFirstServerError = 500;
@@ -54,16 +51,6 @@
   return passed;
 }
 
-// The state of the service that an answer shows; 0 where it tells none.
-uint64_t VersionOf(const std::string& body) {
-  const json document = json::parse(body, nullptr, /*allow_exceptions=*/false);
-  if (!document.is_object() || !document.contains("version") ||
-      !document["version"].is_number_unsigned()) {
-    return 0;
-  }
-  return document["version"].get<uint64_t>();
-}
-
 }  // namespace
 
 struct PlainHandler::Call {
@@ -168,7 +155,7 @@
           return;
         }
         if (answer.server.has_value()) {
-          NoteWrite(*call, *answer.server, answer.answer->body);
+          NoteWrite(*call, *answer.server);
         }
         io::Headers headers;
         if (answer.replayed) {
@@ -299,12 +286,13 @@
   RespondError(*call->exchange, status);
 }
 
-void PlainHandler::NoteWrite(const Call& call, const ServerId& server,
-                             const std::string& body) {
+// The version stays zero: what an answer calls a version is the service's own
+// matter, so only the server that took the write is known to have it.
+void PlainHandler::NoteWrite(const Call& call, const ServerId& server) {
   const WriteMark mark = {.service = call.service,
                           .workspace = call.workspace,
                           .server = server,
-                          .version = VersionOf(body)};
+                          .version = 0};
   parts_.router.OnWrite(parts_.loop.now(), mark);
   parts_.spread_write(mark);
 }
--- a/src/node/plain_handler.h
+++ b/src/node/plain_handler.h
@@ -60,8 +60,7 @@
               const std::string& content_type, const std::string& body,
               io::Headers headers);
   void Fail(const CallPtr& call, const absl::Status& status);
-  void NoteWrite(const Call& call, const ServerId& server,
-                 const std::string& body);
+  void NoteWrite(const Call& call, const ServerId& server);
 
   PlainHandlerParts parts_;
   absl::BitGen random_;
