--- a/include/oleander/load_spread.h
+++ b/include/oleander/load_spread.h
@@ -117,13 +117,13 @@
   Duration ask_every = std::chrono::seconds(2);  // Each asker.
   Duration ask_timeout = std::chrono::milliseconds(1500);
   // Figures older than this make a server unusable.
-  Duration fresh_bound = std::chrono::seconds(6);
+  Duration fresh_bound = std::chrono::seconds(8);
   // An instance asks by itself for figures that grow older than this.
-  Duration stale_bound = std::chrono::milliseconds(4500);
+  Duration stale_bound = std::chrono::seconds(6);
   double stale_asks_per_s = 2;  // At most, of one instance.
   // A server's figures are spread anew at most so often, and at once where they
   // change by much.
-  Duration spread_every = std::chrono::milliseconds(1900);
+  Duration spread_every = std::chrono::milliseconds(1400);
   Duration traits_every = std::chrono::seconds(12);
   Duration summary_every = std::chrono::seconds(5);
   Duration summary_bound = std::chrono::seconds(20);
--- a/include/oleander/membership.h
+++ b/include/oleander/membership.h
@@ -131,8 +131,11 @@
   InstanceId peer;
 };
 
-using MembershipAction =
-    std::variant<SendMembershipMessage, MemberChanged, ResetConnection>;
+// neighbours() has changed.
+struct NeighboursChanged {};
+
+using MembershipAction = std::variant<SendMembershipMessage, MemberChanged,
+                                      ResetConnection, NeighboursChanged>;
 
 struct MembershipCounters {
   uint64_t probes = 0;
--- a/src/parts/membership_impl.h
+++ b/src/parts/membership_impl.h
@@ -86,7 +86,8 @@
   std::vector<MemberUpdate> WholeTable() const;
 
   void Spread(const InstanceId& id, const InstanceId& except, Time now);
-  void Notify(const InstanceId& id, const parts::ClaimOutcome& outcome);
+  void Notify(const InstanceId& id, const parts::ClaimOutcome& outcome,
+              Time now);
   parts::ClaimTimes Times(Time now) const;
   MemberUpdate OwnClaim(bool with_info) const;
   std::optional<MemberUpdate> ClaimAbout(const InstanceId& id, Time now) const;
@@ -110,7 +111,7 @@
   std::map<InstanceId, InstanceInfo> candidates_;
   std::map<uint64_t, Relay> relays_;
   std::vector<MemberUpdate> replies_;  // To the message being handled.
-  bool links_outdated_ = true;
+  Time rebuild_at_ = Time::max();      // When links are chosen anew.
   Time next_beat_;
   uint64_t beats_ = 0;
   Time next_sync_;
--- a/src/parts/membership_messages.cc
+++ b/src/parts/membership_messages.cc
@@ -123,7 +123,7 @@
   const parts::ClaimOutcome outcome =
       table_.Take(claim, trusted || farewell, now, Times(now));
   if (outcome.result == parts::ClaimResult::kChanged) {
-    Notify(claim.id, outcome);
+    Notify(claim.id, outcome, now);
     Spread(claim.id, from, now);
     return;
   }
@@ -267,8 +267,7 @@
   const bool ping = message.kind == MembershipKind::kPing;
   // A heartbeat from one that isn't our neighbour: its view of the members
   // differs, or ours. An ack keeps it from probing.
-  const bool one_sided =
-      IsPeriodic(message.kind) && !links_.contains(from) && !links_outdated_;
+  const bool one_sided = IsPeriodic(message.kind) && !links_.contains(from);
   if (!ping && !one_sided && replies_.empty()) {
     return;
   }
--- a/src/parts/membership_timers.cc
+++ b/src/parts/membership_timers.cc
@@ -14,6 +14,7 @@
 // One ring per salt; two within the domain, one over the whole fleet.
 constexpr std::array<uint64_t, 2> kDomainRings = {11, 12};
 constexpr uint64_t kFleetRing = 13;
+constexpr Duration kRebuildDelay = std::chrono::milliseconds(50);
 constexpr double kBeatJitter = 0.02;
 constexpr size_t kJoinProbes = 2;
 constexpr Duration kLongestRejoin = std::chrono::seconds(60);
@@ -101,10 +102,8 @@
   if (departed_) {
     return Time::max();
   }
-  if (links_outdated_) {
-    return started_;  // At once.
-  }
-  Time due = std::min({next_beat_, table_.next_deadline(), next_rejoin_});
+  Time due =
+      std::min({next_beat_, table_.next_deadline(), next_rejoin_, rebuild_at_});
   if (table_.live_count() == 0 && !candidates_.empty()) {
     due = std::min(due, next_join_);
   }
@@ -134,9 +133,10 @@
 }
 
 void Membership::Impl::RebuildLinks(Time now) {
-  if (!std::exchange(links_outdated_, false)) {
+  if (now < rebuild_at_) {
     return;
   }
+  rebuild_at_ = Time::max();
   std::vector<const InstanceId*> fleet = {&self_.id};
   std::vector<const InstanceId*> domain = {&self_.id};
   for (const auto& [id, entry] : table_.entries()) {
@@ -157,7 +157,7 @@
            wanted);
   // A suspect stays a neighbour until it is cleared or dead; the one behind it
   // on the ring is a neighbour already.
-  std::erase_if(links_, [&](const auto& item) {
+  size_t changes = std::erase_if(links_, [&](const auto& item) {
     const parts::MemberEntry* entry = table_.Find(item.first);
     const bool suspect =
         entry != nullptr && entry->member.state == MemberState::kSuspect;
@@ -167,6 +167,7 @@
     const auto [link, added] = links_.try_emplace(id);
     link->second.interval = interval;
     if (added) {
+      ++changes;
       // A ping finds out at once whether the new neighbour lives.
       link->second.heard = now;
       link->second.expected = now;
@@ -174,6 +175,9 @@
                          options_.news_every);
     }
   }
+  if (changes > 0) {
+    actions_.emplace_back(NeighboursChanged{});
+  }
 }
 
 void Membership::Impl::AddLinks(std::vector<const InstanceId*> ids,
@@ -232,7 +236,7 @@
         {.suspicion_ends = now + options_.suspicion, .doubt_ends = now});
     if (outcome.result == parts::ClaimResult::kChanged) {
       ++counters_.suspicions;
-      Notify(target, outcome);
+      Notify(target, outcome, now);
       Spread(target, InstanceId(), now);
     }
   }
@@ -274,7 +278,7 @@
     const parts::ClaimOutcome outcome =
         table_.Take(death, /*trusted=*/true, now, Times(now));
     ++counters_.deaths;
-    Notify(id, outcome);
+    Notify(id, outcome, now);
     Spread(id, InstanceId(), now);
   }
 }
@@ -377,17 +381,18 @@
 }
 
 void Membership::Impl::Notify(const InstanceId& id,
-                              const parts::ClaimOutcome& outcome) {
+                              const parts::ClaimOutcome& outcome, Time now) {
   if (!outcome.state_changed) {
     return;
   }
-  links_outdated_ = true;
+  // Changes that come together lead to one new choice of neighbours.
+  rebuild_at_ = std::min(rebuild_at_, now + kRebuildDelay);
   const Member& member = table_.Find(id)->member;
   actions_.emplace_back(MemberChanged{.info = member.info,
                                       .state = member.state,
                                       .restarted = outcome.restarted});
   if (member.state == MemberState::kDead && next_rejoin_ == Time::max()) {
-    next_rejoin_ = due_ + options_.rejoin_every;
+    next_rejoin_ = now + options_.rejoin_every;
   }
 }
 
