Requests: old copies are released until they confirm, stale homes always hear of the new one

A draining home whose replica belongs to a newer home never heard so and could not exit. Change: releases repeat until confirmed, and nothing becomes visible to readers while a copy is unreleased (bounded by the lag bound); a replica answers a stale home with the ownership in force; no wake-up while a handover is pending.

--- a/include/oleander/request_messages.h
+++ b/include/oleander/request_messages.h
@@ -90,8 +90,8 @@
   std::vector<std::string> events;
   std::optional<RequestEnd> end;
 };
-// The sender is the home now, with the message's ownership; it went on from
-// event `agreed`.
+// The message's ownership is in force: that home went on from event `agreed`.
+// Sent by the new home, and by its replica to a home that is out of date.
 struct Adopted {
   uint64_t agreed = 0;
 };
--- a/src/parts/request_followers.cc
+++ b/src/parts/request_followers.cc
@@ -159,9 +159,9 @@
   const bool lagging =
       !request.promote_due.has_value() &&
       now >= request.visible_moved + options_.timing.replica_lag_bound;
+  const uint64_t held = request.unanswered.empty() ? request.replica.acked : 0;
   const uint64_t visible =
-      alone || lagging ? request.size()
-                       : std::max(request.visible, request.replica.acked);
+      alone || lagging ? request.size() : std::max(request.visible, held);
   if (visible != request.visible) {
     request.visible = visible;
     request.visible_moved = now;
--- a/src/parts/request_record.cc
+++ b/src/parts/request_record.cc
@@ -65,7 +65,7 @@
 std::optional<Time> LagDue(const HeldRequest& request,
                            const RequestTiming& timing) {
   if (request.phase == RequestPhase::kAccepting ||
-      request.visible >= request.size()) {
+      request.promote_due.has_value() || request.visible >= request.size()) {
     return std::nullopt;
   }
   return request.visible_moved + timing.replica_lag_bound;
@@ -165,6 +165,7 @@
     next.Add(request.deadline);
   }
   next.Add(request.hold_due);
+  next.Add(request.release_due);
   next.Add(ProgressDue(request, timing));
   next.Add(LagDue(request, timing));
   next.Add(StallDue(request));
--- a/src/parts/request_record.h
+++ b/src/parts/request_record.h
@@ -77,7 +77,10 @@
   ReplicaLink replica;
   std::optional<Time> hold_due;  // The chosen replica didn't answer by then.
   int hold_attempts = 0;
-  std::set<InstanceId> unanswered;  // May hold a copy, unconfirmed or old.
+  // May hold a copy that isn't the replica's: released again and again until
+  // they confirm, since a copy left behind could take over on its own.
+  std::set<InstanceId> unanswered;
+  std::optional<Time> release_due;
   std::set<InstanceId> excluded;    // Not to be chosen in this round.
   uint64_t visible = 0;             // Events that followers may have.
   Time visible_moved;
--- a/src/parts/request_replica.cc
+++ b/src/parts/request_replica.cc
@@ -50,9 +50,9 @@
       options_.mutations.skip_epoch_check) {
     return false;
   }
-  if (request.role == RequestRole::kHome && !request.deposed_by.has_value()) {
-    Send(from, request, Adopted{.agreed = request.agreed});
-  }
+  // A replica answers for its home; it doesn't know what that one went on from.
+  const bool home = request.role == RequestRole::kHome;
+  Send(from, request, Adopted{.agreed = home ? request.agreed : 0});
   return true;
 }
 
@@ -220,10 +220,13 @@
   Adopt(now, *request);
 }
 
-void RequestTable::Impl::On(Time /*now*/, const InstanceId& /*from*/,
+void RequestTable::Impl::On(Time /*now*/, const InstanceId& from,
                             const RequestMessage& message,
                             const Release& /*release*/) {
   HeldRequest* request = Find(message.id);
+  if (request == nullptr || request->role == RequestRole::kReplica) {
+    SendAbout(from, message.id, message.ownership, message.link, NotHeld{});
+  }
   const std::pair released(message.ownership, message.link);
   if (request == nullptr) {
     const auto known = remembered_.find(message.id);
@@ -250,8 +253,17 @@
                             const RequestMessage& message,
                             const NotHeld& /*not_held*/) {
   HeldRequest* request = Find(message.id);
-  if (request == nullptr || request->ownership != message.ownership ||
-      request->replica.number != message.link) {
+  if (request == nullptr || request->ownership != message.ownership) {
+    return;
+  }
+  const bool released = request->role == RequestRole::kHome &&
+                        message.link < request->replica.number &&
+                        request->unanswered.erase(from) > 0;
+  if (released) {
+    Settle(now, *request);
+    return;
+  }
+  if (request->replica.number != message.link) {
     return;
   }
   if (request->role == RequestRole::kReplica) {
--- a/src/parts/request_replication.cc
+++ b/src/parts/request_replication.cc
@@ -20,6 +20,15 @@
   return candidates[index(random)];
 }
 
+// How much of this record the new home's events agree with. Only the next
+// epoch's home went on from a copy of this one; of later ones nothing is known.
+uint64_t AgreedEvents(const HeldRequest& request, const RequestMessage& message,
+                      const Adopted& adopted) {
+  const bool next_epoch =
+      message.ownership.epoch == request.ownership.epoch + 1;
+  return next_epoch ? adopted.agreed : 0;
+}
+
 }  // namespace
 
 std::optional<InstanceId> RequestTable::Impl::ChooseReplica(
@@ -116,10 +125,9 @@
   request.hold_due.reset();
   request.excluded.clear();
   request.unanswered.erase(link.id);
-  for (const InstanceId& old : request.unanswered) {
-    SendAbout(old, request.id, request.ownership, link.number - 1, Release{});
+  if (!request.unanswered.empty() && !request.release_due.has_value()) {
+    SendReleases(now, request);
   }
-  request.unanswered.clear();
   if (request.phase == RequestPhase::kAccepting) {
     ++counts_.accepted;
     request.phase =
@@ -134,6 +142,22 @@
   }
 }
 
+void RequestTable::Impl::SendReleases(Time now, HeldRequest& request) {
+  request.release_due.reset();
+  std::erase_if(request.unanswered, [this](const InstanceId& id) {
+    const auto peer = peers_.find(id);
+    return peer == peers_.end() || !peer->second.alive;
+  });
+  if (!request.replica.held || request.unanswered.empty()) {
+    return;
+  }
+  for (const InstanceId& old : request.unanswered) {
+    SendAbout(old, request.id, request.ownership, request.replica.number - 1,
+              Release{});
+  }
+  request.release_due = now + options_.timing.resend;
+}
+
 void RequestTable::Impl::On(Time now, const InstanceId& from,
                             const RequestMessage& message,
                             const HoldAnswer& answer) {
@@ -315,16 +339,20 @@
   }
   if (request->role == RequestRole::kHome) {
     if (request->promote_due.has_value()) {
-      LetGo(*request, from);
+      LetGo(*request, message.ownership.home);
     } else if (!request->deposed_by.has_value()) {
-      StepDown(now, *request, from, message.ownership, adopted.agreed);
+      StepDown(now, *request, message.ownership.home, message.ownership,
+               AgreedEvents(*request, message, adopted));
     }
     return;
   }
   request->ownership = message.ownership;
   request->replica.number = 0;
-  if (request->size() > adopted.agreed) {
-    request->events.resize(adopted.agreed);
+  const uint64_t agreed = AgreedEvents(*request, message, adopted);
+  if (request->size() > agreed) {
+    request->events.resize(agreed);
+    request->event_bytes =
+        static_cast<int64_t>(JoinEvents(request->events).size());
     request->end.reset();
     request->drop_at.reset();
     request->phase = RequestPhase::kRunning;
@@ -341,6 +369,11 @@
     AnswerForUnknown(from, message);
     return;
   }
+  if (message.ownership < request->ownership) {
+    SendAbout(from, message.id, request->ownership, request->replica.number,
+              Release{});
+    return;
+  }
   if (request->role != RequestRole::kHome) {
     return;
   }
--- a/src/parts/requests.cc
+++ b/src/parts/requests.cc
@@ -323,6 +323,9 @@
                                        request.id.value())));
     }
   }
+  if (passed(request.release_due)) {
+    SendReleases(now, request);
+  }
   if (passed(request.dispatch_at)) {
     Dispatch(now, request);
   }
--- a/src/parts/requests_impl.h
+++ b/src/parts/requests_impl.h
@@ -107,6 +107,7 @@
   void OnHoldTimeout(Time now, HeldRequest& request);
   void SendProgressIfDue(Time now, HeldRequest& request);
   void ReleaseUnanswered(HeldRequest& request);
+  void SendReleases(Time now, HeldRequest& request);
   void HandOverIfReady(Time now, HeldRequest& request);
   void LetGo(HeldRequest& request, const InstanceId& to);
   void StepDown(Time now, HeldRequest& request, const InstanceId& to,
--- a/test/random/request_survival_test.cc
+++ b/test/random/request_survival_test.cc
@@ -41,6 +41,7 @@
        steps > 0 ? done < steps : seed < first + default_runs; ++seed) {
     RequestWorldOptions options = OptionsFor(seed, kinds);
     options.sampled_output = sampled;
+    BOOST_TEST_INFO("seed " << seed);
     const RequestWorldReport report = RunRequestWorld(options);
     done += report.events;
     adoptions += report.adoptions;
