--- a/include/oleander/ledger.h
+++ b/include/oleander/ledger.h
@@ -84,7 +84,7 @@
 struct StoreResult {
   StoreOutcome outcome = StoreOutcome::kUnknown;
   // What kRead or kConflict found; nothing where the key is absent.
-  std::optional<StoreRecord> record;
+  std::optional<StoreRecord> record = std::nullopt;
   // The revision that kCreate or kReplace made.
   int64_t revision = 0;
 };
--- /dev/null
+++ b/test/random/ledger_world.h
@@ -0,0 +1,88 @@
+// Several entry instances with their ledgers, one key-value service and one
+// order desk that counts its runs, joined by a seeded queue.
+#ifndef OLEANDER_TEST_RANDOM_LEDGER_WORLD_H_
+#define OLEANDER_TEST_RANDOM_LEDGER_WORLD_H_
+
+#include <cstdint>
+#include <ostream>
+#include <string>
+#include <vector>
+
+#include "oleander/ledger.h"
+#include "support/virtual_time.h"
+
+namespace oleander::test {
+
+enum class LedgerFault {
+  kStoreDown,     // Every operation fails without effect.
+  kStoreLosing,   // Operations take effect; their answers are lost.
+  kStoreSlow,     // Operations take effect after their time is over.
+  kDeskSlow,      // The desk answers after the callers' time.
+  kDeskLosing,    // The desk runs the call; its answer is lost.
+  kDeskRefusing,  // No connection to the desk can be made.
+  kPause,         // An instance stands still and goes on later.
+  kCrash,         // An instance dies and is replaced.
+  kCut,           // Messages between instances are lost.
+};
+
+struct PlannedLedgerFault {
+  int after_ms = 0;
+  LedgerFault kind = LedgerFault::kStoreDown;
+  int target = 0;
+  int length_ms = 1000;
+
+  friend std::ostream& operator<<(std::ostream& out,
+                                  const PlannedLedgerFault& f) {
+    return out << "{after " << f.after_ms << " ms, fault "
+               << static_cast<int>(f.kind) << ", target " << f.target
+               << ", for " << f.length_ms << " ms}";
+  }
+};
+
+struct LedgerWorldOptions {
+  uint64_t seed = 1;
+  int keys = 60;
+  int most_submissions = 4;  // Of one key, at once and later.
+  Duration load_time = std::chrono::seconds(60);
+  double lost_store_answers = 0.03;
+  double partial_writes = 0.03;  // Bytes left, then the connection broke.
+  bool status_call = false;
+  LedgerMutations mutations;
+  std::vector<PlannedLedgerFault> faults;
+};
+
+struct LedgerWorldReport {
+  int submitted = 0;
+  int answered = 0;
+  int replayed = 0;
+  int told_no = 0;
+  int told_unknown = 0;
+  int runs = 0;
+  int doubled = 0;                // A key that ran twice.
+  int not_run_but_ran = 0;        // Every submission of a key was told "no".
+  int wrong_answer = 0;           // Another key's or another run's answer.
+  int without_end = 0;            // A submission without an answer.
+  int refused_without_cause = 0;  // Though neither store nor desk was down.
+  int left_over = 0;
+  uint64_t invariant_failures = 0;
+  uint64_t events = 0;
+  std::string first_fault;
+
+  bool holds() const {
+    return doubled + not_run_but_ran + wrong_answer + without_end +
+                   refused_without_cause + left_over ==
+               0 &&
+           invariant_failures == 0;
+  }
+};
+
+LedgerWorldReport RunLedgerWorld(const LedgerWorldOptions& options);
+
+std::vector<PlannedLedgerFault> DrawLedgerFaults(
+    uint64_t seed, int count, const std::vector<LedgerFault>& kinds);
+
+std::string Describe(const LedgerWorldReport& report);
+
+}  // namespace oleander::test
+
+#endif  // OLEANDER_TEST_RANDOM_LEDGER_WORLD_H_
