--- a/include/oleander/request_messages.h
+++ b/include/oleander/request_messages.h
@@ -63,6 +63,8 @@
   Duration remaining{};  // Of the deadline; zero where there is none.
   std::vector<std::string> events;
   std::optional<RequestEnd> end;
+  // As in Adopted, which may come later than this.
+  uint64_t agreed = 0;
 };
 // OK where the request is held now with every event below `next`, else why
 // not.
@@ -90,8 +92,8 @@
   std::vector<std::string> events;
   std::optional<RequestEnd> end;
 };
-// The sender is the home now, with the message's ownership; it went on from
-// event `agreed`.
+// The message's ownership is in force: that home went on from event `agreed`.
+// Sent by the new home, and by its replica to a home that is out of date.
 struct Adopted {
   uint64_t agreed = 0;
 };
--- a/src/parts/requests_impl.h
+++ b/src/parts/requests_impl.h
@@ -107,10 +107,15 @@
   void OnHoldTimeout(Time now, HeldRequest& request);
   void SendProgressIfDue(Time now, HeldRequest& request);
   void ReleaseUnanswered(HeldRequest& request);
+  void SendReleases(Time now, HeldRequest& request);
   void HandOverIfReady(Time now, HeldRequest& request);
   void LetGo(HeldRequest& request, const InstanceId& to);
   void StepDown(Time now, HeldRequest& request, const InstanceId& to,
                 const Ownership& ownership, uint64_t agreed);
+  // Another instance became the home, on a copy that agrees with this one in
+  // the first `agreed` events.
+  void YieldTo(Time now, HeldRequest& request, const RequestMessage& message,
+               uint64_t agreed);
   // The replica's side.
   void AskHome(Time now, HeldRequest& request);
   void Adopt(Time now, HeldRequest& request);
