--- a/apps/standins/shared_standin.h
+++ b/apps/standins/shared_standin.h
@@ -16,6 +16,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "io/event_loop.h"
@@ -63,15 +64,19 @@
   // first route that matches counts. "*" matches every method.
   void Route(std::string method, std::string path, RouteHandler handler);
   // Called after each change of the faults.
-  void OnFault(std::function<void()> callback) { on_fault_ = callback; }
+  void OnFault(std::function<void()> callback) {
+    on_fault_ = std::move(callback);
+  }
   // Makes the answer of `GET /records`. `GET /records?exit=FILE` writes it to a
   // file instead and ends the process at once, as a kill would, so that nothing
   // runs here after the records were taken.
-  void OnRecords(std::function<Json()> callback) { on_records_ = callback; }
+  void OnRecords(std::function<Json()> callback) {
+    on_records_ = std::move(callback);
+  }
   // Asked first for every routed request; where it returns true it has taken
   // the exchange.
   void OnIntercept(std::function<bool(const ExchangePtr&)> callback) {
-    on_intercept_ = callback;
+    on_intercept_ = std::move(callback);
   }
 
   // Listens on one more port; requests that come in there carry `view`.
--- a/apps/standins/standin_link.cc
+++ b/apps/standins/standin_link.cc
@@ -16,7 +16,9 @@
 #include <cerrno>
 #include <cstring>
 #include <deque>
+#include <iterator>
 #include <memory>
+#include <ranges>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -212,9 +214,7 @@
 void Link::ApplyFaults() {
   const Faults& faults = standin_.faults();
   std::vector<std::shared_ptr<Pair>> open;
-  for (const auto& [fd, pair] : pairs_) {
-    open.push_back(pair);
-  }
+  std::ranges::copy(std::views::values(pairs_), std::back_inserter(open));
   for (const auto& pair : open) {
     if (faults.Flag("silence")) {
       pair->silent = true;
