--- a/src/node/membership_driver.cc
+++ b/src/node/membership_driver.cc
@@ -85,6 +85,10 @@
   callbacks_.on_change();
 }
 
+void MembershipDriver::Perform(const NeighboursChanged&) {
+  callbacks_.on_change();
+}
+
 void MembershipDriver::Perform(const ResetConnection& action) {
   io::Log(io::LogLevel::kWarning, "mesh.connection_reset",
           {{"peer", action.peer.value()}});
--- a/src/node/membership_driver.h
+++ b/src/node/membership_driver.h
@@ -41,6 +41,7 @@
   void Pump();
   void Perform(const SendMembershipMessage& action);
   void Perform(const MemberChanged& action);
+  void Perform(const NeighboursChanged& action);
   void Perform(const ResetConnection& action);
 
   io::EventLoop& loop_;
