--- a/include/oleander/capacity.h
+++ b/include/oleander/capacity.h
@@ -9,14 +9,16 @@
 #define OLEANDER_CAPACITY_H_
 
 #include <cstdint>
+#include <deque>
 #include <map>
+#include <set>
 #include <span>
 #include <string>
 #include <variant>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
-#include "absl/status/status.h"
+#include "absl/status/statusor.h"
 #include "oleander/profile.h"
 #include "oleander/types.h"
 #include "oleander/weight_loading.h"
@@ -43,8 +45,10 @@
   Time valid_until{};
 };
 
-// The token is a function of the service, the market and the slot's number, so
-// that a second start of the same slot is no second instance.
+// The token is a function of the service, the market, the instances listed
+// there and the start's number among those of one plan. Two holders of the
+// lease that see the same list thus ask with the same token, which is one
+// instance.
 struct StartInstance {
   ServiceId service;
   MarketKey key;
@@ -54,9 +58,11 @@
   auto operator<=>(const StartInstance&) const = default;
 };
 
-// No new work for this server; it is stopped when its work has ended.
+// No new conversations for this server, and after `linger` no work at all; it
+// is stopped when its work has ended.
 struct DrainServer {
   ServerId server;
+  Duration linger{};
   uint64_t fence = 0;
 
   auto operator<=>(const DrainServer&) const = default;
@@ -115,18 +121,32 @@
   std::string model;  // Ordered onto engines that lack it; empty orders none.
   std::string role;   // The same.
   std::vector<std::string> classes;  // Where the profile names none.
-  // Demand over servers at which the target is still met.
-  double utilisation = 0.8;
+  // Demand over servers that the planner aims at, by the profile's weights: a
+  // fleet with little to spare is cheap, one with more keeps more prefixes.
+  double utilisation_for_cost = 1.0;
+  double utilisation_for_recompute = 0.2;
+  // Of what is left when the largest domain is lost, by interactive work.
+  double utilisation_after_loss = 0.95;
   double missed_step = 0.1;  // Lowers the utilisation aimed at after a miss.
+  // The highest demand of this long is what the fleet is sized for.
   Duration scale_down_after = std::chrono::minutes(3);
   int scale_down_slack = 1;  // Servers too many that are left alone.
   Duration refused_for = std::chrono::seconds(60);  // A refused market rests.
+  // A start that shows on no list by then counts as lost.
   Duration start_timeout = std::chrono::minutes(3);
+  // An engine order whose effect is not seen by then is given again.
+  Duration order_timeout = std::chrono::seconds(30);
+  // How long a server that is drained still serves conversations whose prefix
+  // only it holds.
+  Duration drain_linger = std::chrono::seconds(60);
+  // No orders from a list that is older than this.
+  Duration list_trusted = std::chrono::seconds(30);
   Duration reclaim_memory = std::chrono::hours(6);  // Half-life.
   // What one reclaim costs, in hours of that instance: the start, the weights
   // and the tokens recomputed.
   double reclaim_cost_hours = 0.25;
-  double move_gain = 0.15;  // A cheaper market must save this share.
+  // A cheaper market must save this share; one server moves at a time.
+  double move_gain = 0.15;
   Duration move_pause = std::chrono::minutes(5);
   Duration order_margin = std::chrono::milliseconds(500);  // Lease left over.
   Duration observe_after_takeover = std::chrono::seconds(5);
@@ -144,9 +164,9 @@
   void SetServers(Time now, std::span<const CapacityServer> servers);
   void OnDemand(Time now, const CapacityDemand& demand);
   void OnReclaimed(Time now, const MarketKey& key, int servers);
-  // The cloud's answer to a start.
+  // The cloud's answer to a start: the instance's id, or why it was refused.
   void OnStarted(Time now, const std::string& client_token,
-                 const absl::Status& status);
+                 const absl::StatusOr<ServerId>& started);
   void OnWeightsThrottled(Time now, const ServerId& server,
                           Duration retry_after);
 
@@ -171,41 +191,59 @@
   struct Start {
     MarketKey key;
     Time at{};
-    bool accepted = false;
+    ServerId server;  // Empty until the cloud has answered.
+  };
+  struct Size {
+    int servers = 0;
+    int per_domain = 0;   // At most this many in one failure domain.
+    int reclaimable = 0;  // At most this many that can be reclaimed.
   };
 
-  int NeededServers() const;
-  bool Resting(Time now, const MarketKey& key) const;
-  std::vector<MarketKey> MarketsByPrice(Time now) const;
+  CapacityDemand HighestDemand() const;
+  double Utilisation() const;
+  Size WantedSize() const;
+  bool MayUse(Time now, const MarketKey& key) const;
+  size_t ClassRank(const std::string& machine_class) const;
+  CapacityMix Fill(Time now, const Size& size) const;
+  void CapCost(Time now, CapacityMix& mix) const;
   CapacityMix RunningMix() const;
   CapacityMix StartingMix() const;
+  std::string TokenFor(const MarketKey& key, int number) const;
   void DropOldStarts(Time now);
-  void PlanStarts(Time now, const CapacityMix& wanted, const OrderLease& lease,
-                  std::vector<CapacityOrder>& out);
-  void PlanDrains(Time now, const CapacityMix& wanted, const OrderLease& lease,
+  bool MayOrder(Time now, const OrderLease& lease);
+  void PlanStarts(Time now, const CapacityMix& wanted, uint64_t fence,
                   std::vector<CapacityOrder>& out);
-  void PlanStops(const OrderLease& lease, std::vector<CapacityOrder>& out);
-  void PlanModels(Time now, const OrderLease& lease,
+  void PlanDrains(Time now, const CapacityMix& wanted, uint64_t fence,
                   std::vector<CapacityOrder>& out);
-  void Decay(Time now, History& history) const;
+  void PlanStops(Time now, uint64_t fence,
+                 std::vector<CapacityOrder>& out) const;
+  void PlanModels(Time now, uint64_t fence, std::vector<CapacityOrder>& out);
+  void PlanRoles(Time now, uint64_t fence, std::vector<CapacityOrder>& out);
+  History Decayed(Time now, const History& history) const;
 
   CapacityOptions options_;
   Profile profile_;
   std::map<MarketKey, double> prices_;
-  std::vector<CapacityServer> servers_;
-  CapacityDemand demand_;
-  double utilisation_;
+  std::map<ServerId, CapacityServer> servers_;
+  struct PastDemand {
+    Time at;
+    CapacityDemand demand;
+  };
+  std::deque<PastDemand> demands_;  // Of the last scale_down_after.
+  double missed_ = 0;  // By how much misses have lowered the utilisation.
+  Time utilisation_since_{};
   std::map<MarketKey, History> history_;
   std::map<MarketKey, Time> rests_until_;
-  std::map<std::string, Start> starts_;  // By client token.
-  std::map<MarketKey, uint64_t> next_slot_;
-  std::map<ServerId, Time> draining_;
+  std::map<std::string, Start> starts_;   // By client token.
+  std::map<MarketKey, int> generations_;  // Part of the client tokens.
+  std::set<ServerId> gone_;               // Were listed once.
+  std::map<ServerId, Time> draining_;     // Since when, by an order of ours.
+  std::map<ServerId, Time> role_orders_;
   WeightLoadQueue weights_;
-  Time surplus_since_ = Time::max();
-  Time last_move_{};
+  Time last_move_ = Time::min();
   uint64_t fence_ = 0;
   Time fence_since_{};
-  Time servers_seen_{};
+  Time listed_at_ = Time::min();
 };
 
 }  // namespace oleander
