HTTP client: an answer cut off before its first chunk is not whole

Ruled out: the server side (curl sees the cut). Change: without a byte of body a chunked answer counts as cut off; an engine's refusal is shown in the log. Figures: test that_is_aborted_before_its_first_piece fails before, passes after. Conclusion: an unknown outcome is told as unknown.

--- a/src/io/engine_client.cc
+++ b/src/io/engine_client.cc
@@ -16,6 +16,8 @@
 using nlohmann::json;
 
 constexpr size_t kMaxEventBytes = 64 << 10;
+// Of a refusal's body, in messages.
+constexpr size_t kMaxShownRefusal = 200;
 constexpr int kOkStatus = 200;
 constexpr int kConflictStatus = 409;
 constexpr Duration kOrderTimeout = std::chrono::seconds(5);
@@ -108,7 +110,12 @@
 
  private:
   void OnBody(std::string_view piece) {
-    if (status_ != kOkStatus || !failure_.ok()) {
+    if (status_ != kOkStatus) {
+      refusal_.append(piece.substr(
+          0, kMaxShownRefusal - std::min(refusal_.size(), kMaxShownRefusal)));
+      return;
+    }
+    if (!failure_.ok()) {
       return;
     }
     auto events = parser_.Feed(piece);
@@ -219,8 +226,8 @@
     }
     if (status_ != kOkStatus) {
       return MakeError(ResultCode::kServerFailed,
-                       fmt::format("{} answered with HTTP status {}.",
-                                   server_.value(), status_));
+                       fmt::format("{} answered with HTTP status {}: {}",
+                                   server_.value(), status_, refusal_));
     }
     return Bad(server_, "ended without a finish reason");
   }
@@ -229,6 +236,7 @@
   CompletionCallbacks callbacks_;
   SseParser parser_;
   int status_ = 0;
+  std::string refusal_;  // The start of an error answer's body.
   bool done_ = false;
   absl::Status failure_;
   std::string finish_reason_;
--- a/src/io/http_client.cc
+++ b/src/io/http_client.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <list>
 #include <map>
+#include <span>
 #include <utility>
 
 #include "fmt/format.h"
@@ -128,6 +129,14 @@
   return head;
 }
 
+bool IsChunked(const h2o_header_t* headers, size_t count) {
+  return std::ranges::any_of(
+      std::span(headers, count), [](const h2o_header_t& header) {
+        return std::string_view(header.name->base, header.name->len) ==
+               "transfer-encoding";
+      });
+}
+
 Headers CopyHeaders(const h2o_header_t* headers, size_t count) {
   Headers copied;
   copied.reserve(count);
@@ -283,10 +292,11 @@
         callbacks->on_head(status, CopyHeaders(headers, count));
       }
     }
+    chunked_ = IsChunked(headers, count);
     phase_ = Phase::kBody;
     if (whole) {
       client_ = nullptr;
-      EndWith(absl::OkStatus());
+      EndWith(WholeStatus());
     }
     return !ended_;
   }
@@ -294,6 +304,7 @@
   bool BodyArrived(h2o_http1client_t* client, const char* error) {
     progress_at_ = loop_.now();
     h2o_buffer_t** input = &client->sock->input;
+    has_body_ = has_body_ || (*input)->size != 0;
     {
       const InCallback in_callback(*this);
       const auto callbacks = callbacks_;
@@ -307,7 +318,7 @@
     }
     if (error != nullptr) {
       client_ = nullptr;
-      EndWith(error == h2o_http1client_error_is_eos ? absl::OkStatus()
+      EndWith(error == h2o_http1client_error_is_eos ? WholeStatus()
                                                     : AnswerError(error));
       return false;
     }
@@ -318,6 +329,14 @@
     return true;
   }
 
+  // h2o reports an answer in chunks whose connection closes before the first
+  // chunk like one that ended. Without a byte of body it counts as cut off.
+  absl::Status WholeStatus() const {
+    return chunked_ && !has_body_
+               ? AnswerError("the connection closed before the first chunk")
+               : absl::OkStatus();
+  }
+
   absl::Status AnswerError(std::string_view error) const {
     const bool malformed = error.find("parse") != std::string_view::npos;
     return MakeError(
@@ -435,6 +454,8 @@
   Timer timer_;
   Time timer_due_;
   bool sent_ = false;
+  bool chunked_ = false;
+  bool has_body_ = false;
   bool paused_ = false;
   bool ended_ = false;
   bool in_callback_ = false;
--- a/test/correctness/http_test.cc
+++ b/test/correctness/http_test.cc
@@ -192,6 +192,22 @@
   BOOST_TEST(seen.end.sent);
 }
 
+BOOST_AUTO_TEST_CASE(
+    that_is_aborted_before_its_first_piece_is_seen_as_cut_off) {
+  for (const std::string piece : {"", "half"}) {
+    Pair pair([&](ExchangePtr e) {
+      e->Begin(200, {});
+      e->Write(piece);
+      e->Abort();
+    });
+    Seen seen;
+    const auto call = pair.client.Start(pair.Request("/s"), seen.Callbacks());
+    BOOST_REQUIRE(RunUntil(pair.loop, [&] { return seen.ends == 1; }));
+    BOOST_TEST(!seen.end.status.ok(), "aborted after \"" << piece << '"');
+    BOOST_TEST(seen.end.sent);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(waits_for_a_reader_that_is_paused) {
   ExchangePtr held;
   Pair pair([&](ExchangePtr e) { held = std::move(e); });
