--- a/src/parts/requests.cc
+++ b/src/parts/requests.cc
@@ -185,15 +185,14 @@
   if (bytes_ + bytes > options_.limits.max_bytes) {
     return full("bytes of requests", options_.limits.max_bytes);
   }
-  const auto use = profiles_.find(spec.profile);
-  if (use == profiles_.end()) {
-    return absl::OkStatus();
-  }
-  if (spec.max_requests > 0 && use->second.requests >= spec.max_requests) {
+  const auto found = profiles_.find(spec.profile);
+  const ProfileUse use =
+      found == profiles_.end() ? ProfileUse() : found->second;
+  if (spec.max_requests > 0 && use.requests >= spec.max_requests) {
     return full(fmt::format("requests of profile {}", spec.profile.value()),
                 spec.max_requests);
   }
-  if (spec.max_bytes > 0 && use->second.bytes + bytes > spec.max_bytes) {
+  if (spec.max_bytes > 0 && use.bytes + bytes > spec.max_bytes) {
     return full(fmt::format("bytes of profile {}", spec.profile.value()),
                 spec.max_bytes);
   }
--- /dev/null
+++ b/test/correctness/requests_test.cc
@@ -0,0 +1,371 @@
+// One request from acceptance to its end, step by step.
+#include "oleander/requests.h"
+
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "oleander/result_code.h"
+
+namespace oleander {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using Strings = std::vector<std::string>;
+
+InstanceInfo Info(const std::string& id, const std::string& domain) {
+  return {.id = InstanceId(id),
+          .place = {.region = RegionId("r"), .domain = DomainId(domain)},
+          .address = "127.0.0.1",
+          .http_port = 0,
+          .mesh_port = 0};
+}
+
+RequestSpec Spec() {
+  RequestSpec spec;
+  spec.service = ServiceId("model");
+  spec.profile = ProfileName("tortared");
+  spec.body = "{}";
+  spec.max_tokens = 4;
+  return spec;
+}
+
+// Three instances in two domains; messages wait until they are passed on.
+struct Region {
+  Region() {
+    for (const auto& [id, domain] :
+         std::vector<std::pair<std::string, std::string>>{
+             {"a", "d1"}, {"b", "d2"}, {"c", "d2"}}) {
+      infos.push_back(Info(id, domain));
+    }
+    for (const InstanceInfo& info : infos) {
+      RequestTableOptions options;
+      options.self = info;
+      options.limits = limits;
+      tables.emplace(info.id, RequestTable(options, tables.size() + 1));
+    }
+    View({});
+  }
+
+  // Tells everybody about everybody; those in `down` don't answer.
+  void View(const std::vector<std::string>& down) {
+    std::vector<PeerView> peers;
+    for (const InstanceInfo& info : infos) {
+      const bool alive = std::ranges::find(down, info.id.value()) == down.end();
+      peers.push_back({.info = info, .alive = alive, .leaving = false});
+    }
+    for (auto& [id, table] : tables) {
+      table.SetPeers(now, peers);
+    }
+  }
+
+  RequestTable& At(const std::string& id) { return tables.at(InstanceId(id)); }
+
+  // Carries messages between all but the silent until there are none.
+  void Pass(const std::vector<std::string>& silent = {}) {
+    const auto is_silent = [&](const InstanceId& id) {
+      return std::ranges::find(silent, id.value()) != silent.end();
+    };
+    for (bool moved = true; moved;) {
+      moved = false;
+      for (auto& [id, table] : tables) {
+        for (RequestAction& action : table.TakeActions()) {
+          auto* send = std::get_if<SendRequestMessage>(&action);
+          if (send == nullptr) {
+            actions[id].push_back(std::move(action));
+            continue;
+          }
+          moved = true;
+          ++messages;
+          if (!is_silent(id) && !is_silent(send->to)) {
+            tables.at(send->to).OnMessage(now, id, send->message);
+          }
+        }
+      }
+    }
+  }
+  void Wait(Duration time, const std::vector<std::string>& silent = {}) {
+    now += time;
+    for (auto& [id, table] : tables) {
+      if (std::ranges::find(silent, id.value()) == silent.end()) {
+        table.Tick(now);
+      }
+    }
+    Pass(silent);
+  }
+
+  template <typename T>
+  std::vector<T> Taken(const std::string& id) {
+    std::vector<T> found;
+    std::erase_if(actions[InstanceId(id)], [&](RequestAction& action) {
+      if (!std::holds_alternative<T>(action)) {
+        return false;
+      }
+      found.push_back(std::get<T>(action));
+      return true;
+    });
+    return found;
+  }
+  // The one action of its kind.
+  template <typename T>
+  T One(const std::string& id) {
+    std::vector<T> found = Taken<T>(id);
+    BOOST_REQUIRE(found.size() == 1U);
+    return found.front();
+  }
+  std::string HolderOf(const RequestId& id) {
+    for (auto& [instance, table] : tables) {
+      if (instance.value() != "a" && table.Query(id).has_value()) {
+        return instance.value();
+      }
+    }
+    return "";
+  }
+
+  RequestLimits limits;
+  Time now{};
+  std::vector<InstanceInfo> infos;
+  std::map<InstanceId, RequestTable> tables;
+  std::map<InstanceId, std::vector<RequestAction>> actions;
+  int messages = 0;
+};
+
+BOOST_FIXTURE_TEST_SUITE(a_request, Region)
+
+BOOST_AUTO_TEST_CASE(is_accepted_when_another_domain_holds_it) {
+  const RequestId id = *At("a").Accept(now, Spec());
+  BOOST_TEST(At("a").counts().accepted == 0U);
+  Pass();
+  const auto accepted = One<RequestAccepted>("a");
+  BOOST_TEST(accepted.other_domain);
+  BOOST_TEST(HolderOf(id) == accepted.replica.value());
+  BOOST_TEST(messages == 2);  // One message and its answer.
+}
+
+BOOST_AUTO_TEST_CASE(is_refused_where_nobody_can_hold_it_and_did_not_run) {
+  View({"b", "c"});
+  const absl::StatusOr<RequestId> id = At("a").Accept(now, Spec());
+  BOOST_TEST((CodeOf(id.status()) == ResultCode::kNoReplica));
+  BOOST_TEST((DetailsOf(id.status()).ran == Ran::kNo));
+}
+
+BOOST_AUTO_TEST_CASE(is_refused_with_unknown_where_a_copy_may_be_held) {
+  const RequestId id = *At("a").Accept(now, Spec());
+  Pass({"b", "c"});
+  for (int i = 0; i < 3; ++i) {
+    Wait(milliseconds(150), {"b", "c"});
+  }
+  const auto refused = One<RequestRefused>("a");
+  BOOST_TEST((refused.id == id));
+  BOOST_TEST((DetailsOf(refused.status).ran == Ran::kUnknown));
+  One<CancelAttempt>("a");
+}
+
+BOOST_AUTO_TEST_CASE(shows_its_events_once_the_replica_holds_them) {
+  const RequestId id = *At("a").Accept(now, Spec());
+  Pass();
+  const AttemptKey key = One<DispatchAttempt>("a").key;
+  At("a").Follow(now, id, 0, FollowMode::kStream);
+  now += milliseconds(50);
+  At("a").OnTokens(now, key, 0, Strings{"x", "y"});
+  auto sent = At("a").TakeActions();
+  BOOST_REQUIRE(sent.size() == 1U);  // Only the replica hears of them.
+  const auto& progress = std::get<SendRequestMessage>(sent.front());
+  tables.at(progress.to).OnMessage(now, InstanceId("a"), progress.message);
+  Pass();
+  BOOST_TEST(One<DeliverEvents>("a").events == (Strings{"x", "y"}),
+             boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(shows_them_after_a_bound_where_the_replica_is_silent) {
+  const RequestId id = *At("a").Accept(now, Spec());
+  Pass();
+  const AttemptKey key = One<DispatchAttempt>("a").key;
+  At("a").Follow(now, id, 0, FollowMode::kStream);
+  now += milliseconds(50);
+  At("a").OnTokens(now, key, 0, Strings{"x"});
+  Pass({"b", "c"});
+  BOOST_TEST(Taken<DeliverEvents>("a").empty());
+  Wait(milliseconds(100), {"b", "c"});
+  BOOST_TEST(One<DeliverEvents>("a").events.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(is_taken_over_at_once_when_its_home_is_lost) {
+  const RequestId id = *At("a").Accept(now, Spec());
+  Pass();
+  const AttemptKey key = One<DispatchAttempt>("a").key;
+  now += milliseconds(50);
+  At("a").OnTokens(now, key, 0, Strings{"x", "y"});
+  Pass();
+  const std::string replica = HolderOf(id);
+  const std::string other = replica == "b" ? "c" : "b";
+  View({"a"});
+  Pass({"a"});
+  const auto dispatch = One<DispatchAttempt>(replica);
+  BOOST_TEST(dispatch.key.epoch == 2U);
+  BOOST_TEST(dispatch.resume_from == 2U);
+  BOOST_TEST(dispatch.resume_text == "xy");
+  // And held by a second instance again, so that a second loss is survived.
+  View({"a", replica});
+  Pass({"a", replica});
+  BOOST_TEST(One<DispatchAttempt>(other).resume_from == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(moves_with_its_reader_when_its_home_leaves) {
+  const RequestId id = *At("a").Accept(now, Spec());
+  Pass();
+  const AttemptKey key = One<DispatchAttempt>("a").key;
+  At("a").Follow(now, id, 0, FollowMode::kStream);
+  now += milliseconds(50);
+  At("a").OnTokens(now, key, 0, Strings{"x"});
+  Pass();
+  const std::string replica = HolderOf(id);
+  At("a").Drain(now, /*handover=*/true);
+  BOOST_TEST(!At("a").CanExit());
+  Pass();
+  const auto moved = One<FollowerMoved>("a");
+  BOOST_TEST(moved.to.value() == replica);
+  BOOST_TEST(moved.next == 1U);
+  BOOST_TEST(One<DispatchAttempt>(replica).resume_from == 1U);
+  BOOST_TEST(At("a").CanExit());
+  BOOST_TEST(
+      (CodeOf(At("a").Accept(now, Spec()).status()) == ResultCode::kDraining));
+}
+
+BOOST_AUTO_TEST_CASE(stays_until_its_end_in_a_graceful_stop) {
+  const RequestId id = *At("a").Accept(now, Spec());
+  Pass();
+  const AttemptKey key = One<DispatchAttempt>("a").key;
+  At("a").Follow(now, id, 0, FollowMode::kStream);
+  At("a").Drain(now, /*handover=*/false);
+  Pass();
+  BOOST_TEST(!At("a").CanExit());
+  now += milliseconds(50);
+  At("a").OnTokens(now, key, 0, Strings{"w", "x", "y", "z"});
+  At("a").OnAttemptEnded(
+      now, key,
+      {.status = absl::OkStatus(), .finish_reason = "stop", .total_events = 4});
+  Pass();
+  Wait(milliseconds(20));
+  BOOST_TEST(One<FollowerEnded>("a").end.status.ok());
+  BOOST_TEST(At("a").CanExit());
+  // Its answer stays within reach.
+  At("c").Follow(now, id, 2, FollowMode::kStream);
+  Pass();
+  Strings rest;
+  for (const DeliverEvents& delivered : Taken<DeliverEvents>("c")) {
+    rest.insert(rest.end(), delivered.events.begin(), delivered.events.end());
+  }
+  BOOST_TEST(rest == (Strings{"y", "z"}), boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(goes_on_elsewhere_when_it_stalls) {
+  At("a").Accept(now, Spec()).value();
+  Pass();
+  const AttemptKey key = One<DispatchAttempt>("a").key;
+  At("a").OnAttemptStarted(now, key, ServerId("s1"));
+  At("a").OnTokens(now, key, 0, Strings{"x"});
+  Pass();
+  Wait(Spec().stall_bound);
+  One<CancelAttempt>("a");
+  const auto again = One<DispatchAttempt>("a");
+  BOOST_TEST(again.resume_from == 1U);
+  BOOST_TEST((again.avoid == std::vector<ServerId>{ServerId("s1")}));
+}
+
+BOOST_AUTO_TEST_CASE(with_a_gap_is_resumed_and_never_short) {
+  const RequestId id = *At("a").Accept(now, Spec());
+  Pass();
+  const AttemptKey key = One<DispatchAttempt>("a").key;
+  At("a").OnAttemptStarted(now, key, ServerId("s1"));
+  At("a").OnTokens(now, key, 0, Strings{"w"});
+  At("a").OnTokens(now, key, 2, Strings{"y", "z"});
+  At("a").OnAttemptEnded(
+      now, key,
+      {.status = absl::OkStatus(), .finish_reason = "stop", .total_events = 4});
+  Pass();
+  BOOST_TEST(One<DispatchAttempt>("a").resume_from == 1U);
+  BOOST_TEST((At("a").Query(id)->state == RequestState::kRunning));
+}
+
+BOOST_AUTO_TEST_CASE(can_be_read_and_cancelled_on_any_instance) {
+  const RequestId id = *At("a").Accept(now, Spec());
+  Pass();
+  const AttemptKey key = One<DispatchAttempt>("a").key;
+  const std::string replica = HolderOf(id);
+  const std::string other = replica == "b" ? "c" : "b";
+  now += milliseconds(50);
+  At("a").OnTokens(now, key, 0, Strings{"x"});
+  Pass();
+  At(other).Follow(now, id, 0, FollowMode::kSnapshot);
+  Pass();
+  BOOST_TEST(One<SnapshotReady>(other).view->text == "x");
+  At(other).Cancel(now, id);
+  Pass();
+  BOOST_TEST(
+      (One<SnapshotReady>(other).view->state == RequestState::kCancelled));
+  One<CancelAttempt>("a");
+}
+
+BOOST_AUTO_TEST_CASE(that_nobody_knows_is_an_error) {
+  At("a").Follow(now, RequestId("x~y~0123456789abcdef"), 0,
+                 FollowMode::kStream);
+  Pass();
+  Wait(seconds(1));
+  BOOST_TEST((CodeOf(One<FollowerEnded>("a").end.status) ==
+              ResultCode::kUnknownRequest));
+}
+
+BOOST_AUTO_TEST_CASE(ends_at_its_deadline) {
+  RequestSpec spec = Spec();
+  spec.deadline = seconds(2);
+  const RequestId id = *At("a").Accept(now, spec);
+  Pass();
+  Wait(seconds(2));
+  One<CancelAttempt>("a");
+  BOOST_TEST(
+      (CodeOf(At("a").Query(id)->end->status) == ResultCode::kDeadlinePassed));
+}
+
+BOOST_AUTO_TEST_CASE(is_kept_for_a_bounded_time_and_leaves_no_memory) {
+  RequestSpec spec = Spec();
+  spec.answer_kept = seconds(30);
+  const RequestId id = *At("a").Accept(now, spec);
+  Pass();
+  At("a").Cancel(now, id);
+  Pass();
+  Wait(milliseconds(20));
+  BOOST_TEST(At("a").Query(id).has_value());
+  Wait(seconds(31));
+  for (auto& [instance, table] : tables) {
+    BOOST_TEST(table.gauges().bytes == 0);
+    BOOST_TEST(!table.Query(id).has_value());
+  }
+  At("a").Follow(now, id, 0, FollowMode::kStream);
+  Pass();
+  BOOST_TEST(
+      (CodeOf(One<FollowerEnded>("a").end.status) == ResultCode::kRequestGone));
+}
+
+BOOST_AUTO_TEST_CASE(is_refused_before_memory_runs_out) {
+  RequestSpec spec = Spec();
+  spec.max_requests = 2;
+  BOOST_TEST(At("a").Accept(now, spec).ok());
+  BOOST_TEST(At("a").Accept(now, spec).ok());
+  const absl::Status third = At("a").Accept(now, spec).status();
+  BOOST_TEST((CodeOf(third) == ResultCode::kMemoryFull));
+  BOOST_TEST((DetailsOf(third).ran == Ran::kNo));
+  spec.profile = ProfileName("large");
+  spec.max_requests = 0;
+  spec.max_bytes = 10'000;
+  spec.body = std::string(20'000, 'x');
+  BOOST_TEST(
+      (CodeOf(At("a").Accept(now, spec).status()) == ResultCode::kMemoryFull));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace oleander
--- /dev/null
+++ b/test/correctness/retries_test.cc
@@ -0,0 +1,90 @@
+// Retries stay within a share of the successes and within the deadline.
+#include "oleander/retries.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace oleander {
+namespace {
+
+using std::chrono::milliseconds;
+
+BOOST_AUTO_TEST_SUITE(retries)
+
+BOOST_AUTO_TEST_CASE(are_earned_by_successes) {
+  const ServiceId service("model");
+  RetryBudget budget({.share = 0.5, .burst = 2});
+  BOOST_TEST(budget.TryTake(service));
+  BOOST_TEST(budget.TryTake(service));
+  BOOST_TEST(!budget.TryTake(service));
+  budget.OnSuccess(service);
+  BOOST_TEST(!budget.TryTake(service));
+  budget.OnSuccess(service);
+  BOOST_TEST(budget.TryTake(service));
+}
+
+BOOST_AUTO_TEST_CASE(of_one_service_leave_the_others_theirs) {
+  RetryBudget budget({.share = 0.1, .burst = 1});
+  BOOST_TEST(budget.TryTake(ServiceId("a")));
+  BOOST_TEST(!budget.TryTake(ServiceId("a")));
+  BOOST_TEST(budget.TryTake(ServiceId("b")));
+}
+
+BOOST_AUTO_TEST_CASE(never_pile_up_beyond_the_burst) {
+  const ServiceId service("model");
+  RetryBudget budget({.share = 1, .burst = 3});
+  for (int i = 0; i < 100; ++i) {
+    budget.OnSuccess(service);
+  }
+  BOOST_TEST(budget.remaining(service) == 3);
+}
+
+BOOST_AUTO_TEST_CASE(wait_longer_each_time_up_to_a_bound) {
+  Backoff backoff({.initial = milliseconds(10),
+                   .maximum = milliseconds(100),
+                   .factor = 2,
+                   .jitter = 0.5},
+                  /*seed=*/1);
+  Duration bound = milliseconds(10);
+  for (int i = 0; i < 10; ++i) {
+    const Duration delay = backoff.Next();
+    BOOST_TEST((delay <= bound && delay >= bound / 2));
+    bound = std::min<Duration>(bound * 2, milliseconds(100));
+  }
+  backoff.Reset();
+  BOOST_TEST((backoff.Next() <= milliseconds(10)));
+}
+
+BOOST_AUTO_TEST_CASE(end_before_the_deadline_or_are_not_begun) {
+  const Time now{};
+  const Time deadline = now + milliseconds(100);
+  BOOST_TEST(FitsDeadline(now, milliseconds(40), milliseconds(60), deadline));
+  BOOST_TEST(!FitsDeadline(now, milliseconds(41), milliseconds(60), deadline));
+  BOOST_TEST(
+      FitsDeadline(now, std::chrono::hours(1), milliseconds(1), std::nullopt));
+}
+
+BOOST_AUTO_TEST_CASE(by_hedging_are_for_short_work_that_is_late) {
+  const HedgeQuestion late{.allowed = true,
+                           .output_tokens = 50,
+                           .waited = milliseconds(700),
+                           .expected_first_token = milliseconds(200),
+                           .first_token_seen = false};
+  BOOST_TEST(HedgeIsDue({}, late));
+  HedgeQuestion other = late;
+  other.allowed = false;
+  BOOST_TEST(!HedgeIsDue({}, other));
+  other = late;
+  other.output_tokens = 5'000;
+  BOOST_TEST(!HedgeIsDue({}, other));
+  other = late;
+  other.first_token_seen = true;
+  BOOST_TEST(!HedgeIsDue({}, other));
+  other = late;
+  other.waited = milliseconds(500);
+  BOOST_TEST(!HedgeIsDue({}, other));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace oleander
