--- /dev/null
+++ b/test/performance/counted_reclaim_main.cc
@@ -0,0 +1,252 @@
+// Counts the tokens that are computed again when a backend server is
+// reclaimed, under the planner and under two baselines. Fails where the planner
+// recomputes more than half of the better baseline where any plan could stay
+// below that, more than 5% above the least possible where none can, or anything
+// where notice and link would have let every cache be exported.
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "oleander/reclaim.h"
+
+namespace {
+
+using namespace oleander;
+using std::chrono::milliseconds;
+
+constexpr uint64_t kSeeds = 40;
+constexpr int64_t kBytesPerToken = 131'072;  // 32 layers, 8 heads, 16 bits.
+constexpr double kMaxShareOfBaseline = 0.5;
+constexpr double kMaxAboveLeast = 1.05;
+constexpr double kInterRegionBytesPerSecond = 30e6 / 8;
+
+class Draw {
+ public:
+  explicit Draw(uint64_t seed) : random_(seed) {}
+  int64_t Between(int64_t low, int64_t high) {
+    return low + static_cast<int64_t>(random_() %
+                                      static_cast<uint64_t>(high - low + 1));
+  }
+  double Share() { return static_cast<double>(Between(0, 1000)) / 1000; }
+
+ private:
+  std::mt19937_64 random_;
+};
+
+// The two workloads of the sizes of today: short chats and designs that share
+// their prompts' beginnings, and long reviews that share little.
+std::vector<RunningRequest> DrawRequests(Draw& draw) {
+  std::vector<RunningRequest> requests;
+  const int64_t count = draw.Between(16, 48);
+  for (int64_t i = 0; i < count; ++i) {
+    const bool review = draw.Share() < 0.25;
+    RunningRequest request;
+    request.attempt = {
+        .id = RequestId(fmt::format("r{}", i)), .epoch = 1, .attempt = 1};
+    request.cached_tokens =
+        review ? draw.Between(6'000, 24'000) : draw.Between(600, 3'000);
+    const double elsewhere =
+        review ? 0.1 * draw.Share() : 0.5 + 0.5 * draw.Share();
+    request.cached_elsewhere = static_cast<int64_t>(
+        elsewhere * static_cast<double>(request.cached_tokens));
+    request.kv_bytes = request.cached_tokens * kBytesPerToken;
+    request.expected_to_finish = milliseconds(
+        review ? draw.Between(20'000, 600'000) : draw.Between(200, 12'000));
+    requests.push_back(request);
+  }
+  return requests;
+}
+
+int64_t BytesOf(const std::vector<RunningRequest>& requests) {
+  int64_t bytes = 0;
+  for (const RunningRequest& request : requests) {
+    bytes += request.kv_bytes;
+  }
+  return bytes;
+}
+
+// `room` is what the notice and the link can carry, as a share of all caches.
+ReclaimNotice DrawNotice(Draw& draw,
+                         const std::vector<RunningRequest>& requests,
+                         double room) {
+  ReclaimNotice notice;
+  notice.server = ServerId("leaving");
+  notice.notice = milliseconds(5000);
+  const double seconds =
+      std::chrono::duration<double>(notice.notice - notice.safety_margin)
+          .count();
+  const double rate = room * static_cast<double>(BytesOf(requests)) / seconds;
+  notice.export_bytes_per_second = rate;
+  const int64_t targets = draw.Between(1, 3);
+  for (int64_t i = 0; i < targets; ++i) {
+    notice.targets.push_back({.server = ServerId(fmt::format("t{}", i)),
+                              .free_kv_tokens = 2'000'000,
+                              .bytes_per_second = rate,
+                              .link_group = 0});
+  }
+  return notice;
+}
+
+// Whether a plan stays within notice, targets and link.
+bool IsFeasible(const ReclaimNotice& notice,
+                const std::vector<RunningRequest>& requests,
+                const ReclaimPlan& plan) {
+  std::map<RequestId, const RunningRequest*> by_id;
+  for (const RunningRequest& request : requests) {
+    by_id[request.attempt.id] = &request;
+  }
+  std::map<std::string, int64_t> tokens;
+  double bytes = 0;
+  for (const ReclaimStep& step : plan.steps) {
+    const auto found = by_id.find(step.attempt.id);
+    if (found == by_id.end()) {
+      return false;  // Planned twice, or never asked for.
+    }
+    if (step.choice == ReclaimChoice::kExport) {
+      tokens[step.target.value()] += found->second->cached_tokens;
+      bytes += static_cast<double>(found->second->kv_bytes);
+      if (step.ends > notice.notice - notice.safety_margin) {
+        return false;
+      }
+    }
+    by_id.erase(found);
+  }
+  const bool targets_hold =
+      std::ranges::all_of(notice.targets, [&](const ReclaimTarget& target) {
+        return tokens[target.server.value()] <= target.free_kv_tokens;
+      });
+  const double seconds =
+      std::chrono::duration<double>(notice.notice - notice.safety_margin)
+          .count();
+  const double most = notice.export_bytes_per_second * seconds;
+  return by_id.empty() && targets_hold && bytes <= most * 1.000001;
+}
+
+// No plan recomputes less: caches may be cut into pieces here.
+int64_t LeastPossible(const ReclaimNotice& notice,
+                      std::vector<RunningRequest> requests) {
+  const Duration usable = notice.notice - notice.safety_margin;
+  std::erase_if(requests, [&](const RunningRequest& request) {
+    return request.expected_to_finish <= usable;
+  });
+  const auto saved_per_byte = [](const RunningRequest& request) {
+    return static_cast<double>(ResumeCost(request)) /
+           static_cast<double>(request.kv_bytes);
+  };
+  std::ranges::sort(requests, std::ranges::greater{}, saved_per_byte);
+  double bytes = notice.export_bytes_per_second *
+                 std::chrono::duration<double>(usable).count();
+  double recomputed = 0;
+  for (const RunningRequest& request : requests) {
+    const auto size = static_cast<double>(request.kv_bytes);
+    const double exported = std::min(bytes, size);
+    bytes -= exported;
+    recomputed +=
+        static_cast<double>(ResumeCost(request)) * (1 - exported / size);
+  }
+  return static_cast<int64_t>(recomputed);
+}
+
+struct Totals {
+  int64_t least = 0;
+  int64_t planner = 0;
+  int64_t resume = 0;
+  int64_t in_order = 0;
+  int bad_plans = 0;
+  int over_half = 0;  // Seeds in which the planner passed the bound.
+};
+
+Totals RunAll(double room) {
+  Totals totals;
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    Draw draw(seed);
+    const std::vector<RunningRequest> requests = DrawRequests(draw);
+    const ReclaimNotice notice = DrawNotice(draw, requests, room);
+    const ReclaimPlan plan = PlanReclaim(notice, requests);
+    const ReclaimPlan resume = PlanAlwaysResume(notice, requests);
+    const ReclaimPlan in_order = PlanExportInOrder(notice, requests);
+    totals.least += LeastPossible(notice, requests);
+    totals.planner += plan.recomputed_tokens;
+    totals.resume += resume.recomputed_tokens;
+    totals.in_order += in_order.recomputed_tokens;
+    totals.bad_plans += IsFeasible(notice, requests, plan) ? 0 : 1;
+    const int64_t better =
+        std::min(resume.recomputed_tokens, in_order.recomputed_tokens);
+    totals.over_half +=
+        static_cast<double>(plan.recomputed_tokens) >
+                kMaxShareOfBaseline * static_cast<double>(better)
+            ? 1
+            : 0;
+  }
+  return totals;
+}
+
+bool Check(bool holds, const std::string& what) {
+  if (!holds) {
+    fmt::print("BROKEN: {}\n", what);
+  }
+  return holds;
+}
+
+// The narrow link between regions is never exceeded, whatever it would save.
+bool CheckNarrowLink() {
+  Draw draw(99);
+  const std::vector<RunningRequest> requests = DrawRequests(draw);
+  ReclaimNotice notice = DrawNotice(draw, requests, 4);
+  for (ReclaimTarget& target : notice.targets) {
+    target.link_group = 1;
+  }
+  notice.links = {
+      {.link_group = 1, .bytes_per_second = kInterRegionBytesPerSecond / 2}};
+  const ReclaimPlan plan = PlanReclaim(notice, requests);
+  const double most = kInterRegionBytesPerSecond / 2 * 4.7;
+  return Check(static_cast<double>(plan.exported_bytes) <= most,
+               fmt::format("{} bytes went over a link share of {}",
+                           plan.exported_bytes, most)) &&
+         Check(IsFeasible(notice, requests, plan), "narrow link plan");
+}
+
+}  // namespace
+
+int main() {
+  bool holds = true;
+  fmt::print(
+      "room    least  planner  always-resume  export-in-order  of-better  "
+      "seeds-over-half\n");
+  for (const double room : {0.3, 0.5, 0.7, 0.85, 1.0, 1.5}) {
+    const Totals totals = RunAll(room);
+    const int64_t better = std::min(totals.resume, totals.in_order);
+    const double share = better == 0 ? 0.0
+                                     : static_cast<double>(totals.planner) /
+                                           static_cast<double>(better);
+    fmt::print("{:4.2f} {:8} {:8} {:14} {:16} {:10.3f} {:8}\n", room,
+               totals.least, totals.planner, totals.resume, totals.in_order,
+               share, totals.over_half);
+    holds &= Check(totals.bad_plans == 0,
+                   fmt::format("{} plans exceed notice, target or link",
+                               totals.bad_plans));
+    holds &=
+        Check(totals.planner <= better, "the planner is worse than a baseline");
+    if (room >= 1.001) {
+      holds &= Check(totals.planner == 0,
+                     "tokens recomputed although everything fits");
+    } else if (kMaxAboveLeast * static_cast<double>(totals.least) <=
+               kMaxShareOfBaseline * static_cast<double>(better)) {
+      holds &= Check(
+          share <= kMaxShareOfBaseline,
+          fmt::format("{:.3f} of the better baseline at room {}", share, room));
+    } else {
+      holds &= Check(static_cast<double>(totals.planner) <=
+                         kMaxAboveLeast * static_cast<double>(totals.least),
+                     fmt::format("{} where {} is the least possible",
+                                 totals.planner, totals.least));
+    }
+  }
+  holds &= CheckNarrowLink();
+  return holds ? 0 : 1;
+}
