--- a/include/oleander/routing.h
+++ b/include/oleander/routing.h
@@ -59,6 +59,7 @@
   int64_t prompt_tokens = 0;
   int64_t max_tokens = 0;
   int64_t bytes = 0;  // That would cross the link: body and expected answer.
+  Duration first_token_target = std::chrono::milliseconds(1500);
   Priority priority = Priority::kStandard;
   MeasureWeights weights;
   bool reads_own_writes = false;
@@ -93,7 +94,6 @@
 struct EndedCall {
   CallOutcome outcome = CallOutcome::kAnswered;
   int64_t tokens = 0;
-  int64_t measured_cached_tokens = -1;  // As `usage` said; -1 where unknown.
 };
 
 struct RoutingOptions {
@@ -106,6 +106,18 @@
   // Seconds of expected wait that a token's worth of prefill counts for, per
   // unit of the profile's weight for recomputed tokens.
   double recompute_factor = 1;
+  // What the prefill that a new prompt pushes out of a cache counts for, where
+  // the server's cache changes at the pool's mean pace.
+  double eviction_factor = 3;
+  // What a full batch counts for: each answer in it is slower.
+  Duration crowding = std::chrono::milliseconds(100);
+  // How often a reclaimable server goes, and how long a token takes: a long
+  // answer on a reclaimable server may have to be computed again.
+  double reclaims_per_hour = 0.2;
+  // How long a prompt's prefix is of use after its answer: until the
+  // conversation's next turns.
+  Duration prefix_use = std::chrono::seconds(60);
+  Duration token_time = std::chrono::milliseconds(40);
   // A farther ring is looked at when the nearer one's best expected wait
   // passes this.
   Duration spill_wait = std::chrono::milliseconds(700);
@@ -121,7 +133,6 @@
   uint64_t dispatched = 0;
   uint64_t crossed = 0;
   int64_t crossed_bytes = 0;
-  uint64_t link_refusals = 0;  // Choices that the link's budget ruled out.
   uint64_t shed = 0;
 };
 
@@ -146,6 +157,10 @@
   void OnLoad(Time now, const ServerLoad& load);
   // Seen anywhere: no more work for this server, whatever its reports say.
   void OnLeaving(Time now, const ServerId& server);
+  // The server is being drained for good: until `until` it still gets calls
+  // whose prefix no other server holds, so that conversations end where their
+  // cache is; after that it gets nothing.
+  void OnClosing(Time now, const ServerId& server, Time until);
   void OnCacheEvents(Time now, const ServerId& server,
                      std::span<const CacheEvent> events);
   void OnDispatched(Time now, const DispatchedCall& call);
@@ -167,6 +182,7 @@
   size_t memory_bytes() const;
 
  private:
+  struct Fading;
   struct Server;
   struct Pool;
   struct Candidate;
@@ -174,19 +190,29 @@
 
   Server* Find(const ServerId& server);
   const Server* Find(const ServerId& server) const;
+  // Gets any work, or at least that which only it has the cache for.
   bool Usable(Time now, const Server& server) const;
-  int RingOf(const Server& server) const;
+  bool TakesNew(Time now, const Server& server) const;
+  bool Alive(Time now, const Server& server) const;
   double LinkBytesLeft(Time now) const;
   void SpendLink(Time now, int64_t bytes);
   Candidate Score(Time now, const Server& server, const RouteQuery& query,
                   int cached_blocks) const;
   void Consider(Time now, const RouteQuery& query, ServerSlot slot,
-                Candidate& best) const;
+                int cached_blocks, Candidate& best) const;
+  void ConsiderRandom(Time now, const RouteQuery& query,
+                      std::span<const ServerSlot> ring, uint64_t draw,
+                      Candidate& best) const;
+  void ConsiderHolders(Time now, const RouteQuery& query,
+                       Candidate& best) const;
   absl::StatusOr<Route> ChooseForRead(Time now, const RouteQuery& query,
                                       const Pool& pool,
                                       const WriteMark& mark) const;
-  absl::Status NoServer(const RouteQuery& query) const;
-  void RebuildPools(Time now);
+  absl::StatusOr<Route> ChooseAny(Time now, const RouteQuery& query,
+                                  const Pool& pool) const;
+  Route RouteTo(const RouteQuery& query, const Candidate& candidate) const;
+  void AddServer(const ServerInfo& info);
+  void RebuildPools();
   void ForgetOldMarks(Time now);
 
   struct StoredMark {
@@ -201,7 +227,7 @@
   std::vector<std::unique_ptr<Server>> servers_;
   absl::flat_hash_map<ServerId, ServerSlot> slots_;
   absl::flat_hash_map<ServiceId, std::unique_ptr<Pool>> pools_;
-  absl::flat_hash_map<uint64_t, Flight> flights_;
+  absl::flat_hash_map<uint64_t, std::unique_ptr<Flight>> flights_;
   absl::flat_hash_map<std::pair<ServiceId, WorkspaceId>, StoredMark> marks_;
   double link_bytes_ = 0;
   Time link_at_{};
