--- a/src/parts/ledger_impl.h
+++ b/src/parts/ledger_impl.h
@@ -33,8 +33,8 @@
 
 // One Begin().
 struct LedgerEntry {
-  LedgerEntry(LedgerCall ledger_call, Backoff store_backoff)
-      : call(std::move(ledger_call)), backoff(std::move(store_backoff)) {}
+  LedgerEntry(LedgerCall ledger_call, const Backoff& store_backoff)
+      : call(std::move(ledger_call)), backoff(store_backoff) {}
 
   CallTicket ticket{};
   LedgerCall call;
--- a/src/parts/reclaim.cc
+++ b/src/parts/reclaim.cc
@@ -2,9 +2,7 @@
 
 #include <algorithm>
 #include <array>
-#include <limits>
 #include <map>
-#include <numeric>
 #include <optional>
 #include <utility>
 
@@ -77,6 +75,7 @@
     }
     double left = notice_->export_bytes_per_second;
     std::vector<Lane*> by_rate;
+    by_rate.reserve(lanes_.size());
     for (auto& [group, lane] : lanes_) {
       by_rate.push_back(&lane);
     }
@@ -180,16 +179,23 @@
 // cache fills it.
 using Order = std::vector<const RunningRequest*>;
 
-Order ByDensity(Order order) {
-  std::ranges::stable_sort(order, std::ranges::greater{}, SavedPerByte);
+// The requests stand in one array, so their addresses give the arrival.
+template <typename Value>
+Order ByDescending(Order order, Value value) {
+  std::ranges::sort(order, [&](const auto* a, const auto* b) {
+    const auto value_a = value(a);
+    const auto value_b = value(b);
+    return value_a != value_b ? value_a > value_b : a < b;
+  });
   return order;
 }
 
-Order BySaving(Order order) {
-  std::ranges::stable_sort(order, std::ranges::greater{}, Saved);
-  return order;
+Order ByDensity(Order order) {
+  return ByDescending(std::move(order), SavedPerByte);
 }
 
+Order BySaving(Order order) { return ByDescending(std::move(order), Saved); }
+
 Order ByArrival(Order order) { return order; }
 
 // By density, but the one request that just missed its place goes first.
--- a/src/parts/request_attempts.cc
+++ b/src/parts/request_attempts.cc
@@ -101,6 +101,20 @@
   request.dispatch_at = now + request.backoff.Next();
 }
 
+void RequestTable::Impl::ResumeIfStalled(Time now, HeldRequest& request) {
+  const std::optional<Time> due = StallDue(request);
+  if (!due.has_value() || *due > now) {
+    return;
+  }
+  ++counts_.stalls;
+  AvoidServer(request);
+  StopAttempt(request);
+  RetryLater(now, request,
+             MakeError(ResultCode::kStalled,
+                       fmt::format("Request {} made no progress.",
+                                   request.id.value())));
+}
+
 void RequestTable::Impl::End(Time now, HeldRequest& request, RequestEnd end) {
   ++counts_.ended;
   counts_.failed += end.status.ok() ? 0 : 1;
--- a/src/parts/request_record.cc
+++ b/src/parts/request_record.cc
@@ -49,6 +49,17 @@
   return std::nullopt;
 }
 
+std::optional<Time> LagDue(const HeldRequest& request,
+                           const RequestTiming& timing) {
+  if (request.phase == RequestPhase::kAccepting ||
+      request.promote_due.has_value() || request.visible >= request.size()) {
+    return std::nullopt;
+  }
+  return request.visible_moved + timing.replica_lag_bound;
+}
+
+}  // namespace
+
 std::optional<Time> StallDue(const HeldRequest& request) {
   if (!request.attempt.active || !request.attempt.started) {
     return std::nullopt;
@@ -62,17 +73,6 @@
   return request.attempt.last_progress + bound;
 }
 
-std::optional<Time> LagDue(const HeldRequest& request,
-                           const RequestTiming& timing) {
-  if (request.phase == RequestPhase::kAccepting ||
-      request.promote_due.has_value() || request.visible >= request.size()) {
-    return std::nullopt;
-  }
-  return request.visible_moved + timing.replica_lag_bound;
-}
-
-}  // namespace
-
 HeldRequest::HeldRequest(RequestId request_id,
                          std::shared_ptr<const RequestSpec> request,
                          uint64_t seed, const RequestTableOptions& options)
--- a/src/parts/request_record.h
+++ b/src/parts/request_record.h
@@ -128,6 +128,9 @@
 // The error for a reader whose next event lies beyond the end of the answer.
 absl::Status AheadError(const RequestId& id, uint64_t next, uint64_t total);
 
+// When the running attempt counts as stalled unless an event comes.
+std::optional<Time> StallDue(const HeldRequest& request);
+
 // When the record has to be looked at next.
 std::optional<Time> NextDue(const HeldRequest& request,
                             const RequestTiming& timing);
--- a/src/parts/requests.cc
+++ b/src/parts/requests.cc
@@ -12,8 +12,9 @@
 namespace oleander {
 namespace {
 
-// Of one peer; more restarts than this don't fit into a message's lifetime.
-constexpr size_t kMaxPastRuns = 8;
+bool HasPassed(const std::optional<Time>& time, Time now) {
+  return time.has_value() && *time <= now;
+}
 
 }  // namespace
 
@@ -23,46 +24,6 @@
       run_(random_()),
       relays_(options_, random_()) {}
 
-void RequestTable::Impl::SetPeers(Time now, std::span<const PeerView> peers) {
-  std::map<InstanceId, PeerView> next;
-  for (const PeerView& peer : peers) {
-    if (peer.info.id != options_.self.id) {
-      next[peer.info.id] = peer;
-    }
-  }
-  peers_ = std::move(next);
-  for (const RequestId& id : AllIds()) {
-    if (HeldRequest* request = Find(id)) {
-      OnPeerChange(now, *request);
-    }
-  }
-  relays_.SetPeers(now, peers_);
-}
-
-void RequestTable::Impl::OnPeerChange(Time now, HeldRequest& request) {
-  if (request.role == RequestRole::kReplica) {
-    const auto home = peers_.find(request.ownership.home);
-    if (home == peers_.end() || !home->second.alive) {
-      ++counts_.adopted_on_loss;
-      Adopt(now, request);
-    }
-    return;
-  }
-  const bool lost =
-      !request.replica.id.empty() && !IsUsable(request.replica.id);
-  const bool waits_for_one = request.replica.id.empty() &&
-                             request.spec->replica != ReplicaRule::kNone &&
-                             !request.deposed_by.has_value();
-  if (lost) {
-    LoseReplica(now, request);
-  } else if (waits_for_one) {
-    StartReplica(now, request);
-  }
-  if (Find(request.id) == &request) {
-    Settle(now, request);
-  }
-}
-
 absl::StatusOr<RequestId> RequestTable::Impl::Accept(Time now,
                                                      RequestSpec spec) {
   if (draining_) {
@@ -70,7 +31,7 @@
         ResultCode::kDraining,
         fmt::format("Instance {} is leaving.", options_.self.id.value()));
   }
-  if (const absl::Status room = CheckRoom(spec); !room.ok()) {
+  if (absl::Status room = CheckRoom(spec); !room.ok()) {
     return room;
   }
   auto shared = std::make_shared<const RequestSpec>(std::move(spec));
@@ -85,8 +46,8 @@
                     "profile {}.",
                     options_.self.id.value(), shared->profile.value()));
   }
-  const RequestId id = MakeRequestId(options_.self.id,
-                                     replica.value_or(InstanceId()), random_());
+  RequestId id = MakeRequestId(options_.self.id, replica.value_or(InstanceId()),
+                               random_());
   HeldRequest& request = AddRecord(id, std::move(shared));
   request.ownership = {.epoch = 1, .home = options_.self.id};
   request.phase = RequestPhase::kAccepting;
@@ -273,10 +234,7 @@
 }
 
 void RequestTable::Impl::OnDue(Time now, HeldRequest& request) {
-  const auto passed = [now](const std::optional<Time>& time) {
-    return time.has_value() && *time <= now;
-  };
-  if (passed(request.drop_at)) {
+  if (HasPassed(request.drop_at, now)) {
     MoveFollowers(request, {});
     Drop(request, {.ownership = request.ownership,
                    .link = request.replica.number,
@@ -285,15 +243,28 @@
     return;
   }
   if (request.role == RequestRole::kReplica) {
-    if (passed(request.check_at) && request.ended() && !draining_) {
-      request.check_at.reset();  // It is dropped in time without a question.
-    } else if (passed(request.check_at)) {
-      AskHome(now, request);
-    }
+    OnReplicaDue(now, request);
+  } else {
+    OnHomeDue(now, request);
+  }
+  if (Find(request.id) == &request) {
     Settle(now, request);
+  }
+}
+
+void RequestTable::Impl::OnReplicaDue(Time now, HeldRequest& request) {
+  if (!HasPassed(request.check_at, now)) {
     return;
   }
-  if (!request.ended() && passed(request.deadline)) {
+  if (request.ended() && !draining_) {
+    request.check_at.reset();  // It is dropped in time without a question.
+  } else {
+    AskHome(now, request);
+  }
+}
+
+void RequestTable::Impl::OnHomeDue(Time now, HeldRequest& request) {
+  if (!request.ended() && HasPassed(request.deadline, now)) {
     StopAttempt(request);
     End(now, request,
         {.status = MakeError(ResultCode::kDeadlinePassed,
@@ -301,35 +272,17 @@
                                          request.id.value())),
          .finish_reason = {}});
   }
-  if (passed(request.hold_due)) {
-    OnHoldTimeout(now, request);
-    if (Find(request.id) != &request) {
-      return;
-    }
-  }
-  if (request.attempt.active && request.attempt.started) {
-    const Duration bound = request.attempt.any_event
-                               ? request.spec->stall_bound
-                               : request.spec->first_event_bound;
-    if (bound != Duration::zero() &&
-        now >= request.attempt.last_progress + bound) {
-      ++counts_.stalls;
-      AvoidServer(request);
-      StopAttempt(request);
-      RetryLater(now, request,
-                 MakeError(ResultCode::kStalled,
-                           fmt::format("Request {} made no progress.",
-                                       request.id.value())));
-    }
-  }
-  if (passed(request.release_due)) {
+  ResumeIfStalled(now, request);
+  if (HasPassed(request.release_due, now)) {
     SendReleases(now, request);
   }
-  if (passed(request.dispatch_at)) {
+  if (HasPassed(request.dispatch_at, now)) {
     Dispatch(now, request);
   }
   DropSilentFollowers(now, request);
-  Settle(now, request);
+  if (HasPassed(request.hold_due, now)) {
+    OnHoldTimeout(now, request);  // May drop the record.
+  }
 }
 
 std::optional<Time> RequestTable::Impl::next_due() const {
@@ -362,84 +315,6 @@
              message.body);
 }
 
-bool RequestTable::Impl::NoteRun(Time now, const InstanceId& from,
-                                 uint64_t run) {
-  PeerRun& known = peer_runs_[from];
-  if (known.present == run) {
-    return true;
-  }
-  if (std::ranges::find(known.past, run) != known.past.end()) {
-    return false;
-  }
-  const uint64_t before = std::exchange(known.present, run);
-  if (before != 0) {
-    known.past.push_back(before);
-    if (known.past.size() > kMaxPastRuns) {
-      known.past.pop_front();
-    }
-    OnPeerRestart(now, from);
-  }
-  return true;
-}
-
-void RequestTable::Impl::OnPeerRestart(Time now, const InstanceId& peer) {
-  for (const RequestId& id : AllIds()) {
-    HeldRequest* request = Find(id);
-    if (request == nullptr) {
-      continue;
-    }
-    if (request->role == RequestRole::kReplica) {
-      if (request->ownership.home == peer) {
-        ++counts_.adopted_on_loss;
-        Adopt(now, *request);
-      }
-      continue;
-    }
-    if (request->replica.id == peer) {
-      LoseReplica(now, *request);
-      if (Find(id) == request) {
-        Settle(now, *request);
-      }
-    }
-  }
-}
-
-void RequestTable::Impl::SendBeacons(Time now) {
-  std::set<InstanceId> sharers;
-  for (const auto& [id, request] : records_) {
-    sharers.insert(request->role == RequestRole::kHome
-                       ? request->replica.id
-                       : request->ownership.home);
-  }
-  sharers.erase(InstanceId());
-  for (const InstanceId& sharer : sharers) {
-    SendAbout(sharer, {}, {}, 0, Beacon{});
-  }
-  beacon_due_.reset();
-  if (!records_.empty()) {
-    beacon_due_ = now + options_.timing.beacon;
-  }
-}
-
-void RequestTable::Impl::On(Time /*now*/, const InstanceId& from,
-                            const RequestMessage& /*message*/,
-                            const Beacon& /*beacon*/) {
-  SendAbout(from, {}, {}, 0, BeaconAnswer{});
-}
-
-void RequestTable::Impl::On(Time /*now*/, const InstanceId& /*from*/,
-                            const RequestMessage& /*message*/,
-                            const BeaconAnswer& /*answer*/) {}
-
-std::vector<RequestId> RequestTable::Impl::AllIds() const {
-  std::vector<RequestId> ids;
-  ids.reserve(records_.size());
-  for (const auto& [id, request] : records_) {
-    ids.push_back(id);
-  }
-  return ids;
-}
-
 void RequestTable::Impl::Drain(Time now, bool handover) {
   draining_ = true;
   handover_ = handover_ || handover;
@@ -462,11 +337,6 @@
   return draining_ && records_.empty() && relays_.size() == 0;
 }
 
-bool RequestTable::Impl::IsUsable(const InstanceId& id) const {
-  const auto peer = peers_.find(id);
-  return peer != peers_.end() && peer->second.alive && !peer->second.leaving;
-}
-
 void RequestTable::Impl::Send(const InstanceId& to, const HeldRequest& request,
                               RequestMessageBody body) {
   SendAbout(to, request.id, request.ownership, request.replica.number,
@@ -528,71 +398,4 @@
   return gauges;
 }
 
-RequestTable::RequestTable(RequestTableOptions options, uint64_t seed)
-    : impl_(std::make_unique<Impl>(std::move(options), seed)) {}
-RequestTable::~RequestTable() = default;
-RequestTable::RequestTable(RequestTable&&) noexcept = default;
-RequestTable& RequestTable::operator=(RequestTable&&) noexcept = default;
-
-void RequestTable::SetPeers(Time now, std::span<const PeerView> peers) {
-  impl_->SetPeers(now, peers);
-}
-absl::StatusOr<RequestId> RequestTable::Accept(Time now, RequestSpec spec) {
-  return impl_->Accept(now, std::move(spec));
-}
-FollowerId RequestTable::Follow(Time now, const RequestId& id, uint64_t from,
-                                FollowMode mode) {
-  return impl_->Follow(now, id, from, mode);
-}
-void RequestTable::Unfollow(Time now, FollowerId follower) {
-  impl_->Unfollow(now, follower);
-}
-FollowerId RequestTable::Cancel(Time now, const RequestId& id) {
-  return impl_->Follow(now, id, 0, FollowMode::kCancel);
-}
-void RequestTable::OnMessage(Time now, const InstanceId& from,
-                             const RequestMessage& message) {
-  impl_->OnMessage(now, from, message);
-}
-void RequestTable::OnAttemptStarted(Time now, const AttemptKey& key,
-                                    const ServerId& server) {
-  impl_->OnAttemptStarted(now, key, server);
-}
-void RequestTable::OnTokens(Time now, const AttemptKey& key,
-                            uint64_t first_index,
-                            std::span<const std::string> tokens) {
-  impl_->OnTokens(now, key, first_index, tokens);
-}
-void RequestTable::OnAttemptEnded(Time now, const AttemptKey& key,
-                                  const AttemptOutcome& outcome) {
-  impl_->OnAttemptEnded(now, key, outcome);
-}
-void RequestTable::OnServerLost(Time now, const ServerId& server) {
-  impl_->OnServerLost(now, server);
-}
-void RequestTable::ResumeElsewhere(Time now, const AttemptKey& key) {
-  impl_->ResumeElsewhere(now, key);
-}
-void RequestTable::Drain(Time now, bool handover) {
-  impl_->Drain(now, handover);
-}
-bool RequestTable::CanExit() const { return impl_->CanExit(); }
-bool RequestTable::draining() const { return impl_->draining(); }
-void RequestTable::Tick(Time now) { impl_->Tick(now); }
-std::optional<Time> RequestTable::next_due() const { return impl_->next_due(); }
-std::vector<RequestAction> RequestTable::TakeActions() {
-  return impl_->TakeActions();
-}
-std::optional<RequestView> RequestTable::Query(const RequestId& id) const {
-  return impl_->Query(id);
-}
-std::optional<ServerId> RequestTable::ServerOf(const AttemptKey& key) const {
-  return impl_->ServerOf(key);
-}
-std::vector<AttemptKey> RequestTable::AttemptsOn(const ServerId& server) const {
-  return impl_->AttemptsOn(server);
-}
-const RequestCounts& RequestTable::counts() const { return impl_->counts(); }
-RequestGauges RequestTable::gauges() const { return impl_->gauges(); }
-
 }  // namespace oleander
--- a/src/parts/requests_impl.h
+++ b/src/parts/requests_impl.h
@@ -1,5 +1,6 @@
-// The inside of RequestTable. Its functions stand in five files by duty:
-// requests.cc (acceptance, peers, time), request_replication.cc (the home's
+// The inside of RequestTable. Its functions stand in six files by duty:
+// requests.cc (acceptance, memory, time), request_peers.cc (other instances),
+// request_replication.cc (the home's
 // side of the second copy), request_replica.cc (the replica's side),
 // request_attempts.cc (backend servers) and request_followers.cc (readers).
 #ifndef OLEANDER_PARTS_REQUESTS_IMPL_H_
@@ -80,6 +81,8 @@
   void Settle(Time now, HeldRequest& request);
   void Reschedule(HeldRequest& request);
   void OnDue(Time now, HeldRequest& request);
+  void OnHomeDue(Time now, HeldRequest& request);
+  void OnReplicaDue(Time now, HeldRequest& request);
   void OnPeerChange(Time now, HeldRequest& request);
   void SendBeacons(Time now);
   // Whether `run` is the present run of `from`; one that was restarted lost
@@ -156,6 +159,7 @@
   void StopAttempt(HeldRequest& request);
   void AvoidServer(HeldRequest& request);
   void RetryLater(Time now, HeldRequest& request, const absl::Status& status);
+  void ResumeIfStalled(Time now, HeldRequest& request);
   void End(Time now, HeldRequest& request, RequestEnd end);
   void CancelHere(Time now, HeldRequest& request);
 
--- a/test/correctness/ledger_test.cc
+++ b/test/correctness/ledger_test.cc
@@ -3,6 +3,7 @@
 
 #include <boost/test/unit_test.hpp>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "oleander/result_code.h"
@@ -20,7 +21,7 @@
                                          .limits = {},
                                          .mutations = {}},
                 uint64_t seed = 1)
-      : ledger(options, seed) {}
+      : ledger(std::move(options), seed) {}
 
   CallTicket Begin(std::string body = "body", bool status_call = false) {
     LedgerCall call;
--- a/test/random/ledger_world.cc
+++ b/test/random/ledger_world.cc
@@ -259,7 +259,8 @@
 
 void World::Carry(int index, const StoreOp& action) {
   const uint64_t run = instances_[index].run;
-  const auto answer = [this, index, run, op = action.op](StoreResult result) {
+  const auto answer = [this, index, run,
+                       op = action.op](const StoreResult& result) {
     if (instances_[index].run == run) {
       Do(index, [this, op, result](Ledger& ledger) {
         ledger.OnStoreResult(time_.now(), op, result);
@@ -295,7 +296,7 @@
 void World::Carry(int index, const DispatchOnce& action) {
   const uint64_t run = instances_[index].run;
   const auto end = [this, index, run,
-                    ticket = action.ticket](DispatchOutcome outcome) {
+                    ticket = action.ticket](const DispatchOutcome& outcome) {
     if (instances_[index].run == run) {
       Do(index, [this, ticket, outcome](Ledger& ledger) {
         ledger.OnDispatchEnded(time_.now(), ticket, outcome);
@@ -532,6 +533,7 @@
     uint64_t seed, int count, const std::vector<LedgerFault>& kinds) {
   Draw draw(seed);
   std::vector<PlannedLedgerFault> faults;
+  faults.reserve(static_cast<size_t>(count));
   for (int i = 0; i < count; ++i) {
     faults.push_back({.after_ms = static_cast<int>(draw.Below(6000)),
                       .kind = kinds[draw.Below(kinds.size())],
--- a/test/random/request_world.cc
+++ b/test/random/request_world.cc
@@ -829,6 +829,7 @@
                                      const std::vector<RequestFault>& kinds) {
   Draw draw(seed);
   std::vector<PlannedFault> faults;
+  faults.reserve(static_cast<size_t>(count));
   for (int i = 0; i < count; ++i) {
     faults.push_back({.after_ms = static_cast<int>(draw.Below(4000)),
                       .kind = kinds[draw.Below(kinds.size())],
