Node: a resumed engine call's tokens count from where it went on; long answers of a service aren't cut

Cause: engines report completion_tokens of the one call, and the dispatcher passed them on as the events of the whole answer, so every resumed attempt that ended well counted as having a gap and was dispatched once more (its whole prefix computed again). And an answer of a plain service beyond 4 MB lost pieces in the middle and was given as whole. Change: the resume position is added; a too long answer is an error that says it ran.

--- a/src/node/dispatcher.cc
+++ b/src/node/dispatcher.cc
@@ -21,20 +21,21 @@
          code != ResultCode::kMalformedRequest;
 }
 
-AttemptOutcome OutcomeOf(const io::CompletionEnd& end) {
+}  // namespace
+
+AttemptOutcome OutcomeOf(const io::CompletionEnd& end, uint64_t resume_from) {
   AttemptOutcome outcome;
   outcome.status = end.status;
   outcome.finish_reason = end.finish_reason;
   if (end.status.ok() && end.usage.has_value() &&
       end.usage->completion_tokens > 0) {
-    outcome.total_events = static_cast<uint64_t>(end.usage->completion_tokens);
+    outcome.total_events =
+        resume_from + static_cast<uint64_t>(end.usage->completion_tokens);
   }
   outcome.retryable = IsRetryable(end.status);
   return outcome;
 }
 
-}  // namespace
-
 RoutableRequest MakeRoutable(const std::string& body) {
   RoutableRequest routable;
   const auto chat = ParseChatRequest(body);
@@ -297,7 +298,7 @@
              {"message", std::string(end.status.message())}});
   }
   Bury(std::move(attempt.call));
-  End(key, OutcomeOf(end));
+  End(key, OutcomeOf(end, attempt.dispatch.resume_from));
 }
 
 void Dispatcher::FinishFlight(Time now, Attempt& attempt, CallOutcome outcome,
--- a/src/node/dispatcher.h
+++ b/src/node/dispatcher.h
@@ -128,6 +128,10 @@
   absl::flat_hash_map<RequestId, KvResume> kv_resumes_;
 };
 
+// How the table hears of an engine call's end. An engine counts the tokens of
+// the one call, the table those of the whole answer.
+AttemptOutcome OutcomeOf(const io::CompletionEnd& end, uint64_t resume_from);
+
 // The blocks and sizes of a chat body; an empty answer where it does not parse.
 RoutableRequest MakeRoutable(const std::string& body);
 
--- a/src/node/ledger_driver.cc
+++ b/src/node/ledger_driver.cc
@@ -222,6 +222,7 @@
   }
   running.server = server->id;
   running.answer = {};
+  running.answer_too_long = false;
   io::HttpCallCallbacks callbacks;
   callbacks.on_sent = [this, ticket] {
     if (!ledger_.OnSending(parts_.loop.now(), ticket)) {
@@ -238,9 +239,12 @@
     answer.content_type = ContentType(headers);
   };
   callbacks.on_body = [this, ticket](std::string_view chunk) {
-    StoredAnswer& answer = running_.at(ticket).answer;
-    if (answer.body.size() + chunk.size() <= kMaxStoredAnswer) {
-      answer.body.append(chunk);
+    Running& receiving = running_.at(ticket);
+    std::string& body = receiving.answer.body;
+    receiving.answer_too_long = receiving.answer_too_long ||
+                                body.size() + chunk.size() > kMaxStoredAnswer;
+    if (!receiving.answer_too_long) {
+      body.append(chunk);
     }
   };
   callbacks.on_end = [this, ticket](const io::HttpCallEnd& end) {
@@ -304,6 +308,18 @@
                                       std::string(end.status.message()))));
     return;
   }
+  if (running.answer_too_long) {
+    // Part of an answer is never passed for the whole.
+    EndDispatch(
+        ticket, /*sent=*/true,
+        MakeError({.code = ResultCode::kBadAnswer,
+                   .ran = Ran::kYes,
+                   .retry_after = std::nullopt},
+                  fmt::format("The answer of {} is longer than {} "
+                              "bytes.",
+                              running.server->value(), kMaxStoredAnswer)));
+    return;
+  }
   EndDispatch(ticket, /*sent=*/true, running.answer);
 }
 
--- a/src/node/ledger_driver.h
+++ b/src/node/ledger_driver.h
@@ -66,6 +66,7 @@
     std::optional<ServerId> server;
     std::unique_ptr<io::HttpCall> call;
     StoredAnswer answer;
+    bool answer_too_long = false;
   };
 
   void SchedulePump();
