--- a/include/oleander/profiles.h
+++ b/include/oleander/profiles.h
@@ -129,8 +129,8 @@
   Duration edit_timeout = std::chrono::seconds(8);
   Duration in_force_retry = std::chrono::milliseconds(300);
   Duration stale_after = std::chrono::seconds(10);
-  size_t max_value_bytes = 256 * 1024;
-  size_t push_bytes = 512 * 1024;
+  size_t max_value_bytes = size_t{256} << 10;
+  size_t push_bytes = size_t{512} << 10;
   // The same news is asked from the same peer again only after this.
   Duration pull_again = std::chrono::seconds(5);
   Duration edit_retry = std::chrono::milliseconds(300);
--- a/src/parts/audit.cc
+++ b/src/parts/audit.cc
@@ -39,7 +39,8 @@
     return;
   }
   for (const auto& [key, child] : value.items()) {
-    Flatten(child, path.empty() ? key : path + "." + key, leaves);
+    Flatten(child, path.empty() ? key : fmt::format("{}.{}", path, key),
+            leaves);
   }
 }
 
--- a/src/parts/gossip_link.cc
+++ b/src/parts/gossip_link.cc
@@ -41,8 +41,7 @@
   std::ranges::transform(
       pending, std::back_inserter(ranked),
       [](const auto& item) { return std::pair(item.second, item.first); });
-  std::ranges::stable_sort(ranked, std::greater<>(),
-                           &std::pair<int, InstanceId>::first);
+  std::ranges::sort(ranked, std::greater<>());
   ranked.resize(std::min(most, ranked.size()));
   std::vector<InstanceId> taken;
   for (const auto& [left, id] : ranked) {
--- a/src/parts/load_spread.cc
+++ b/src/parts/load_spread.cc
@@ -1,6 +1,7 @@
 #include "oleander/load_spread.h"
 
 #include <algorithm>
+#include <cmath>
 #include <iterator>
 #include <random>
 #include <utility>
@@ -20,6 +21,10 @@
 constexpr double kJitter = 0.1;
 constexpr double kStaleBurst = 4;
 
+int CountOf(uint8_t level) {
+  return static_cast<int>(std::lround(ValueOf(level)));
+}
+
 }  // namespace
 
 LoadSpread::Impl::Impl(InstanceInfo self, const LoadSpreadOptions& options,
@@ -34,6 +39,10 @@
 
 void LoadSpread::Impl::SetServers(const std::vector<ServerInfo>& servers,
                                   Time now) {
+  if (servers == listed_) {
+    return;
+  }
+  listed_ = servers;
   std::map<ServerId, Server> before;
   for (Server& server : servers_) {
     before.emplace(server.info.id, std::move(server));
@@ -329,10 +338,10 @@
     const LoadEntry& entry = server.published.entry;
     const LoadTraits& traits = server.published.traits;
     report.age = now - server.published.taken;
-    report.running = static_cast<int>(ValueOf(entry.running) + 0.5);
-    report.waiting = static_cast<int>(ValueOf(entry.waiting) + 0.5);
+    report.running = CountOf(entry.running);
+    report.waiting = CountOf(entry.waiting);
     report.queued_tokens = static_cast<int64_t>(ValueOf(entry.queued_tokens));
-    report.slots = std::max(1, static_cast<int>(ValueOf(traits.slots) + 0.5));
+    report.slots = std::max(1, CountOf(traits.slots));
     report.tokens_per_s = ValueOf(traits.tokens_per_s);
     report.prefill_tokens_per_s = ValueOf(traits.prefill_tokens_per_s);
     report.kv_total_tokens =
@@ -391,10 +400,10 @@
         {.service = pool.service,
          .domain = pool.domain,
          .age = now - summary.taken,
-         .servers = static_cast<int>(ValueOf(entry.servers) + 0.5),
-         .running = static_cast<int>(ValueOf(entry.running) + 0.5),
-         .waiting = static_cast<int>(ValueOf(entry.waiting) + 0.5),
-         .slots = static_cast<int>(ValueOf(entry.slots) + 0.5),
+         .servers = CountOf(entry.servers),
+         .running = CountOf(entry.running),
+         .waiting = CountOf(entry.waiting),
+         .slots = CountOf(entry.slots),
          .queued_tokens = static_cast<int64_t>(ValueOf(entry.queued_tokens))});
   }
   return result;
--- a/src/parts/load_spread_impl.h
+++ b/src/parts/load_spread_impl.h
@@ -99,6 +99,7 @@
   InstanceInfo self_;
   LoadSpreadOptions options_;
   std::mt19937_64 gen_;
+  std::vector<ServerInfo> listed_;  // As SetServers() got it last.
   parts::ServerRoster roster_;
   std::vector<InstanceInfo> live_;
   std::set<DomainId> live_domains_;
--- a/src/parts/load_updates.cc
+++ b/src/parts/load_updates.cc
@@ -197,7 +197,7 @@
       neighbour.leaving.insert(id);
     }
     bytes += kEntryBytes + (traits ? kTraitsBytes : 0);
-    update.entries.push_back(std::move(entry));
+    update.entries.push_back(entry);
   }
 }
 
--- a/src/parts/profile_spreading.cc
+++ b/src/parts/profile_spreading.cc
@@ -300,6 +300,7 @@
 
 std::vector<ProfileHave> ProfileStore::Impl::HaveList() const {
   std::vector<ProfileHave> have;
+  have.reserve(slots_.size());
   for (const auto& [name, slot] : slots_) {
     have.push_back({.name = name, .revision = slot.revision.revision});
   }
