--- a/include/oleander/request_messages.h
+++ b/include/oleander/request_messages.h
@@ -63,10 +63,15 @@
   Duration remaining{};  // Of the deadline; zero where there is none.
   std::vector<std::string> events;
   std::optional<RequestEnd> end;
+  // As in Adopted, which may come later than this.
+  uint64_t agreed = 0;
 };
-// kOk where the request is held now, else why not.
+// OK where the request is held now with every event below `next`, else why
+// not.
 struct HoldAnswer {
   absl::Status status;
+  uint64_t next = 0;
+  bool end_held = false;
 };
 // Events that the replica lacks.
 struct Progress {
@@ -87,8 +92,11 @@
   std::vector<std::string> events;
   std::optional<RequestEnd> end;
 };
-// The sender is the home now, with the message's ownership.
-struct Adopted {};
+// The message's ownership is in force: that home went on from event `agreed`.
+// Sent by the new home, and by its replica to a home that is out of date.
+struct Adopted {
+  uint64_t agreed = 0;
+};
 // Drop the copy.
 struct Release {};
 // The sender knows nothing of the request.
@@ -102,10 +110,12 @@
 // Asks for events from index `from` on. Repeated while the follower lives: it
 // is acknowledgement, heartbeat and cure of losses in one.
 struct FollowRequest {
+  uint64_t follower = 0;  // The asker's name for the follower.
   uint64_t from = 0;
   FollowMode mode = FollowMode::kStream;
 };
 struct FollowEvents {
+  uint64_t follower = 0;
   uint64_t first_index = 0;
   std::vector<std::string> events;
   RequestState state = RequestState::kQueued;
@@ -115,19 +125,34 @@
 // The sender doesn't answer for the request. `holder` is who may; `gone` tells
 // that it ended and is kept no longer.
 struct FollowElsewhere {
+  uint64_t follower = 0;
   InstanceId holder;
   bool gone = false;
 };
-struct StopFollowing {};
+struct StopFollowing {
+  uint64_t follower = 0;
+};
+
+// Sent now and then to every instance that shares a request with the sender;
+// the answer shows whether that is still the same process.
+struct Beacon {};
+struct BeaconAnswer {};
 
 using RequestMessageBody =
     std::variant<HoldRequest, HoldAnswer, Progress, ProgressAnswer, Promote,
                  Adopted, Release, NotHeld, ReplicaLeaving, FollowRequest,
-                 FollowEvents, FollowElsewhere, StopFollowing>;
+                 FollowEvents, FollowElsewhere, StopFollowing, Beacon,
+                 BeaconAnswer>;
 
 struct RequestMessage {
-  RequestId id;
+  RequestId id;         // Empty in beacons.
   Ownership ownership;  // As the sender knows it.
+  // Which of the home's replicas in turn this is about; tells a late answer or
+  // Release from the present one.
+  uint64_t link = 0;
+  // Differs between two runs of the sender's process: one that was restarted
+  // holds nothing any more.
+  uint64_t run = 0;
   RequestMessageBody body;
 };
 
