--- a/include/oleander/admission.h
+++ b/include/oleander/admission.h
@@ -59,7 +59,7 @@
   int first_limit = 64;  // Requests under way of one service.
   int min_limit = 4;
   int max_limit = 4096;
-  double grow_factor = 1.05;
+  double grow_step = 1;
   double shrink_factor = 0.85;
   double slow_share = 0.05;  // More answers than this past the target shrink.
   // The part of the first-token target that the engines may use up; the rest is
@@ -70,7 +70,7 @@
   // A request beyond its workspace's share is queued only where its expected
   // wait is at most this much of what it may wait; later refusals would come
   // too late to be of use.
-  double queue_share = 0.4;
+  double queue_share = 0.2;
   // Room above the limit that only a workspace within its share may use.
   double within_share_room = 0.15;
   // A queued request's effective priority rises by one each time this passes,
@@ -141,7 +141,7 @@
   static Waiting RemoveWaiting(Service& service, Workspace& workspace,
                                std::deque<Waiting>& queue,
                                std::ptrdiff_t position);
-  static void DropIdle(Time now, Service& service, const WorkspaceId& id);
+  static void DropIdle(Time now, Service& service);
 
   AdmissionOptions options_;
   uint64_t fairness_violations_ = 0;
--- a/include/oleander/routing.h
+++ b/include/oleander/routing.h
@@ -111,13 +111,6 @@
   double eviction_factor = 3;
   // What a full batch counts for: each answer in it is slower.
   Duration crowding = std::chrono::milliseconds(100);
-  // How often a reclaimable server goes, and how long a token takes: a long
-  // answer on a reclaimable server may have to be computed again.
-  double reclaims_per_hour = 0.2;
-  // How long a prompt's prefix is of use after its answer: until the
-  // conversation's next turns.
-  Duration prefix_use = std::chrono::seconds(60);
-  Duration token_time = std::chrono::milliseconds(40);
   // A farther ring is looked at when the nearer one's best expected wait
   // passes this.
   Duration spill_wait = std::chrono::milliseconds(700);
--- a/src/parts/admission.cc
+++ b/src/parts/admission.cc
@@ -8,6 +8,7 @@
 #include <cmath>
 #include <deque>
 #include <limits>
+#include <numbers>
 #include <utility>
 
 #include "oleander/invariant.h"
@@ -21,6 +22,12 @@
 constexpr int kPriorities = 3;
 constexpr double kAverageWeight = 0.05;  // Of a new sample.
 constexpr Seconds kFirstHold{2};         // Until answers have been measured.
+// Over how long a workspace's use is averaged: bursts shorter than this are no
+// excess.
+constexpr Seconds kOfferHalfLife{5};
+constexpr double kRateOfSum = std::numbers::ln2 / kOfferHalfLife.count();
+constexpr int kBurstQueue = 1;
+constexpr Duration kWorkspaceKept = std::chrono::minutes(1);
 constexpr Duration kLeastComeBack = std::chrono::milliseconds(100);
 constexpr Duration kMostComeBack = std::chrono::minutes(5);
 // A queued request is given up when its estimate passes its limit by this
@@ -69,6 +76,8 @@
 
 struct Admission::Workspace {
   double share = 1;
+  double offered_tokens = 0;  // Of late: halves every kOfferHalfLife.
+  Time offered_at{};
   int in_flight = 0;
   double in_flight_tokens = 0;
   double queued_tokens = 0;
@@ -83,7 +92,16 @@
     return static_cast<int>(sum);
   }
   bool active() const { return in_flight > 0 || queued() > 0; }
-  double tokens() const { return in_flight_tokens + queued_tokens; }
+
+  void Offered(Time now, double tokens) {
+    offered_tokens = OfferedRate(now) / kRateOfSum + tokens;
+    offered_at = now;
+  }
+  // Tokens a second that the workspace asked for, refused ones too.
+  double OfferedRate(Time now) const {
+    const double half_lives = (now - offered_at) / kOfferHalfLife;
+    return kRateOfSum * offered_tokens * std::exp2(-half_lives);
+  }
 };
 
 struct Admission::Service {
@@ -103,59 +121,53 @@
   int slow_samples = 0;
   int most_in_flight = 0;
 
-  double Capacity() const { return limit * mean_cost; }
-
-  // The max-min fair level, in tokens per unit of share: a workspace that uses
-  // no more gets all it asks for, and the others get this much each. Infinite
-  // where everything fits.
-  double FairLevel(const Workspace& asking, double more_tokens) const {
-    std::vector<std::pair<double, double>> uses;  // Per share, and the share.
+  // The max-min fair level, in tokens a second per unit of share: a workspace
+  // that asks for no more gets it all, and the others get this much each.
+  // Infinite where everything fits.
+  double FairLevel(Time now) const {
+    std::vector<std::pair<double, double>>
+        demands;  // Per share, and the share.
     double shares = 0;
     for (const auto& [id, workspace] : workspaces) {
-      const double more = &workspace == &asking ? more_tokens : 0;
-      if (!workspace.active() && more == 0) continue;
-      uses.emplace_back((workspace.tokens() + more) / workspace.share,
-                        workspace.share);
+      demands.emplace_back(workspace.OfferedRate(now) / workspace.share,
+                           workspace.share);
       shares += workspace.share;
     }
-    std::ranges::sort(uses);
-    double left = Capacity();
-    for (const auto& [use, share] : uses) {
-      if (use * shares > left) return left / shares;
-      left -= use * share;
+    std::ranges::sort(demands);
+    double left = TokensPerSecond();
+    for (const auto& [demand, share] : demands) {
+      if (demand * shares > left) return left / shares;
+      left -= demand * share;
       shares -= share;
     }
     return std::numeric_limits<double>::infinity();
   }
 
   // The part of the capacity that the workspace gets while others ask for more.
-  double Fraction(const Workspace& workspace, double more_tokens) const {
-    const double level = FairLevel(workspace, more_tokens);
-    return std::min(1.0, level * workspace.share / Capacity());
+  double Fraction(Time now, const Workspace& workspace) const {
+    return std::min(1.0, FairLevel(now) * workspace.share / TokensPerSecond());
   }
 
-  // By Little's law: what runs at the limit, over how long it stays.
-  double TokensPerSecond() const {
-    return limit * mean_cost / std::max(mean_hold.count(), 1e-3);
+  // Calls come at random, so a workspace without a queue may be above its level
+  // by about one standard deviation of a steady caller's use.
+  bool WithinShare(Time now, const Workspace& workspace) const {
+    const double level = FairLevel(now) * workspace.share;
+    const double burst = workspace.queued() <= kBurstQueue
+                             ? std::sqrt(level * mean_cost * kRateOfSum)
+                             : 0;
+    return workspace.OfferedRate(now) <= level + burst;
   }
 
-  // One that is over it, but under what another uses, counts as within its
-  // share too: the other one's excess is refused first.
-  bool WithinShare(const Workspace& workspace, double more_tokens) const {
-    if (!workspace.active()) return true;
-    const double use = (workspace.tokens() + more_tokens) / workspace.share;
-    return use <= FairLevel(workspace, more_tokens) ||
-           std::ranges::any_of(workspaces, [&](const auto& entry) {
-             const Workspace& other = entry.second;
-             return &other != &workspace && other.tokens() / other.share > use;
-           });
+  // By Little's law: what runs at the limit, over how long it stays.
+  double TokensPerSecond() const {
+    return std::max(limit * mean_cost / mean_hold.count(), 1e-3);
   }
 
   // How long until `tokens` of the workspace, queued one after another, have
   // been let through.
-  Seconds WaitFor(const Workspace& workspace, double tokens) const {
-    const double rate = std::max(TokensPerSecond(), 1e-3);
-    const double by_share = tokens / (rate * Fraction(workspace, tokens));
+  Seconds WaitFor(Time now, const Workspace& workspace, double tokens) const {
+    const double rate = TokensPerSecond();
+    const double by_share = tokens / (rate * Fraction(now, workspace));
     const double by_all =
         (queued_tokens - workspace.queued_tokens + tokens) / rate;
     const double next_end = mean_hold.count() / std::max(limit, 1.0);
@@ -186,6 +198,7 @@
   Service& service = ServiceOf(now, query.service);
   Workspace& workspace = service.workspaces[query.workspace];
   workspace.share = std::max(query.share, 1e-3);
+  workspace.Offered(now, query.cost_tokens);
   if (query.max_in_flight > 0 &&
       workspace.in_flight + workspace.queued() >= query.max_in_flight) {
     return Refuse(now, service, query, ResultCode::kWorkspaceOverShare,
@@ -198,7 +211,7 @@
     return Refuse(now, service, query, ResultCode::kDeadlineUnreachable,
                   now + query.expected_first_token - query.deadline);
   }
-  const bool within_share = service.WithinShare(workspace, query.cost_tokens);
+  const bool within_share = service.WithinShare(now, workspace);
   const bool first_in_line = within_share || service.queued == 0;
   if (first_in_line && workspace.queued() == 0 &&
       HasRoom(service, within_share)) {
@@ -207,7 +220,7 @@
   }
   if (!within_share) {
     const Duration wait = ToDuration(service.WaitFor(
-        workspace, workspace.queued_tokens + query.cost_tokens));
+        now, workspace, workspace.queued_tokens + query.cost_tokens));
     const Duration allowed = WaitAllowed(query, now);
     if (Seconds(wait) > options_.queue_share * Seconds(allowed)) {
       return Refuse(now, service, query, ResultCode::kOverloaded,
@@ -265,8 +278,8 @@
                                     ResultCode code, Duration too_late_by) {
   ++refused_;
   Workspace& workspace = service.workspaces[query.workspace];
-  const bool fair = code != ResultCode::kOverloaded ||
-                    !service.WithinShare(workspace, query.cost_tokens);
+  const bool fair =
+      code != ResultCode::kOverloaded || !service.WithinShare(now, workspace);
   if (!fair) ++fairness_violations_;
   CheckInvariant(fair, "share_respected", [&] {
     return fmt::format(
@@ -275,9 +288,8 @@
   });
   // Callers that are refused together are told to come back in turn, at the
   // rate at which the workspace is served.
-  const Seconds turn(query.cost_tokens /
-                     (service.TokensPerSecond() *
-                      service.Fraction(workspace, query.cost_tokens)));
+  const Seconds turn(query.cost_tokens / (service.TokensPerSecond() *
+                                          service.Fraction(now, workspace)));
   workspace.promised_until =
       std::max(workspace.promised_until, now + too_late_by) + ToDuration(turn);
   const Duration come_back =
@@ -337,7 +349,6 @@
     service.mean_hold +=
         kAverageWeight * (Seconds(now - running.since) - service.mean_hold);
   }
-  DropIdle(now, service, running.workspace);
 }
 
 void Admission::Withdraw(Service& service, AdmissionId id) {
@@ -368,15 +379,13 @@
 }
 
 // A workspace without work and without promises is forgotten; what it used in
-// an idle hour gives it no claim and no debt.
-void Admission::DropIdle(Time now, Service& service, const WorkspaceId& id) {
-  const auto found = service.workspaces.find(id);
-  if (found == service.workspaces.end()) return;
-  const Workspace& workspace = found->second;
-  if (!workspace.active() && workspace.promised_until <= now &&
-      workspace.finish_tag <= service.virtual_time) {
-    service.workspaces.erase(found);
-  }
+// an earlier hour gives it no claim and no debt.
+void Admission::DropIdle(Time now, Service& service) {
+  std::erase_if(service.workspaces, [now](const auto& entry) {
+    const Workspace& workspace = entry.second;
+    return !workspace.active() && workspace.promised_until <= now &&
+           now - workspace.offered_at > kWorkspaceKept;
+  });
 }
 
 std::vector<AdmissionRelease> Admission::Tick(Time now) {
@@ -385,6 +394,7 @@
     AdjustLimit(now, *service);
     ReleaseReady(now, *service, released);
     GiveUpLate(now, *service, released);
+    DropIdle(now, *service);
   }
   return released;
 }
@@ -436,7 +446,7 @@
         const Seconds left(query.deadline - now - query.expected_first_token);
         const bool hopeless =
             !queue[i].within_share &&
-            service.WaitFor(workspace, tokens) > kEstimateSlack * left;
+            service.WaitFor(now, workspace, tokens) > kEstimateSlack * left;
         const bool given_up = query.deadline != Time::max() &&
                               (hopeless || left < Seconds::zero());
         if (!given_up) {
@@ -473,11 +483,11 @@
                     options_.slow_share * static_cast<double>(service.samples);
   const bool busy = service.most_in_flight >= kBusyShare * service.limit;
   if (slow) {
-    service.limit =
-        options_.shrink_factor *
-        std::min(service.limit, static_cast<double>(service.most_in_flight));
+    service.limit *= options_.shrink_factor;
   } else if (busy) {
-    service.limit = service.limit * options_.grow_factor + 1;
+    // Adding the same everywhere and taking a share away lets instances that
+    // load the same servers end up with equal limits.
+    service.limit += options_.grow_step;
   }
   service.limit =
       std::clamp(service.limit, static_cast<double>(options_.min_limit),
--- a/src/parts/outliers.cc
+++ b/src/parts/outliers.cc
@@ -8,13 +8,13 @@
 namespace {
 
 // The weight of a new sample in a server's slowness.
-constexpr double kSampleWeight = 0.1;
+constexpr double kSampleWeight = 0.08;
 // Expected times below this are counted as this: noise would look like a
 // multiple of very little.
 constexpr Duration kLeastExpected = std::chrono::milliseconds(250);
 // One sample counts as at most this slow, so that a few calls behind a long
 // prompt shed nobody.
-constexpr double kMostSlowness = 8;
+constexpr double kMostSlowness = 4;
 constexpr int kMostDoublings = 5;
 
 }  // namespace
@@ -89,7 +89,8 @@
   // The lower median, so that of two servers the quicker one sets the measure.
   const auto middle = all.begin() + static_cast<int>((all.size() - 1) / 2);
   std::ranges::nth_element(all, middle);
-  return std::max(*middle, 0.1);
+  // A pool that is quicker than expected makes nobody slow.
+  return std::max(*middle, 1.0);
 }
 
 bool OutlierDetector::FloorAllows(Time now) const {
--- a/src/parts/routing.cc
+++ b/src/parts/routing.cc
@@ -20,7 +20,6 @@
 // Taken where a server has reported no rate yet.
 constexpr double kFallbackPrefillRate = 4000;  // Tokens a second.
 constexpr Seconds kFallbackHold{3};
-constexpr Seconds kHour{3600};
 constexpr Seconds kChurnHalfLife{60};
 constexpr Duration kLeastTarget = std::chrono::milliseconds(100);
 constexpr double kHoldWeight = 0.05;  // Of a new sample in the moving average.
@@ -471,17 +470,6 @@
                                              options_.link_bytes_per_s);
   }
   candidate.wait = std::max(slot_wait, queue_wait) + recompute + link;
-  // What a reclaim would lose: the prompt as long as it is of use, and half of
-  // the answer on average.
-  Seconds exposure{};
-  if (server.info.market == Market::kReclaimable) {
-    const Seconds answer =
-        Seconds(options_.token_time) * static_cast<double>(query.max_tokens);
-    const Seconds prompt{static_cast<double>(query.prompt_tokens) / rate};
-    exposure = options_.reclaims_per_hour *
-               ((answer + Seconds(options_.prefix_use)) / kHour * prompt +
-                answer / kHour * answer / 2);
-  }
   const double total = query.weights.cost + query.weights.recomputed_tokens;
   const double recompute_weight =
       total > 0 ? query.weights.recomputed_tokens / total : 0;
@@ -505,7 +493,7 @@
   candidate.score =
       pressure + crowding +
       (0.5 + recompute_weight) *
-          (options_.recompute_factor * recompute + eviction + exposure).count();
+          (options_.recompute_factor * recompute + eviction).count();
   return candidate;
 }
 
