--- a/include/oleander/admission.h
+++ b/include/oleander/admission.h
@@ -28,8 +28,8 @@
 
 struct AdmissionQuery {
   AdmissionId id = 0;
-  ServiceId service;
-  WorkspaceId workspace;
+  ServiceId service{};
+  WorkspaceId workspace{};
   Priority priority = Priority::kStandard;
   double share = 1;             // The workspace's weight in the profile.
   Time deadline = Time::max();  // When the caller gives up; max() is never.
@@ -46,13 +46,13 @@
 
 struct AdmissionDecision {
   AdmissionKind kind = AdmissionKind::kAdmit;
-  absl::Status status;  // Of a refusal; carries ran "no" and retry_after.
+  absl::Status status{};  // Of a refusal; carries ran "no" and retry_after.
 };
 
 // A queued request whose turn came, or that was given up.
 struct AdmissionRelease {
   AdmissionId id = 0;
-  absl::Status status;  // OK: send it now. Else its final answer.
+  absl::Status status{};  // OK: send it now. Else its final answer.
 };
 
 struct AdmissionOptions {
--- a/include/oleander/capacity.h
+++ b/include/oleander/capacity.h
@@ -102,11 +102,11 @@
 
 // A server of the service as it is now.
 struct CapacityServer {
-  ServerInfo info;
+  ServerInfo info{};
   bool leaving = false;  // By a reclaim notice or an order of ours.
   int in_flight = 0;
-  std::vector<std::string> models;  // Loaded, of an engine.
-  std::string role;
+  std::vector<std::string> models{};  // Loaded, of an engine.
+  std::string role{};
 };
 
 // The load of the service, averaged by the caller over some seconds.
@@ -117,10 +117,10 @@
 };
 
 struct CapacityOptions {
-  ServiceId service;
-  std::string model;  // Ordered onto engines that lack it; empty orders none.
-  std::string role;   // The same.
-  std::vector<std::string> classes;  // Where the profile names none.
+  ServiceId service{};
+  std::string model{};  // Ordered onto engines that lack it; empty orders none.
+  std::string role{};   // The same.
+  std::vector<std::string> classes{};  // Where the profile names none.
   // Demand over servers that the planner aims at, by the profile's weights: a
   // fleet with little to spare is cheap, one with more keeps more prefixes.
   double utilisation_for_cost = 1.0;
@@ -150,7 +150,7 @@
   Duration move_pause = std::chrono::minutes(5);
   Duration order_margin = std::chrono::milliseconds(500);  // Lease left over.
   Duration observe_after_takeover = std::chrono::seconds(5);
-  WeightLoadingOptions weights;
+  WeightLoadingOptions weights{};
 };
 
 using CapacityMix = std::map<MarketKey, int>;
--- a/include/oleander/outliers.h
+++ b/include/oleander/outliers.h
@@ -14,8 +14,8 @@
 namespace oleander {
 
 struct OutlierOptions {
-  double slow_factor = 2.5;  // Of the pool's median slowness.
-  int min_samples = 12;
+  double slow_factor = 3;  // Of the pool's median slowness.
+  int min_samples = 10;
   int failures_in_a_row = 3;
   double floor = 0.5;  // At least this share of the pool stays in use.
   Duration first_shed = std::chrono::seconds(30);
--- a/include/oleander/routing.h
+++ b/include/oleander/routing.h
@@ -27,7 +27,7 @@
 
 // What a backend server said of its load, `age` before it got here.
 struct ServerLoad {
-  ServerId server;
+  ServerId server{};
   Duration age{};
   int running = 0;
   int waiting = 0;
@@ -46,29 +46,30 @@
 // may pass marks to each other, so that a read by way of another instance sees
 // the write too.
 struct WriteMark {
-  ServiceId service;
-  WorkspaceId workspace;
-  ServerId server;
+  ServiceId service{};
+  WorkspaceId workspace{};
+  ServerId server{};
   uint64_t version = 0;  // Zero where the service tells none.
 };
 
 struct RouteQuery {
-  ServiceId service;
-  WorkspaceId workspace;
-  std::span<const BlockHash> blocks;  // Of the prompt; empty for plain calls.
+  ServiceId service{};
+  WorkspaceId workspace{};
+  std::span<const BlockHash> blocks{};  // Of the prompt; empty for plain calls.
   int64_t prompt_tokens = 0;
   int64_t max_tokens = 0;
   int64_t bytes = 0;  // That would cross the link: body and expected answer.
   Duration first_token_target = std::chrono::milliseconds(1500);
   Priority priority = Priority::kStandard;
-  MeasureWeights weights;
+  MeasureWeights weights{};
   bool reads_own_writes = false;
-  std::span<const ServerId> avoid;  // Servers that failed this request before.
-  uint64_t draw = 0;                // Random bits for the random candidates.
+  std::span<const ServerId>
+      avoid{};        // Servers that failed this request before.
+  uint64_t draw = 0;  // Random bits for the random candidates.
 };
 
 struct Route {
-  ServerId server;
+  ServerId server{};
   Duration expected_first_token{};
   int64_t cached_tokens = 0;
   bool crosses_region = false;
@@ -81,9 +82,9 @@
 // An attempt that this instance sent out. `attempt` is unique in this process.
 struct DispatchedCall {
   uint64_t attempt = 0;
-  ServiceId service;
-  ServerId server;
-  std::vector<BlockHash> blocks;
+  ServiceId service{};
+  ServerId server{};
+  std::vector<BlockHash> blocks{};
   int64_t prompt_tokens = 0;
   int64_t cached_tokens = 0;  // As the route said.
   int64_t max_tokens = 0;
@@ -97,7 +98,7 @@
 };
 
 struct RoutingOptions {
-  Place place;  // Of this instance.
+  Place place{};  // Of this instance.
   Duration report_trusted = std::chrono::seconds(3);
   Duration link_delay = std::chrono::milliseconds(20);  // One way.
   Duration domain_delay = std::chrono::microseconds(1500);
@@ -116,8 +117,8 @@
   Duration spill_wait = std::chrono::milliseconds(700);
   Duration mark_kept = std::chrono::minutes(10);
   size_t max_write_marks = 10'000;
-  PrefixIndexOptions prefixes;
-  OutlierOptions outliers;
+  PrefixIndexOptions prefixes{};
+  OutlierOptions outliers{};
   uint64_t seed = 1;
 };
 
--- a/src/parts/outliers.cc
+++ b/src/parts/outliers.cc
@@ -8,13 +8,13 @@
 namespace {
 
 // The weight of a new sample in a server's slowness.
-constexpr double kSampleWeight = 0.08;
+constexpr double kSampleWeight = 0.1;
 // Expected times below this are counted as this: noise would look like a
 // multiple of very little.
 constexpr Duration kLeastExpected = std::chrono::milliseconds(250);
 // One sample counts as at most this slow, so that a few calls behind a long
 // prompt shed nobody.
-constexpr double kMostSlowness = 4;
+constexpr double kMostSlowness = 8;
 constexpr int kMostDoublings = 5;
 
 }  // namespace
--- /dev/null
+++ b/test/correctness/capacity_test.cc
@@ -0,0 +1,329 @@
+// The wanted mix of instances and the orders towards it.
+#include "oleander/capacity.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+
+#include "oleander/result_code.h"
+
+namespace oleander {
+namespace {
+
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+constexpr Time kStart{std::chrono::hours(1)};
+constexpr Market kCheap = Market::kReclaimable;
+constexpr Market kSafe = Market::kOnDemand;
+
+MarketKey Key(const std::string& domain, Market market) {
+  return {"standard", DomainId(domain), market};
+}
+
+std::vector<MarketPrice> Prices() {
+  std::vector<MarketPrice> prices;
+  for (const char* domain : {"a", "b", "c"}) {
+    prices.push_back({Key(domain, kSafe), 1.0});
+    prices.push_back({Key(domain, kCheap), 0.35});
+  }
+  return prices;
+}
+
+template <typename Order>
+std::vector<Order> Only(const std::vector<CapacityOrder>& orders) {
+  std::vector<Order> found;
+  for (const CapacityOrder& order : orders) {
+    if (const auto* each = std::get_if<Order>(&order)) found.push_back(*each);
+  }
+  return found;
+}
+
+int Count(const CapacityMix& mix, auto&& matches) {
+  int sum = 0;
+  for (const auto& [key, count] : mix) sum += matches(key) ? count : 0;
+  return sum;
+}
+
+struct Fixture {
+  CapacityOptions options = Options();
+  Profile profile = CostProfile();
+  CapacityPlanner planner{options, profile};
+  std::vector<CapacityServer> servers;
+  Time now = kStart;
+  uint64_t fence = 1;
+
+  Fixture() {
+    planner.SetPrices(Prices());
+    planner.SetServers(now, servers);
+  }
+  static CapacityOptions Options() {
+    CapacityOptions options;
+    options.service = ServiceId("model");
+    options.observe_after_takeover = Duration::zero();
+    return options;
+  }
+  static Profile CostProfile() {
+    Profile profile;
+    profile.weights = {.cost = 1, .recomputed_tokens = 0};
+    return profile;
+  }
+  std::vector<CapacityOrder> Plan() {
+    return planner.Plan(now, {fence, now + seconds(10)});
+  }
+  // Does what the cloud and the engines do with the orders.
+  void Carry(const std::vector<CapacityOrder>& orders) {
+    for (const StartInstance& start : Only<StartInstance>(orders)) {
+      CapacityServer server;
+      server.info.id = ServerId("s" + std::to_string(servers.size()));
+      server.info.service = start.service;
+      server.info.place.domain = start.key.domain;
+      server.info.machine_class = start.key.machine_class;
+      server.info.market = start.key.market;
+      servers.push_back(server);
+      planner.OnStarted(now, start.client_token, server.info.id);
+    }
+    for (const StopInstance& stop : Only<StopInstance>(orders)) {
+      std::erase_if(servers, [&](const CapacityServer& server) {
+        return server.info.id == stop.server;
+      });
+    }
+    planner.SetServers(now, servers);
+  }
+  void Settle(double interactive, double total, Duration time) {
+    for (const Time end = now + time; now < end; now += seconds(5)) {
+      planner.SetServers(now, servers);
+      planner.OnDemand(now, {.interactive = interactive, .total = total});
+      Carry(Plan());
+    }
+  }
+};
+
+BOOST_FIXTURE_TEST_SUITE(capacity, Fixture)
+
+BOOST_AUTO_TEST_SUITE(the_wanted_mix)
+
+BOOST_AUTO_TEST_CASE(keeps_interactive_work_alive_without_its_largest_domain) {
+  planner.OnDemand(now, {.interactive = 6, .total = 6});
+  const CapacityMix mix = planner.WantedMix(now);
+  const int total = Count(mix, [](const MarketKey&) { return true; });
+  for (const char* domain : {"a", "b", "c"}) {
+    const int lost = Count(mix, [&](const MarketKey& key) {
+      return key.domain == DomainId(domain);
+    });
+    BOOST_TEST(total - lost >= 6);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(has_no_more_reclaimable_servers_than_allowed) {
+  planner.OnDemand(now, {.interactive = 6, .total = 12});
+  const CapacityMix mix = planner.WantedMix(now);
+  const int total = Count(mix, [](const MarketKey&) { return true; });
+  const int cheap =
+      Count(mix, [](const MarketKey& key) { return key.market == kCheap; });
+  BOOST_TEST(cheap > 0);
+  BOOST_TEST(cheap <= 0.43 * total);
+}
+
+BOOST_AUTO_TEST_CASE(keeps_more_to_spare_where_recomputed_tokens_weigh_more) {
+  planner.OnDemand(now, {.interactive = 0, .total = 6});
+  const CapacityMix lean = planner.WantedMix(now);
+  profile.weights = {.cost = 0.3, .recomputed_tokens = 0.7};
+  planner.SetProfile(profile);
+  const auto all = [](const MarketKey&) { return true; };
+  BOOST_TEST(Count(planner.WantedMix(now), all) > Count(lean, all));
+}
+
+BOOST_AUTO_TEST_CASE(avoids_a_market_that_reclaims_have_made_dear) {
+  for (int i = 0; i < 20; ++i) planner.OnReclaimed(now, Key("a", kCheap), 1);
+  BOOST_TEST(planner.EffectivePrice(now, Key("a", kCheap)) > 1.0);
+  planner.OnDemand(now, {.interactive = 0, .total = 3});
+  BOOST_TEST(!planner.WantedMix(now).contains(Key("a", kCheap)));
+}
+
+BOOST_AUTO_TEST_CASE(forgets_reclaims_in_time) {
+  for (int i = 0; i < 20; ++i) planner.OnReclaimed(now, Key("a", kCheap), 1);
+  now += std::chrono::hours(48);
+  BOOST_TEST(planner.EffectivePrice(now, Key("a", kCheap)) < 0.4);
+}
+
+BOOST_AUTO_TEST_CASE(stays_within_the_cost_limit) {
+  profile.capacity.max_cost_per_hour = 4;
+  planner.SetProfile(profile);
+  planner.OnDemand(now, {.interactive = 10, .total = 10});
+  double cost = 0;
+  for (const auto& [key, count] : planner.WantedMix(now)) {
+    cost += count * (key.market == kCheap ? 0.35 : 1.0);
+  }
+  BOOST_TEST(cost <= 4);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(orders_need_a_lease)
+
+BOOST_AUTO_TEST_CASE(none_leave_without_one_or_right_before_its_end) {
+  planner.OnDemand(now, {.interactive = 3, .total = 3});
+  BOOST_TEST(planner.Plan(now, {}).empty());
+  BOOST_TEST(
+      planner.Plan(now, {1, now + std::chrono::milliseconds(400)}).empty());
+  BOOST_TEST(planner.Plan(now, {1, now - seconds(1)}).empty());
+  BOOST_TEST(!Plan().empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_new_holder_looks_before_it_orders) {
+  options.observe_after_takeover = seconds(5);
+  CapacityPlanner next(options, profile);
+  next.SetPrices(Prices());
+  next.OnDemand(now, {.interactive = 3, .total = 3});
+  next.SetServers(now, servers);
+  BOOST_TEST(next.Plan(now, {2, now + seconds(10)}).empty());
+  now += seconds(5);
+  next.SetServers(now, servers);
+  BOOST_TEST(!next.Plan(now, {2, now + seconds(10)}).empty());
+}
+
+BOOST_AUTO_TEST_CASE(two_holders_that_see_the_same_ask_with_the_same_tokens) {
+  CapacityPlanner other(options, profile);
+  other.SetPrices(Prices());
+  other.SetServers(now, servers);
+  for (CapacityPlanner* each : {&planner, &other}) {
+    each->OnDemand(now, {.interactive = 3, .total = 3});
+  }
+  const auto first = Only<StartInstance>(Plan());
+  const auto second =
+      Only<StartInstance>(other.Plan(now, {2, now + seconds(10)}));
+  BOOST_REQUIRE(first.size() == second.size());
+  BOOST_TEST(std::ranges::equal(first, second, {}, &StartInstance::client_token,
+                                &StartInstance::client_token));
+}
+
+BOOST_AUTO_TEST_CASE(every_order_carries_the_fencing_number) {
+  fence = 7;
+  planner.OnDemand(now, {.interactive = 3, .total = 3});
+  for (const StartInstance& start : Only<StartInstance>(Plan())) {
+    BOOST_TEST(start.fence == 7U);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(and_an_old_list_gives_none) {
+  planner.OnDemand(now, {.interactive = 3, .total = 3});
+  now += seconds(31);
+  BOOST_TEST(Plan().empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(starts)
+
+BOOST_AUTO_TEST_CASE(are_asked_for_once) {
+  planner.OnDemand(now, {.interactive = 3, .total = 3});
+  BOOST_TEST(!Only<StartInstance>(Plan()).empty());
+  BOOST_TEST(Only<StartInstance>(Plan()).empty());
+}
+
+BOOST_AUTO_TEST_CASE(fall_back_to_other_markets_when_refused) {
+  planner.OnDemand(now, {.interactive = 3, .total = 6});
+  const auto refusal = MakeError(ResultCode::kPlatformRefused, "None left.");
+  for (const StartInstance& start : Only<StartInstance>(Plan())) {
+    if (start.key.domain == DomainId("a")) {
+      planner.OnStarted(now, start.client_token, refusal);
+    }
+  }
+  const auto again = Only<StartInstance>(Plan());
+  BOOST_TEST(!again.empty());
+  BOOST_TEST(std::ranges::none_of(again, [](const StartInstance& start) {
+    return start.key.domain == DomainId("a") && start.key.market == kCheap;
+  }));
+}
+
+BOOST_AUTO_TEST_CASE(whose_token_named_an_instance_of_earlier_change_theirs) {
+  Settle(0, 1, minutes(1));
+  BOOST_REQUIRE(!servers.empty());
+  const CapacityServer lost = servers.back();
+  servers.pop_back();
+  planner.SetServers(now, servers);
+  const auto first = Only<StartInstance>(Plan());
+  BOOST_REQUIRE(first.size() == 1U);
+  planner.OnStarted(now, first[0].client_token, lost.info.id);
+  const auto second = Only<StartInstance>(Plan());
+  BOOST_REQUIRE(second.size() == 1U);
+  BOOST_TEST(first[0].client_token != second[0].client_token);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(scaling_down)
+
+BOOST_AUTO_TEST_CASE(waits_drains_and_stops_only_what_is_idle) {
+  Settle(6, 6, minutes(1));
+  const size_t many = servers.size();
+  for (CapacityServer& server : servers) server.in_flight = 1;
+  Settle(1, 1, minutes(2));
+  BOOST_TEST(servers.size() == many);  // The demand may come back.
+  Settle(1, 1, minutes(5));
+  BOOST_TEST(servers.size() == many);  // Drained, but still at work.
+  for (CapacityServer& server : servers) server.in_flight = 0;
+  Settle(1, 1, minutes(1));
+  BOOST_TEST(servers.size() < many);
+  BOOST_TEST(!servers.empty());
+}
+
+BOOST_AUTO_TEST_CASE(stops_what_an_earlier_holder_drained) {
+  Settle(1, 1, minutes(1));
+  CapacityServer drained = servers.front();
+  drained.info.id = ServerId("drained");
+  drained.leaving = true;
+  servers.push_back(drained);
+  Settle(1, 1, minutes(3));
+  BOOST_TEST(std::ranges::none_of(
+      servers, [](const CapacityServer& each) { return each.leaving; }));
+}
+
+BOOST_AUTO_TEST_CASE(does_not_flap_while_the_demand_wavers) {
+  Settle(4, 4, minutes(5));
+  const size_t size = servers.size();
+  for (int i = 0; i < 20; ++i) {
+    Settle(i % 2 == 0 ? 3.7 : 4, 4, minutes(1));
+    BOOST_TEST(servers.size() == size);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(moves_one_server_at_a_time_to_a_cheaper_market) {
+  Settle(3, 6, minutes(5));
+  std::vector<MarketPrice> prices = Prices();
+  for (MarketPrice& price : prices) {
+    const bool dearer =
+        price.key.market == kCheap && price.key.domain != DomainId("c");
+    if (dearer) price.per_hour = 0.9;
+  }
+  planner.SetPrices(prices);
+  const double before = planner.cost_per_hour();
+  planner.OnDemand(now, {.interactive = 3, .total = 6});
+  BOOST_TEST(Only<StartInstance>(Plan()).size() <= 1U);
+  Settle(3, 6, minutes(60));
+  BOOST_TEST(planner.cost_per_hour() < before);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_CASE(weights_are_ordered_with_what_the_engine_must_look_like) {
+  options.model = "m";
+  CapacityPlanner loading(options, profile);
+  loading.SetPrices(Prices());
+  CapacityServer server;
+  server.info.id = ServerId("e1");
+  server.info.service = options.service;
+  server.models = {"old"};
+  loading.SetServers(now, std::vector{server});
+  const auto orders =
+      Only<EngineOrder>(loading.Plan(now, {1, now + seconds(10)}));
+  BOOST_REQUIRE(orders.size() == 1U);
+  BOOST_TEST((orders[0].kind == EngineOrderKind::kLoadModel));
+  BOOST_TEST((orders[0].expect.models == server.models));
+  BOOST_TEST(orders[0].fence == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace oleander
