--- a/src/parts/capacity.cc
+++ b/src/parts/capacity.cc
@@ -90,6 +90,8 @@
     const bool loaded =
         std::ranges::find(server.models, options_.model) != server.models.end();
     if (loaded) weights_.OnLoaded(now, id);
+    // Drained by an earlier holder of the lease, or reclaimed.
+    if (server.leaving) draining_.try_emplace(id, now);
   }
 }
 
--- a/test/random/decisions_test.cc
+++ b/test/random/decisions_test.cc
@@ -171,6 +171,7 @@
   std::vector<CapacityPlanner> planners(2, CapacityPlanner(options, profile));
   for (CapacityPlanner& planner : planners) planner.SetPrices(prices);
   std::map<std::string, CapacityServer> cloud;  // By client token.
+  uint64_t made_servers = 0;
   uint64_t fence = 1;
   size_t holder = 0;
   Time lease_end = now + std::chrono::seconds(10);
@@ -194,9 +195,7 @@
       for (const auto& order : planners[i].Plan(now, {fence, lease_end})) {
         if (const auto* start = std::get_if<StartInstance>(&order)) {
           CapacityServer server;
-          server.info.id = ServerId(
-              "s" + std::to_string(step) +
-              start->client_token.substr(start->client_token.size() - 3));
+          server.info.id = ServerId("s" + std::to_string(++made_servers));
           server.info.service = options.service;
           server.info.machine_class = start->key.machine_class;
           server.info.place.domain = start->key.domain;
