--- a/include/oleander/capacity.h
+++ b/include/oleander/capacity.h
@@ -124,7 +124,7 @@
   // Demand over servers that the planner aims at, by the profile's weights: a
   // fleet with little to spare is cheap, one with more keeps more prefixes.
   double utilisation_for_cost = 1.0;
-  double utilisation_for_recompute = 0.2;
+  double utilisation_for_recompute = 0.25;
   // Of what is left when the largest domain is lost, by interactive work.
   double utilisation_after_loss = 0.95;
   double missed_step = 0.1;  // Lowers the utilisation aimed at after a miss.
--- a/src/parts/admission.cc
+++ b/src/parts/admission.cc
@@ -368,7 +368,7 @@
                                             std::deque<Waiting>& queue,
                                             std::ptrdiff_t position) {
   const auto place = queue.begin() + position;
-  const Waiting gone = *place;
+  Waiting gone = std::move(*place);
   queue.erase(place);
   --service.queued;
   service.queued_tokens -= gone.query.cost_tokens;
--- a/src/parts/prefix_index.cc
+++ b/src/parts/prefix_index.cc
@@ -82,8 +82,9 @@
     if (words > 0) XXH64_update(state.get(), " ", 1);
     XXH64_update(state.get(), word.data(), word.size());
     ++words;
-    if (words % kWordsPerBlock == 0)
+    if (words % kWordsPerBlock == 0) {
       blocks.push_back(XXH64_digest(state.get()));
+    }
   });
   return blocks;
 }
--- a/test/correctness/outliers_test.cc
+++ b/test/correctness/outliers_test.cc
@@ -13,6 +13,7 @@
 
 std::vector<ServerId> Pool(int size) {
   std::vector<ServerId> servers;
+  servers.reserve(size);
   for (int i = 0; i < size; ++i) servers.emplace_back("e" + std::to_string(i));
   return servers;
 }
--- a/test/correctness/prefix_index_test.cc
+++ b/test/correctness/prefix_index_test.cc
@@ -22,8 +22,10 @@
   return text;
 }
 
-std::vector<CacheEvent> Stored(uint64_t first, std::vector<BlockHash> blocks) {
+std::vector<CacheEvent> Stored(uint64_t first,
+                               const std::vector<BlockHash>& blocks) {
   std::vector<CacheEvent> events;
+  events.reserve(blocks.size());
   for (const BlockHash block : blocks) {
     events.push_back({first++, CacheEventKind::kStored, block});
   }
--- a/test/performance/counted_decisions.h
+++ b/test/performance/counted_decisions.h
@@ -45,6 +45,7 @@
 
 struct Call {
   Time arrives{};
+  size_t number = 0;
   int instance = 0;
   int workspace = 0;
   bool interactive = true;
--- a/test/performance/counted_decisions_main.cc
+++ b/test/performance/counted_decisions_main.cc
@@ -18,6 +18,7 @@
 #include "counted_decisions.h"
 
 DEFINE_int32(seeds, 20, "How many seeds to run.");
+DEFINE_int32(first_seed, 1, "The first of them.");
 DEFINE_bool(ablation, false, "Leave out each term of the score in turn.");
 DEFINE_string(plot, "", "A folder for the plots; empty writes none.");
 
@@ -145,7 +146,8 @@
 
 UserFigures RunUser(User user) {
   UserFigures figures;
-  for (int seed = 1; seed <= FLAGS_seeds; ++seed) {
+  for (int seed = FLAGS_first_seed; seed < FLAGS_first_seed + FLAGS_seeds;
+       ++seed) {
     const Workload day = MakeWorkload(user, Scenario::kDay, seed);
     const Workload loss = MakeWorkload(user, Scenario::kDomainLoss, seed);
     std::optional<RunResult> cheapest;
@@ -223,7 +225,8 @@
 
 void CheckOpening(Checks& checks) {
   Spread first_token, late, violations, refused;
-  for (int seed = 1; seed <= FLAGS_seeds; ++seed) {
+  for (int seed = FLAGS_first_seed; seed < FLAGS_first_seed + FLAGS_seeds;
+       ++seed) {
     const RunOptions options{.scenario = Scenario::kOpening,
                              .seed = static_cast<uint64_t>(seed),
                              .fixed_servers = kOpeningServers,
@@ -250,7 +253,8 @@
                         kAblationServers));
   for (const char* term : kTerms) {
     Row row;
-    for (int seed = 1; seed <= FLAGS_seeds; ++seed) {
+    for (int seed = FLAGS_first_seed; seed < FLAGS_first_seed + FLAGS_seeds;
+         ++seed) {
       const RunOptions options{.policy = std::string("ours") + term,
                                .user = user,
                                .seed = static_cast<uint64_t>(seed),
--- a/test/performance/counted_decisions_part_policies.cc
+++ b/test/performance/counted_decisions_part_policies.cc
@@ -81,7 +81,8 @@
   State* Pick(Time, const Call&, uint64_t draw,
               const std::vector<State*>& usable) override {
     std::vector<State*> turned = usable;
-    std::ranges::rotate(turned, turned.begin() + draw % turned.size());
+    std::ranges::rotate(turned, turned.begin() + static_cast<std::ptrdiff_t>(
+                                                     draw % turned.size()));
     return *std::ranges::min_element(turned, {}, &State::own);
   }
 };
--- a/test/performance/counted_decisions_part_run.cc
+++ b/test/performance/counted_decisions_part_run.cc
@@ -163,8 +163,9 @@
     const auto route =
         policies_[state.instance]->Choose(now, call, random_.Bits());
     if (route.ok()) query.expected_first_token = route->expected_first_token;
-    if (call.interactive)
+    if (call.interactive) {
       query.first_token_target = std::chrono::milliseconds(1500);
+    }
     query.cost_tokens = call.answer_tokens + call.prompt_tokens / 8.0;
     offered_[state.instance].push_back({now, call.workspace});
     const AdmissionDecision decision =
@@ -228,9 +229,10 @@
     link_free_ = std::max(link_free_, now) +
                  ToDuration(Seconds(bytes / kLinkBytesPerSecond));
     At(link_free_ + kLinkDelay, [this, engine, job](Time at) {
-      if (!engine->alive)
+      if (!engine->alive) {
         return At(at,
                   [this, call = job.call](Time then) { Dispatch(then, call); });
+      }
       Enter(at, *engine, job);
     });
   }
@@ -284,8 +286,9 @@
     job.first_token = now;
     engine.decoding.push_back(job);
     policies_[state.instance]->OnFirstToken(now, job.attempt);
-    if (options_.admission)
+    if (options_.admission) {
       admissions_[state.instance]->OnFirstToken(now, job.call);
+    }
     if (!state.has_first_token && call.interactive) {
       const double waited = Seconds(now - call.arrives).count();
       first_tokens_.push_back(waited);
@@ -489,8 +492,9 @@
             }));
       }
     }
-    if (options_.fixed_servers == 0)
+    if (options_.fixed_servers == 0) {
       PlanFleet(now, servers, busy, calls > 0 ? interactive / calls : 1);
+    }
     if (now < workload_.end + std::chrono::seconds(60)) {
       At(now + std::chrono::seconds(1), [this](Time at) { EverySecond(at); });
     }
--- a/test/performance/counted_decisions_part_workload.cc
+++ b/test/performance/counted_decisions_part_workload.cc
@@ -106,7 +106,13 @@
           Seconds(5) + random.Exponential(shape.pause));
     }
   }
-  std::ranges::stable_sort(workload.calls, {}, &Call::arrives);
+  // Calls of one moment keep their order: the numbers tell them apart.
+  for (size_t i = 0; i < workload.calls.size(); ++i) {
+    workload.calls[i].number = i;
+  }
+  std::ranges::sort(workload.calls, {}, [](const Call& call) {
+    return std::pair(call.arrives, call.number);
+  });
   return workload;
 }
 
--- a/test/random/decisions_test.cc
+++ b/test/random/decisions_test.cc
@@ -65,6 +65,7 @@
         listed[info.id] = info;
       }
       std::vector<ServerInfo> list;
+      list.reserve(listed.size());
       for (const auto& [id, each] : listed) list.push_back(each);
       router.SetServers(now, list);
     } else if (what < 4) {
@@ -182,6 +183,7 @@
       lease_end = now + std::chrono::seconds(10);
     }
     std::vector<CapacityServer> listed;
+    listed.reserve(cloud.size());
     for (const auto& [token, server] : cloud) listed.push_back(server);
     const double demand = 2 + static_cast<double>(Below(40)) / 10;
     for (size_t i = 0; i < planners.size(); ++i) {
