--- a/include/oleander/routing.h
+++ b/include/oleander/routing.h
@@ -1,10 +1,11 @@
 // Chooses the backend server for one attempt of a request.
 //
 // Each candidate is scored by the time to the first token that this instance
-// expects of it, plus the recomputed tokens that the choice costs, weighed by
-// the profile. Candidates are two random servers of the nearest ring that has
-// any (own failure domain, own region, across the link) and those that hold the
-// prompt's prefix. docs/design/routing.md tells why.
+// expects of it, how full its batch is, and the cached prefixes that the prompt
+// would push out, weighed by the profile. Candidates are two random servers of
+// the nearest ring that has any (own failure domain, own region, across the
+// link) and those that hold the prompt's prefix. docs/design/routing.md tells
+// why.
 #ifndef OLEANDER_ROUTING_H_
 #define OLEANDER_ROUTING_H_
 
@@ -104,9 +105,6 @@
   Duration domain_delay = std::chrono::microseconds(1500);
   double link_bytes_per_s = 470'000;  // This instance's part of 30 Mbit/s.
   double link_burst_bytes = 940'000;
-  // Seconds of expected wait that a token's worth of prefill counts for, per
-  // unit of the profile's weight for recomputed tokens.
-  double recompute_factor = 1;
   // What the prefill that a new prompt pushes out of a cache counts for, where
   // the server's cache changes at the pool's mean pace.
   double eviction_factor = 3;
--- a/src/parts/routing.cc
+++ b/src/parts/routing.cc
@@ -491,9 +491,7 @@
   const double fill = static_cast<double>(calls) / load.slots;
   const double crowding = Seconds(options_.crowding).count() * fill * fill;
   candidate.score =
-      pressure + crowding +
-      (0.5 + recompute_weight) *
-          (options_.recompute_factor * recompute + eviction).count();
+      pressure + crowding + (0.5 + recompute_weight) * eviction.count();
   return candidate;
 }
 
--- a/test/performance/counted_decisions_main.cc
+++ b/test/performance/counted_decisions_main.cc
@@ -29,8 +29,8 @@
                                       "two choices", "prefix workspace",
                                       "prefix conversation"};
 constexpr const char* kTerms[] = {
-    "",          "-queue",    "-lag",  "-prefix", "-recompute", "-events",
-    "-eviction", "-crowding", "-rate", "-link",   "-spill",     "-outliers"};
+    "",          "-queue", "-lag",  "-prefix", "-events",  "-eviction",
+    "-crowding", "-rate",  "-link", "-spill",  "-outliers"};
 constexpr int kLeastServers = 5;
 constexpr int kMostServers = 15;
 constexpr int kOpeningServers = 12;
--- a/test/performance/counted_decisions_part_policies.cc
+++ b/test/performance/counted_decisions_part_policies.cc
@@ -197,7 +197,6 @@
     RoutingOptions options;
     options.place = PlaceOf(instance % kDomains);
     options.seed = seed;
-    if (without_ == "recompute") options.recompute_factor = 0;
     if (without_ == "eviction") options.eviction_factor = 0;
     if (without_ == "crowding") options.crowding = Duration::zero();
     if (without_ == "outliers") options.outliers.slow_factor = 1e9;
