--- a/include/oleander/routing.h
+++ b/include/oleander/routing.h
@@ -1,10 +1,11 @@
 // Chooses the backend server for one attempt of a request.
 //
 // Each candidate is scored by the time to the first token that this instance
-// expects of it, plus the recomputed tokens that the choice costs, weighed by
-// the profile. Candidates are two random servers of the nearest ring that has
-// any (own failure domain, own region, across the link) and those that hold the
-// prompt's prefix. docs/design/routing.md tells why.
+// expects of it, how full its batch is, and the cached prefixes that the prompt
+// would push out, weighed by the profile. Candidates are two random servers of
+// the nearest ring that has any (own failure domain, own region, across the
+// link) and those that hold the prompt's prefix. docs/design/routing.md tells
+// why.
 #ifndef OLEANDER_ROUTING_H_
 #define OLEANDER_ROUTING_H_
 
@@ -27,7 +28,7 @@
 
 // What a backend server said of its load, `age` before it got here.
 struct ServerLoad {
-  ServerId server;
+  ServerId server{};
   Duration age{};
   int running = 0;
   int waiting = 0;
@@ -46,29 +47,30 @@
 // may pass marks to each other, so that a read by way of another instance sees
 // the write too.
 struct WriteMark {
-  ServiceId service;
-  WorkspaceId workspace;
-  ServerId server;
+  ServiceId service{};
+  WorkspaceId workspace{};
+  ServerId server{};
   uint64_t version = 0;  // Zero where the service tells none.
 };
 
 struct RouteQuery {
-  ServiceId service;
-  WorkspaceId workspace;
-  std::span<const BlockHash> blocks;  // Of the prompt; empty for plain calls.
+  ServiceId service{};
+  WorkspaceId workspace{};
+  std::span<const BlockHash> blocks{};  // Of the prompt; empty for plain calls.
   int64_t prompt_tokens = 0;
   int64_t max_tokens = 0;
   int64_t bytes = 0;  // That would cross the link: body and expected answer.
   Duration first_token_target = std::chrono::milliseconds(1500);
   Priority priority = Priority::kStandard;
-  MeasureWeights weights;
+  MeasureWeights weights{};
   bool reads_own_writes = false;
-  std::span<const ServerId> avoid;  // Servers that failed this request before.
-  uint64_t draw = 0;                // Random bits for the random candidates.
+  std::span<const ServerId>
+      avoid{};        // Servers that failed this request before.
+  uint64_t draw = 0;  // Random bits for the random candidates.
 };
 
 struct Route {
-  ServerId server;
+  ServerId server{};
   Duration expected_first_token{};
   int64_t cached_tokens = 0;
   bool crosses_region = false;
@@ -81,9 +83,9 @@
 // An attempt that this instance sent out. `attempt` is unique in this process.
 struct DispatchedCall {
   uint64_t attempt = 0;
-  ServiceId service;
-  ServerId server;
-  std::vector<BlockHash> blocks;
+  ServiceId service{};
+  ServerId server{};
+  std::vector<BlockHash> blocks{};
   int64_t prompt_tokens = 0;
   int64_t cached_tokens = 0;  // As the route said.
   int64_t max_tokens = 0;
@@ -97,34 +99,24 @@
 };
 
 struct RoutingOptions {
-  Place place;  // Of this instance.
+  Place place{};  // Of this instance.
   Duration report_trusted = std::chrono::seconds(3);
   Duration link_delay = std::chrono::milliseconds(20);  // One way.
   Duration domain_delay = std::chrono::microseconds(1500);
   double link_bytes_per_s = 470'000;  // This instance's part of 30 Mbit/s.
   double link_burst_bytes = 940'000;
-  // Seconds of expected wait that a token's worth of prefill counts for, per
-  // unit of the profile's weight for recomputed tokens.
-  double recompute_factor = 1;
   // What the prefill that a new prompt pushes out of a cache counts for, where
   // the server's cache changes at the pool's mean pace.
   double eviction_factor = 3;
   // What a full batch counts for: each answer in it is slower.
   Duration crowding = std::chrono::milliseconds(100);
-  // How often a reclaimable server goes, and how long a token takes: a long
-  // answer on a reclaimable server may have to be computed again.
-  double reclaims_per_hour = 0.2;
-  // How long a prompt's prefix is of use after its answer: until the
-  // conversation's next turns.
-  Duration prefix_use = std::chrono::seconds(60);
-  Duration token_time = std::chrono::milliseconds(40);
   // A farther ring is looked at when the nearer one's best expected wait
   // passes this.
   Duration spill_wait = std::chrono::milliseconds(700);
   Duration mark_kept = std::chrono::minutes(10);
   size_t max_write_marks = 10'000;
-  PrefixIndexOptions prefixes;
-  OutlierOptions outliers;
+  PrefixIndexOptions prefixes{};
+  OutlierOptions outliers{};
   uint64_t seed = 1;
 };
 
--- a/src/parts/outliers.cc
+++ b/src/parts/outliers.cc
@@ -89,7 +89,8 @@
   // The lower median, so that of two servers the quicker one sets the measure.
   const auto middle = all.begin() + static_cast<int>((all.size() - 1) / 2);
   std::ranges::nth_element(all, middle);
-  return std::max(*middle, 0.1);
+  // A pool that is quicker than expected makes nobody slow.
+  return std::max(*middle, 1.0);
 }
 
 bool OutlierDetector::FloorAllows(Time now) const {
--- a/test/performance/counted_decisions_part_policies.cc
+++ b/test/performance/counted_decisions_part_policies.cc
@@ -81,7 +81,8 @@
   State* Pick(Time, const Call&, uint64_t draw,
               const std::vector<State*>& usable) override {
     std::vector<State*> turned = usable;
-    std::ranges::rotate(turned, turned.begin() + draw % turned.size());
+    std::ranges::rotate(turned, turned.begin() + static_cast<std::ptrdiff_t>(
+                                                     draw % turned.size()));
     return *std::ranges::min_element(turned, {}, &State::own);
   }
 };
@@ -196,11 +197,8 @@
     RoutingOptions options;
     options.place = PlaceOf(instance % kDomains);
     options.seed = seed;
-    options.reclaims_per_hour = 2;  // The bench's days are short.
-    if (without_ == "recompute") options.recompute_factor = 0;
     if (without_ == "eviction") options.eviction_factor = 0;
     if (without_ == "crowding") options.crowding = Duration::zero();
-    if (without_ == "exposure") options.reclaims_per_hour = 0;
     if (without_ == "outliers") options.outliers.slow_factor = 1e9;
     if (without_ == "spill") options.spill_wait = std::chrono::hours(1);
     if (without_ == "link") {
--- a/test/performance/counted_decisions_part_run.cc
+++ b/test/performance/counted_decisions_part_run.cc
@@ -15,6 +15,7 @@
 constexpr Duration kStartDelay = std::chrono::seconds(5);
 constexpr Duration kNotice = std::chrono::seconds(5);
 constexpr Duration kRetryAfter = std::chrono::milliseconds(200);
+constexpr Duration kShareWindow = std::chrono::seconds(10);
 constexpr Duration kLinkDelay = std::chrono::milliseconds(40);
 constexpr double kLinkBytesPerSecond = 3'750'000;
 constexpr double kHiddenSpeed = 0.1;
@@ -99,6 +100,10 @@
       return std::tie(at, sequence) > std::tie(other.at, other.sequence);
     }
   };
+  struct Passed {
+    Time at;
+    int workspace;
+  };
   struct CallState {
     int instance = 0;
     int generated = 0;
@@ -158,23 +163,41 @@
     const auto route =
         policies_[state.instance]->Choose(now, call, random_.Bits());
     if (route.ok()) query.expected_first_token = route->expected_first_token;
-    if (call.interactive)
+    if (call.interactive) {
       query.first_token_target = std::chrono::milliseconds(1500);
+    }
     query.cost_tokens = call.answer_tokens + call.prompt_tokens / 8.0;
+    offered_[state.instance].push_back({now, call.workspace});
     const AdmissionDecision decision =
         admissions_[state.instance]->Offer(now, query);
     if (decision.kind == AdmissionKind::kAdmit) Dispatch(now, index);
     if (decision.kind == AdmissionKind::kRefuse) Refused(now, index);
   }
 
+  // Whether the workspace asked its instance for no more than an equal part of
+  // what that instance has let through in the last ten seconds.
+  bool WithinShare(Time now, const Call& call) {
+    const auto recent = [&](std::deque<Passed>& passed, auto&& counts) {
+      while (!passed.empty() && passed.front().at < now - kShareWindow) {
+        passed.pop_front();
+      }
+      return std::ranges::count_if(passed, counts);
+    };
+    const auto everyone = [](const Passed&) { return true; };
+    const auto its_own = [&](const Passed& each) {
+      return each.workspace == call.workspace;
+    };
+    return recent(offered_[call.instance], its_own) * kWorkspaces <=
+           recent(let_through_[call.instance], everyone);
+  }
+
   void Refused(Time now, int index) {
     const Call& call = workload_.calls[index];
     ++result_.refused;
     if (now - call.arrives > std::chrono::milliseconds(100)) {
       ++result_.late_refusals;
     }
-    // Only the rush's workspace asks for more than its share.
-    if (call.workspace != 0) ++result_.fairness_violations;
+    if (WithinShare(now, call)) ++result_.fairness_violations;
   }
 
   void Dispatch(Time now, int index) {
@@ -191,6 +214,7 @@
     }
     const uint64_t attempt = ++attempts_;
     policy.OnDispatched(now, call, attempt, *route);
+    let_through_[state.instance].push_back({now, call.workspace});
     const Job job{.call = index,
                   .attempt = attempt,
                   .answer_tokens = call.answer_tokens - state.generated,
@@ -205,9 +229,10 @@
     link_free_ = std::max(link_free_, now) +
                  ToDuration(Seconds(bytes / kLinkBytesPerSecond));
     At(link_free_ + kLinkDelay, [this, engine, job](Time at) {
-      if (!engine->alive)
+      if (!engine->alive) {
         return At(at,
                   [this, call = job.call](Time then) { Dispatch(then, call); });
+      }
       Enter(at, *engine, job);
     });
   }
@@ -261,8 +286,9 @@
     job.first_token = now;
     engine.decoding.push_back(job);
     policies_[state.instance]->OnFirstToken(now, job.attempt);
-    if (options_.admission)
+    if (options_.admission) {
       admissions_[state.instance]->OnFirstToken(now, job.call);
+    }
     if (!state.has_first_token && call.interactive) {
       const double waited = Seconds(now - call.arrives).count();
       first_tokens_.push_back(waited);
@@ -466,8 +492,9 @@
             }));
       }
     }
-    if (options_.fixed_servers == 0)
+    if (options_.fixed_servers == 0) {
       PlanFleet(now, servers, busy, calls > 0 ? interactive / calls : 1);
+    }
     if (now < workload_.end + std::chrono::seconds(60)) {
       At(now + std::chrono::seconds(1), [this](Time at) { EverySecond(at); });
     }
@@ -519,6 +546,7 @@
   std::vector<std::unique_ptr<Policy>> policies_;
   std::vector<std::unique_ptr<Admission>> admissions_;
   std::vector<CallState> states_;
+  std::deque<Passed> offered_[kInstances], let_through_[kInstances];
   std::vector<ServerInfo> listed_;
   absl::flat_hash_set<BlockHash> computed_;
   std::vector<double> first_tokens_, lossy_first_tokens_, between_tokens_;
