--- a/tools/bench_overhead.py
+++ b/tools/bench_overhead.py
@@ -58,12 +58,12 @@
 class Bench:
     """One fleet of a platform, two entry instances and an engine."""
 
-    def __init__(self, arguments, token_us):
+    def __init__(self, arguments, token_us, block):
         self.arguments = arguments
         self.folder = tempfile.mkdtemp(prefix="oleander-bench-")
         build = os.path.abspath(arguments.build)
         self.load_program = os.path.join(build, "oleander_load")
-        self.topology = Topology(spec_of(token_us), Block(arguments.block), build, self.folder, arguments.seed)
+        self.topology = Topology(spec_of(token_us), Block(block), build, self.folder, arguments.seed)
         self.fleet = Fleet(self.topology, self.folder)
         self.entry = self.topology.of_kind("entry")[0]
         self.engine = self.topology.of_kind("engine")[0]
@@ -144,6 +144,14 @@
                 "mb_per_1000_streams": grown / 1e6 * 1000 / streams, "resident_before_mb": before / 1e6}
 
 
+def next_block(block):
+    """The addresses after `block`: those of a fleet that just ended are not free at once."""
+    if block is None:
+        return None
+    first, second, third = block.split(".")
+    return f"{first}.{second}.{int(third) + 1}"
+
+
 def interrupt(*_):
     raise KeyboardInterrupt
 
@@ -161,7 +169,7 @@
     rows = []
     print(f"{'req/s':>8}{'answered':>10}{'refused':>9}{'lost':>6}{'added p50 ms':>14}{'added p99 ms':>14}"
           f"{'core':>7}{'req/core s':>12}{'tok/core s':>12}", flush=True)
-    with Bench(arguments, token_us=0) as bench:
+    with Bench(arguments, 0, arguments.block) as bench:
         for rate in (float(text) for text in arguments.rates.split(",")):
             row = bench.measure(rate)
             rows.append(row)
@@ -170,7 +178,7 @@
                   f"{row['requests_per_core_s']:>12.0f}{row['tokens_per_core_s']:>12.0f}", flush=True)
     memory = {}
     if arguments.streams > 0:
-        with Bench(arguments, token_us=1000000) as bench:
+        with Bench(arguments, 1000000, next_block(arguments.block)) as bench:
             memory = bench.measure_memory(arguments.streams)
         print(f"{memory['mb_per_1000_streams']:.1f} MB per 1,000 open streams", flush=True)
     print(json.dumps({"bench": "overhead", "seed": arguments.seed, "rates": rows, "memory": memory}))
