--- a/apps/load/chat_operation.cc
+++ b/apps/load/chat_operation.cc
@@ -252,8 +252,15 @@
   const Json json = Json::parse(event.data, nullptr, false);
   const Json::json_pointer content("/choices/0/delta/content");
   const Json::json_pointer finish("/choices/0/finish_reason");
-  if (!json.is_object() || !json.contains(content) ||
-      !json[content].is_string()) {
+  if (!json.is_object() || json.value("id", "") != result_.request_id) {
+    Wrong("a foreign event: " + event.data.substr(0, 200));
+    return;
+  }
+  finish_seen_ |= json.contains(finish) && json[finish].is_string();
+  if (finish_seen_ && !json.contains(content)) {
+    return;  // The end mark alone.
+  }
+  if (!json.contains(content) || !json[content].is_string()) {
     Wrong("an event without content: " + event.data.substr(0, 200));
     return;
   }
@@ -262,10 +269,6 @@
         fmt::format("event {} where {} was due", event.id.value_or(-1), next_));
     return;
   }
-  if (json.value("id", "") != result_.request_id) {
-    Wrong("an event of request " + json.value("id", ""));
-    return;
-  }
   if (json[content] !=
       standins::AnswerToken(plan_.prompt, static_cast<uint64_t>(next_))) {
     Wrong(fmt::format("token {} is {}", next_, json[content].dump()));
@@ -276,7 +279,6 @@
   ++result_.tokens;
   recovering_since_ = Duration(-1);
   backoff_ = kFirstBackoff;
-  finish_seen_ |= json.contains(finish) && json[finish].is_string();
 }
 
 void ChatOperation::OnDone() {
--- a/apps/load/deposit_operation.cc
+++ b/apps/load/deposit_operation.cc
@@ -16,6 +16,9 @@
 constexpr int kSeeOther = 303;
 constexpr int kMaxUnsent = 5;  // Tries that reached no entry instance.
 constexpr int kMaxReads = 3;
+// From one instance's answer until the read is at another: a caller's own two
+// ways over the network.
+constexpr Duration kThinkTime = std::chrono::milliseconds(5);
 constexpr Duration kRetryAfter = std::chrono::milliseconds(300);
 constexpr Duration kHeadTimeout = std::chrono::seconds(15);
 
@@ -208,7 +211,7 @@
         });
     if (outcome == Outcome::kAnswered &&
         plan_.kind == OperationKind::kDepositThenRead) {
-      Read();
+      Later(kThinkTime, [this] { Read(); });
       return;
     }
     End(outcome, found->detail);
