HTTP client: a chunked answer cut between two chunks is lost, not whole

Change: at the end of a chunked answer that came without any byte, the call ends as lost. The stand-in engine also takes a resume at the answer's end.

--- a/apps/standins/shared_engine.cc
+++ b/apps/standins/shared_engine.cc
@@ -279,6 +279,14 @@
     FinishWhole(attempt);
     return;
   }
+  if (attempt.from == attempt.max_tokens) {
+    // Resumed at its end: no token is left to carry the finish reason.
+    out += fmt::format(
+        "data: {{\"id\":\"{}\",\"object\":\"chat.completion.chunk\","
+        "\"model\":\"{}\",\"choices\":[{{\"index\":0,\"delta\":{{}},"
+        "\"finish_reason\":\"stop\"}}],\"usage\":{}}}\n\n",
+        attempt.id, attempt.model, Usage(attempt).dump());
+  }
   out += "data: [DONE]\n\n";
   attempt.exchange->Write(out);
   attempt.exchange->End();
--- a/src/io/http_client.cc
+++ b/src/io/http_client.cc
@@ -140,6 +140,11 @@
   return copied;
 }
 
+bool IsChunked(const Headers& headers) {
+  const auto encoding = FindHeader(headers, "transfer-encoding");
+  return encoding.has_value() && encoding->find("chunked") != encoding->npos;
+}
+
 // One call. h2o's client object dies with the callback that ends it, so after
 // such a callback `client_` is null; a call that is cancelled inside a callback
 // tells h2o by the callback's result instead of by cancelling.
@@ -284,6 +289,7 @@
       }
     }
     phase_ = Phase::kBody;
+    chunked_ = IsChunked(CopyHeaders(headers, count));
     if (whole) {
       client_ = nullptr;
       EndWith(absl::OkStatus());
@@ -294,6 +300,12 @@
   bool BodyArrived(h2o_http1client_t* client, const char* error) {
     progress_at_ = loop_.now();
     h2o_buffer_t** input = &client->sock->input;
+    // h2o takes a connection that is closed between two chunks for the end of
+    // the answer. The last chunk comes with bytes, a closed connection without.
+    if (error == h2o_http1client_error_is_eos && chunked_ &&
+        client->sock->bytes_read == 0) {
+      error = "the connection was closed before the last chunk";
+    }
     {
       const InCallback in_callback(*this);
       const auto callbacks = callbacks_;
@@ -436,6 +448,7 @@
   Time timer_due_;
   bool sent_ = false;
   bool paused_ = false;
+  bool chunked_ = false;  // The answer's body comes in chunks.
   bool ended_ = false;
   bool in_callback_ = false;
 };
--- a/test/correctness/http_test.cc
+++ b/test/correctness/http_test.cc
@@ -192,6 +192,21 @@
   BOOST_TEST(seen.end.sent);
 }
 
+// An order desk whose answer was lost this way counted as having answered with
+// an empty body.
+BOOST_AUTO_TEST_CASE(that_is_cut_between_two_chunks_is_no_whole_answer) {
+  ExchangePtr held;
+  Pair pair([&](ExchangePtr e) { held = std::move(e); });
+  Seen seen;
+  const auto call = pair.client.Start(pair.Request("/s"), seen.Callbacks());
+  BOOST_REQUIRE(RunUntil(pair.loop, [&] { return held != nullptr; }));
+  held->Begin(200, {});
+  held->Abort();  // Before any piece of the body.
+  BOOST_REQUIRE(RunUntil(pair.loop, [&] { return seen.ends == 1; }));
+  BOOST_TEST(!seen.end.status.ok());
+  BOOST_TEST(seen.end.sent);
+}
+
 BOOST_AUTO_TEST_CASE(waits_for_a_reader_that_is_paused) {
   ExchangePtr held;
   Pair pair([&](ExchangePtr e) { held = std::move(e); });
--- a/tools/experiment.py
+++ b/tools/experiment.py
@@ -132,6 +132,8 @@
         self.run_load()
         self.monitor.stop()
         self.fleet.take_records()
+        with open(os.path.join(self.folder, "records.json"), "w", encoding="utf-8") as stream:
+            json.dump(self.fleet.records, stream)
         return self.judge()
 
     def end(self, keep):
