Silent connections: a first event is due within its target and the stall bound

Change: the bound is the profile's first-token target plus its stall bound, and a retry takes a fresh connection. Not measured yet.

--- a/src/io/engine_client.cc
+++ b/src/io/engine_client.cc
@@ -256,6 +256,7 @@
   request.headers.push_back(
       {.name = "x-request-id", .value = std::move(options.attempt)});
   request.options.progress_timeout = options.progress_bound;
+  request.options.fresh_connection = options.fresh_connection;
   auto call =
       std::make_unique<StreamedCompletion>(server.id, std::move(callbacks));
   call->Start(*client_, std::move(request));
--- a/src/io/engine_client.h
+++ b/src/io/engine_client.h
@@ -60,6 +60,7 @@
   std::string body;
   Duration first_event_bound = std::chrono::seconds(30);
   Duration progress_bound = std::chrono::seconds(10);
+  bool fresh_connection = false;  // Pooled ones may be silent.
 };
 
 // A KV cache that was exported or imported.
--- a/src/node/chat_handler.cc
+++ b/src/node/chat_handler.cc
@@ -198,6 +198,8 @@
   spec.max_tokens = call->chat.max_tokens;
   spec.deadline = profile.latency.deadline;
   spec.stall_bound = profile.retries.stall_bound;
+  spec.first_event_bound =
+      profile.latency.first_token + profile.retries.stall_bound;
   spec.replica = profile.durability.replica;
   spec.on_disconnect =
       call->respond_async ? OnDisconnect::kFinish : profile.on_disconnect;
--- a/src/node/dispatcher.cc
+++ b/src/node/dispatcher.cc
@@ -188,6 +188,7 @@
   options.body = BodyOf(attempt);
   options.first_event_bound = attempt.dispatch.spec->first_event_bound;
   options.progress_bound = attempt.dispatch.spec->stall_bound;
+  options.fresh_connection = key.attempt > 1;
   callbacks_.on_started(key, server->id);
   if (key.attempt > 1) {
     parts_.metrics.CountRetry(attempt.dispatch.spec->service.value());
