--- a/apps/load/deposit_operation.cc
+++ b/apps/load/deposit_operation.cc
@@ -221,8 +221,10 @@
 
 void DepositOperation::Read() {
   ++reads_;
-  const size_t entry =
-      context_.entries->Pick(static_cast<int>(submissions_[0].entry));
+  const size_t written = submissions_[0].entry;
+  const size_t entry = context_.workload->read_where_written
+                           ? written
+                           : context_.entries->Pick(static_cast<int>(written));
   io::HttpCallRequest request =
       RequestTo(entry, "GET",
                 "/v1/services/" + context_.workload->desk_service +
--- a/apps/load/workload.cc
+++ b/apps/load/workload.cc
@@ -99,6 +99,7 @@
     workload.review = ReadShape(*review, workload.review);
   }
   workload.desk_service = root.Text("desk_service", {.fallback = "order-desk"});
+  workload.read_where_written = root.Flag("read_where_written", false);
   workload.recover_within = root.Milliseconds(
       "recover_within_ms", {.fallback = workload.recover_within});
   workload.end_within =
--- a/apps/load/workload.h
+++ b/apps/load/workload.h
@@ -63,6 +63,7 @@
   ChatShape chat;
   ChatShape review;
   std::string desk_service;
+  bool read_where_written = false;  // Else through another entry instance.
   Duration recover_within = std::chrono::seconds(30);
   Duration end_within = std::chrono::seconds(60);  // After the last arrival.
   Duration first_token_target = std::chrono::milliseconds(1500);
--- a/tools/experiment_run.py
+++ b/tools/experiment_run.py
@@ -53,9 +53,10 @@
     def start(self, name):
         server = self.topology.servers[name]
         log = open(os.path.join(self.folder, f"{name}.log"), "ab")
-        self.expected_exit.discard(name)
         self.running[name] = subprocess.Popen(server.argv, stdout=log, stderr=log, stdin=subprocess.DEVNULL)
         log.close()
+        # Only now: the earlier process of this name ended as expected.
+        self.expected_exit.discard(name)
 
     def start_all(self):
         order = ["platform", "link", "engine", "desk", "entry"]
