--- a/apps/standins/shared_engine.cc
+++ b/apps/standins/shared_engine.cc
@@ -31,7 +31,7 @@
 
 Json Usage(const Attempt& attempt) {
   return {{"prompt_tokens", attempt.prompt_tokens},
-          {"completion_tokens", attempt.next - attempt.from},
+          {"completion_tokens", attempt.next},
           {"cached_tokens", attempt.cached_tokens},
           {"recomputed_tokens", attempt.recomputed_tokens}};
 }
@@ -279,6 +279,14 @@
     FinishWhole(attempt);
     return;
   }
+  if (attempt.from == attempt.max_tokens) {
+    // Resumed at its end: no token is left to carry the finish reason.
+    out += fmt::format(
+        "data: {{\"id\":\"{}\",\"object\":\"chat.completion.chunk\","
+        "\"model\":\"{}\",\"choices\":[{{\"index\":0,\"delta\":{{}},"
+        "\"finish_reason\":\"stop\"}}],\"usage\":{}}}\n\n",
+        attempt.id, attempt.model, Usage(attempt).dump());
+  }
   out += "data: [DONE]\n\n";
   attempt.exchange->Write(out);
   attempt.exchange->End();
--- a/src/io/http_client.cc
+++ b/src/io/http_client.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <list>
 #include <map>
-#include <span>
 #include <utility>
 
 #include "fmt/format.h"
@@ -129,14 +128,6 @@
   return head;
 }
 
-bool IsChunked(const h2o_header_t* headers, size_t count) {
-  return std::ranges::any_of(
-      std::span(headers, count), [](const h2o_header_t& header) {
-        return std::string_view(header.name->base, header.name->len) ==
-               "transfer-encoding";
-      });
-}
-
 Headers CopyHeaders(const h2o_header_t* headers, size_t count) {
   Headers copied;
   copied.reserve(count);
@@ -149,6 +140,11 @@
   return copied;
 }
 
+bool IsChunked(const Headers& headers) {
+  const auto encoding = FindHeader(headers, "transfer-encoding");
+  return encoding.has_value() && encoding->find("chunked") != encoding->npos;
+}
+
 // One call. h2o's client object dies with the callback that ends it, so after
 // such a callback `client_` is null; a call that is cancelled inside a callback
 // tells h2o by the callback's result instead of by cancelling.
@@ -292,11 +288,11 @@
         callbacks->on_head(status, CopyHeaders(headers, count));
       }
     }
-    chunked_ = IsChunked(headers, count);
     phase_ = Phase::kBody;
+    chunked_ = IsChunked(CopyHeaders(headers, count));
     if (whole) {
       client_ = nullptr;
-      EndWith(WholeStatus());
+      EndWith(absl::OkStatus());
     }
     return !ended_;
   }
@@ -304,7 +300,12 @@
   bool BodyArrived(h2o_http1client_t* client, const char* error) {
     progress_at_ = loop_.now();
     h2o_buffer_t** input = &client->sock->input;
-    has_body_ = has_body_ || (*input)->size != 0;
+    // h2o takes a connection that is closed between two chunks for the end of
+    // the answer. The last chunk comes with bytes, a closed connection without.
+    if (error == h2o_http1client_error_is_eos && chunked_ &&
+        client->sock->bytes_read == 0) {
+      error = "the connection was closed before the last chunk";
+    }
     {
       const InCallback in_callback(*this);
       const auto callbacks = callbacks_;
@@ -318,7 +319,7 @@
     }
     if (error != nullptr) {
       client_ = nullptr;
-      EndWith(error == h2o_http1client_error_is_eos ? WholeStatus()
+      EndWith(error == h2o_http1client_error_is_eos ? absl::OkStatus()
                                                     : AnswerError(error));
       return false;
     }
@@ -329,14 +330,6 @@
     return true;
   }
 
-  // h2o reports an answer in chunks whose connection closes before the first
-  // chunk like one that ended. Without a byte of body it counts as cut off.
-  absl::Status WholeStatus() const {
-    return chunked_ && !has_body_
-               ? AnswerError("the connection closed before the first chunk")
-               : absl::OkStatus();
-  }
-
   absl::Status AnswerError(std::string_view error) const {
     const bool malformed = error.find("parse") != std::string_view::npos;
     return MakeError(
@@ -454,9 +447,8 @@
   Timer timer_;
   Time timer_due_;
   bool sent_ = false;
-  bool chunked_ = false;
-  bool has_body_ = false;
   bool paused_ = false;
+  bool chunked_ = false;  // The answer's body comes in chunks.
   bool ended_ = false;
   bool in_callback_ = false;
 };
