--- a/apps/standins/shared_engine.cc
+++ b/apps/standins/shared_engine.cc
@@ -31,7 +31,7 @@
 
 Json Usage(const Attempt& attempt) {
   return {{"prompt_tokens", attempt.prompt_tokens},
-          {"completion_tokens", attempt.next},
+          {"completion_tokens", attempt.next - attempt.from},
           {"cached_tokens", attempt.cached_tokens},
           {"recomputed_tokens", attempt.recomputed_tokens}};
 }
