--- a/apps/oleanderctl/general_commands.cc
+++ b/apps/oleanderctl/general_commands.cc
@@ -126,9 +126,8 @@
   }
   const bool is_settings =
       document->is_object() && document->contains("instance");
-  const absl::Status status = is_settings
-                                  ? node::ParseSettings(*text, file).status()
-                                  : ParseProfile(*text, file).status();
+  absl::Status status = is_settings ? node::ParseSettings(*text, file).status()
+                                    : ParseProfile(*text, file).status();
   if (!status.ok()) {
     return status;
   }
--- a/apps/standins/shared_standin.cc
+++ b/apps/standins/shared_standin.cc
@@ -90,7 +90,7 @@
                .port = port,
                .max_body_bytes = kMaxBodyBytes,
                .tls = std::nullopt},
-              [this](ExchangePtr exchange) { Handle(exchange); }),
+              [this](const ExchangePtr& exchange) { Handle(exchange); }),
       started_(loop.now()) {}
 
 void Standin::Route(std::string method, std::string path,
--- a/src/node/admission_gate.cc
+++ b/src/node/admission_gate.cc
@@ -14,7 +14,7 @@
       decision(absl::OkStatus());
       break;
     case AdmissionKind::kQueue:
-      waiting_.emplace(id, std::move(decision));
+      waiting_.insert_or_assign(id, std::move(decision));
       break;
     case AdmissionKind::kRefuse:
       decision(decided.status);
--- a/src/node/request_driver.cc
+++ b/src/node/request_driver.cc
@@ -31,7 +31,7 @@
 }
 
 void RequestDriver::Accept(RequestSpec spec,
-                           std::function<void(const RequestId&)> prepare,
+                           const std::function<void(const RequestId&)>& prepare,
                            std::function<void(const AcceptResult&)> done) {
   auto id = table_.Accept(loop_.now(), std::move(spec));
   if (!id.ok()) {
@@ -51,7 +51,7 @@
 FollowerId RequestDriver::Follow(const RequestId& id, uint64_t from,
                                  FollowMode mode, AnswerReader reader) {
   const FollowerId follower = table_.Follow(loop_.now(), id, from, mode);
-  readers_.emplace(follower, std::move(reader));
+  readers_.insert_or_assign(follower, std::move(reader));
   SchedulePump();
   return follower;
 }
@@ -64,7 +64,7 @@
 
 void RequestDriver::Cancel(const RequestId& id, AnswerReader reader) {
   const FollowerId follower = table_.Cancel(loop_.now(), id);
-  readers_.emplace(follower, std::move(reader));
+  readers_.insert_or_assign(follower, std::move(reader));
   SchedulePump();
 }
 
--- a/src/node/request_driver.h
+++ b/src/node/request_driver.h
@@ -48,7 +48,8 @@
 
   // `prepare` is called with the id before the first attempt starts; `done`
   // tells the outcome.
-  void Accept(RequestSpec spec, std::function<void(const RequestId&)> prepare,
+  void Accept(RequestSpec spec,
+              const std::function<void(const RequestId&)>& prepare,
               std::function<void(const AcceptResult&)> done);
   FollowerId Follow(const RequestId& id, uint64_t from, FollowMode mode,
                     AnswerReader reader);
--- a/test/correctness/control_codecs_test.cc
+++ b/test/correctness/control_codecs_test.cc
@@ -96,7 +96,7 @@
 
 BOOST_AUTO_TEST_CASE(truncated_load_is_refused) {
   mesh::LoadMessage whole = EncodeLoad(SomeLoad());
-  const std::string entries = whole.entries();
+  const std::string& entries = whole.entries();
   for (size_t length = 1; length < entries.size(); ++length) {
     mesh::LoadMessage cut = whole;
     cut.set_entries(entries.substr(0, length));
--- a/test/correctness/http_test.cc
+++ b/test/correctness/http_test.cc
@@ -195,7 +195,7 @@
 BOOST_AUTO_TEST_CASE(
     that_is_aborted_before_its_first_piece_is_seen_as_cut_off) {
   for (const std::string piece : {"", "half"}) {
-    Pair pair([&](ExchangePtr e) {
+    Pair pair([&](const ExchangePtr& e) {
       e->Begin(200, {});
       e->Write(piece);
       e->Abort();
@@ -275,6 +275,7 @@
   Pair pair([&](ExchangePtr e) { open.push_back(std::move(e)); });
   size_t received = 0;
   std::vector<std::unique_ptr<HttpCall>> calls;
+  calls.reserve(kStreams);
   for (size_t i = 0; i < kStreams; ++i) {
     calls.push_back(pair.client.Start(
         pair.Request("/s"),
