Reads find their workspace's server without a message; wiring of targets and drains

Change: without a mark a read goes to the server that rendezvous hashing gives the workspace, where its writes go too. Also: the profile's first-token target and shares reach router and admission; a 400 to a fresh engine call is final; a drained server lingers as the planner says. Conclusion: the common case needs no message.

--- a/include/oleander/profile.h
+++ b/include/oleander/profile.h
@@ -122,6 +122,9 @@
 absl::StatusOr<Profile> ParseProfile(std::string_view text,
                                      std::string_view source);
 
+// The workspace's weight when workspaces compete.
+double ShareOf(const Profile& profile, const WorkspaceId& workspace);
+
 // The rule for one call of a plain service, or nothing where none matches.
 const CallRule* FindCallRule(const Profile& profile, std::string_view method,
                              std::string_view path);
--- a/include/oleander/routing.h
+++ b/include/oleander/routing.h
@@ -163,6 +163,8 @@
   // kNoServer where no server may take the request, with a time to come back.
   absl::StatusOr<Route> Choose(Time now, const RouteQuery& query) const;
 
+  // Whether a write of the workspace is remembered.
+  bool HasMark(const ServiceId& service, const WorkspaceId& workspace) const;
   // Whether any server of `service` would get new work now.
   bool HasServer(Time now, const ServiceId& service) const;
   // The servers of `service` that would get new work now.
--- a/src/io/engine_client.cc
+++ b/src/io/engine_client.cc
@@ -19,6 +19,7 @@
 // Of a refusal's body, in messages.
 constexpr size_t kMaxShownRefusal = 200;
 constexpr int kOkStatus = 200;
+constexpr int kBadRequestStatus = 400;
 constexpr int kConflictStatus = 409;
 constexpr Duration kOrderTimeout = std::chrono::seconds(5);
 constexpr std::string_view kEndOfStream = "[DONE]";
@@ -225,7 +226,9 @@
       return end.status;
     }
     if (status_ != kOkStatus) {
-      return MakeError(ResultCode::kServerFailed,
+      return MakeError(status_ == kBadRequestStatus
+                           ? ResultCode::kMalformedRequest
+                           : ResultCode::kServerFailed,
                        fmt::format("{} answered with HTTP status {}: {}",
                                    server_.value(), status_, refusal_));
     }
--- a/src/node/capacity_driver.cc
+++ b/src/node/capacity_driver.cc
@@ -76,6 +76,7 @@
     lease_.Tick(now);
     PumpLease();
   }
+  EndLingering();
   if (!holds_lease()) {
     return;
   }
@@ -199,6 +200,18 @@
   planners_ = std::move(kept);
 }
 
+// Says everywhere that a drained server's time is over.
+void CapacityDriver::EndLingering() {
+  const Time now = parts_.loop.now();
+  std::erase_if(closing_, [&](const auto& entry) {
+    const bool over = entry.second <= now;
+    if (over) {
+      parts_.load.OnLeaving(entry.first);
+    }
+    return over;
+  });
+}
+
 void CapacityDriver::PollPlatform() {
   parts_.cloud.FetchPrices(
       [this](const absl::StatusOr<std::vector<MarketPrice>>& prices) {
@@ -344,7 +357,9 @@
 void CapacityDriver::Order(const ServiceId& service, const DrainServer& order) {
   io::Log(io::LogLevel::kInfo, "capacity.drain",
           {{"service", service.value()}, {"server", order.server.value()}});
-  parts_.load.OnLeaving(order.server);
+  const Time until = parts_.loop.now() + order.linger;
+  parts_.router.OnClosing(parts_.loop.now(), order.server, until);
+  closing_[order.server] = until;
 }
 
 void CapacityDriver::Order(const ServiceId& service,
--- a/src/node/capacity_driver.h
+++ b/src/node/capacity_driver.h
@@ -28,6 +28,7 @@
   StoreGateway& store;
   ServerDirectory& servers;
   LoadDriver& load;
+  Router& router;
   ProfileStore& profiles;
 };
 
@@ -69,6 +70,7 @@
   bool Managed() const;
   void FollowProfiles();
   void PollPlatform();
+  void EndLingering();
   void Plan();
   void PlanService(const ServiceId& service, CapacityPlanner& planner);
   CapacityDemand DemandOf(const ServiceId& service,
@@ -88,6 +90,8 @@
   LeaseKeeper lease_;
   Planners planners_;
   absl::flat_hash_map<ServerId, io::EngineState> states_;
+  // Servers being drained, and when they stop getting work at all.
+  std::map<ServerId, Time> closing_;
   Time next_poll_{};
   Time next_plan_{};
 };
--- a/src/node/chat_handler.cc
+++ b/src/node/chat_handler.cc
@@ -27,13 +27,6 @@
   return ServiceId(header.has_value() ? std::string(*header) : chat.model);
 }
 
-double ShareOf(const Profile& profile, const WorkspaceId& workspace) {
-  const auto found = profile.workspaces.shares.find(workspace);
-  return found == profile.workspaces.shares.end()
-             ? profile.workspaces.default_share
-             : found->second;
-}
-
 // Why a stale profile is in force is for the operators; callers see that it is.
 io::Headers HeadersFor(const AcceptResult& result) {
   io::Headers headers;
@@ -181,6 +174,7 @@
   query.max_tokens = call.routable.max_tokens;
   query.priority = call.profile.priority;
   query.weights = call.profile.weights;
+  query.first_token_target = call.profile.latency.first_token;
   query.draw = random_();
   return parts_.router.Choose(parts_.loop.now(), query);
 }
--- a/src/node/dispatcher.cc
+++ b/src/node/dispatcher.cc
@@ -32,7 +32,8 @@
     outcome.total_events =
         resume_from + static_cast<uint64_t>(end.usage->completion_tokens);
   }
-  outcome.retryable = IsRetryable(end.status);
+  // What one engine refuses to go on with, another may.
+  outcome.retryable = IsRetryable(end.status) || resume_from > 0;
   return outcome;
 }
 
@@ -121,6 +122,10 @@
   query.workspace = spec.workspace;
   query.priority = spec.priority;
   query.deadline = attempt.dispatch.deadline.value_or(Time::max());
+  const ProfileState* state = parts_.profiles.ForService(spec.service);
+  if (state != nullptr && state->profile.has_value()) {
+    query.share = ShareOf(*state->profile, spec.workspace);
+  }
   query.cost_tokens = static_cast<double>(attempt.routable.prompt_tokens +
                                           attempt.routable.max_tokens);
   const AttemptKey key = attempt.dispatch.key;
@@ -233,6 +238,7 @@
   query.priority = spec.priority;
   if (state != nullptr && state->profile.has_value()) {
     query.weights = state->profile->weights;
+    query.first_token_target = state->profile->latency.first_token;
   }
   query.avoid = attempt.dispatch.avoid;
   query.draw = random_();
--- a/src/node/ledger_driver.cc
+++ b/src/node/ledger_driver.cc
@@ -1,13 +1,13 @@
 #include "node/ledger_driver.h"
 
 #include <fmt/format.h>
-#include <xxhash.h>
 
 #include <algorithm>
 #include <utility>
 #include <variant>
 
 #include "io/log.h"
+#include "node/workspace_server.h"
 #include "oleander/result_code.h"
 
 namespace oleander::node {
@@ -74,12 +74,6 @@
                                     : StatusFinding::kFailed;
 }
 
-uint64_t RendezvousWeight(const WorkspaceId& workspace,
-                          const ServerId& server) {
-  const std::string pair = workspace.value() + "/" + server.value();
-  return XXH64(pair.data(), pair.size(), /*seed=*/0);
-}
-
 // "{key}" in a status call's path stands for the idempotency key.
 std::string WithKey(std::string path, const std::string& key) {
   constexpr std::string_view kPlaceholder = "{key}";
@@ -254,23 +248,15 @@
       parts_.http.Start(NewRequest(running, *server), std::move(callbacks));
 }
 
-// All instances pick the same server for a workspace, by rendezvous hashing, so
-// that a service whose servers copy writes late shows a workspace its own.
 std::optional<ServerInfo> LedgerDriver::ChooseServer(const Running& running) {
   if (running.refused.size() >= kMaxConnectTries) {
     return std::nullopt;
   }
   const LedgerCall& call = running.request.call;
-  std::vector<ServerId> usable =
-      parts_.router.UsableServers(parts_.loop.now(), call.service);
-  std::erase_if(usable, [&](const ServerId& server) {
-    return std::ranges::find(running.refused, server) != running.refused.end();
-  });
   const auto chosen =
-      std::ranges::max_element(usable, {}, [&](const ServerId& server) {
-        return RendezvousWeight(call.workspace, server);
-      });
-  return chosen == usable.end() ? std::nullopt : parts_.servers.Find(*chosen);
+      WorkspaceServer(parts_.router, parts_.loop.now(), call.service,
+                      call.workspace, running.refused);
+  return chosen.has_value() ? parts_.servers.Find(*chosen) : std::nullopt;
 }
 
 io::HttpCallRequest LedgerDriver::NewRequest(const Running& running,
--- a/src/node/plain_handler.cc
+++ b/src/node/plain_handler.cc
@@ -8,6 +8,7 @@
 
 #include "io/log.h"
 #include "node/http_answers.h"
+#include "node/workspace_server.h"
 #include "oleander/result_code.h"
 
 namespace oleander::node {
@@ -166,6 +167,24 @@
       });
 }
 
+// A read that must see its workspace's writes goes where they went: to the
+// server that the last write's mark names, or else to the workspace's own.
+absl::StatusOr<Route> PlainHandler::ChooseServer(
+    Time now, const Call& call, const RouteQuery& query) const {
+  if (!call.reads_own_writes ||
+      parts_.router.HasMark(call.service, call.workspace)) {
+    return parts_.router.Choose(now, query);
+  }
+  const auto own = WorkspaceServer(parts_.router, now, call.service,
+                                   call.workspace, call.avoid);
+  if (!own.has_value()) {
+    return parts_.router.Choose(now, query);
+  }
+  Route route;
+  route.server = *own;
+  return route;
+}
+
 void PlainHandler::RunRepeatable(const CallPtr& call) {
   const Time now = parts_.loop.now();
   RouteQuery query;
@@ -177,7 +196,7 @@
   query.reads_own_writes = call->reads_own_writes;
   query.avoid = call->avoid;
   query.draw = random_();
-  const auto route = parts_.router.Choose(now, query);
+  const auto route = ChooseServer(now, *call, query);
   const auto server =
       route.ok() ? parts_.servers.Find(route->server) : std::nullopt;
   if (!server.has_value()) {
--- a/src/node/plain_handler.h
+++ b/src/node/plain_handler.h
@@ -51,6 +51,8 @@
 
   absl::StatusOr<CallPtr> Check(
       const std::shared_ptr<io::HttpExchange>& exchange);
+  absl::StatusOr<Route> ChooseServer(Time now, const Call& call,
+                                     const RouteQuery& query) const;
   void RunOnce(const CallPtr& call);
   void RunRepeatable(const CallPtr& call);
   void OnRepeatableEnd(const CallPtr& call, const ServerInfo& server,
--- a/src/parts/profile.cc
+++ b/src/parts/profile.cc
@@ -237,6 +237,13 @@
   return profile;
 }
 
+double ShareOf(const Profile& profile, const WorkspaceId& workspace) {
+  const auto found = profile.workspaces.shares.find(workspace);
+  return found == profile.workspaces.shares.end()
+             ? profile.workspaces.default_share
+             : found->second;
+}
+
 const CallRule* FindCallRule(const Profile& profile, std::string_view method,
                              std::string_view path) {
   const auto found =
--- a/src/parts/routing.cc
+++ b/src/parts/routing.cc
@@ -332,6 +332,11 @@
   return ChooseAny(now, query, *pool->second);
 }
 
+bool Router::HasMark(const ServiceId& service,
+                     const WorkspaceId& workspace) const {
+  return marks_.contains(std::pair(service, workspace));
+}
+
 absl::StatusOr<Route> Router::ChooseAny(Time now, const RouteQuery& query,
                                         const Pool& pool) const {
   Candidate best;
--- a/test/correctness/dispatch_outcome_test.cc
+++ b/test/correctness/dispatch_outcome_test.cc
@@ -31,6 +31,15 @@
   BOOST_TEST(OutcomeOf(failed, 0).retryable);
 }
 
+BOOST_AUTO_TEST_CASE(of_a_call_that_the_engine_finds_wrong_is_final) {
+  io::CompletionEnd end;
+  end.status = MakeError(ResultCode::kMalformedRequest, "HTTP status 400.");
+  end.sent = true;
+  BOOST_TEST(!OutcomeOf(end, /*resume_from=*/0).retryable);
+  // Another engine may go on with an answer that this one refuses.
+  BOOST_TEST(OutcomeOf(end, /*resume_from=*/3).retryable);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
