Ready once each listed server's load is known

Cause: graceful-stop gave 2 stale reads in its first 50 ms: an instance that was told ready knew one desk only, so its hashing picked another than its peers'. Change: readiness waits for every listed server, for 3 s at the most.

--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -50,8 +50,8 @@
 // Time for the last answers to leave their sockets.
 constexpr Duration kFlushTime = std::chrono::milliseconds(100);
 constexpr double kRetryBurst = 10;
-// After this the instance is ready even where no server reports.
-constexpr Duration kWarmUpBound = std::chrono::seconds(10);
+// After this the instance is ready even where some servers don't report.
+constexpr Duration kWarmUpBound = std::chrono::seconds(3);
 
 // Two runs of one instance must not make the same attempt names, so the seed is
 // not repeatable.
@@ -141,7 +141,7 @@
   void SpreadWrite(const WriteMark& mark);
   void OnProfileApplied();
 
-  // Whether every service has a server to send work to.
+  // Whether each listed server's load is known.
   bool HasServers() const;
   void StartDrain(bool handover, std::optional<Duration> left);
   void CheckDrain();
@@ -508,15 +508,13 @@
 }
 
 bool Node::Impl::HasServers() const {
-  const auto has_server = [this](const ServiceId& service) {
-    return router_.HasServer(loop_.now(), service);
-  };
-  const auto all = profiles_.profiles().all();
-  return !all.empty() &&
-         std::ranges::all_of(all, [&](const ProfileState* state) {
-           return !state->profile.has_value() ||
-                  std::ranges::all_of(state->profile->services, has_server);
-         });
+  if (!fleet_.list_read_at().has_value()) {
+    return false;
+  }
+  const LoadSpread& spread = load_.spread();
+  return std::ranges::all_of(servers_.all(), [&](const ServerInfo& server) {
+    return spread.usable(server.id, loop_.now()) || spread.leaving(server.id);
+  });
 }
 
 void Node::Impl::StartDrain(bool handover, std::optional<Duration> left) {
