--- a/src/parts/capacity.cc
+++ b/src/parts/capacity.cc
@@ -399,6 +399,13 @@
   const bool moving =
       last_move_ != Time::min() && now - last_move_ < options_.move_pause;
   if (surplus <= (moving ? 0 : options_.scale_down_slack)) return;
+  // What has no known price was not weighed, so it can't be found too dear.
+  const bool all_priced = std::ranges::all_of(running, [&](const auto& entry) {
+    return prices_.contains(entry.first);
+  });
+  if (!all_priced) return;
+  // A new holder has not seen the demand of the time before it.
+  if (!moving && now - fence_since_ < options_.scale_down_after) return;
   std::vector<const CapacityServer*> servers;
   for (const auto& [id, server] : servers_) {
     if (!server.leaving && !draining_.contains(id)) servers.push_back(&server);
--- a/test/correctness/capacity_test.cc
+++ b/test/correctness/capacity_test.cc
@@ -279,6 +279,24 @@
       servers, [](const CapacityServer& each) { return each.leaving; }));
 }
 
+BOOST_AUTO_TEST_CASE(drains_nothing_while_no_price_is_known) {
+  Settle(6, 6, minutes(1));
+  const size_t many = servers.size();
+  planner.SetPrices({});
+  Settle(1, 1, minutes(10));
+  BOOST_TEST(servers.size() == many);
+}
+
+BOOST_AUTO_TEST_CASE(waits_after_the_lease_was_taken_over) {
+  Settle(6, 6, minutes(1));
+  const size_t many = servers.size();
+  planner = CapacityPlanner(options, profile);
+  planner.SetPrices(Prices());
+  ++fence;
+  Settle(1, 1, minutes(2));
+  BOOST_TEST(servers.size() == many);  // The successor saw no peak yet.
+}
+
 BOOST_AUTO_TEST_CASE(does_not_flap_while_the_demand_wavers) {
   Settle(4, 4, minutes(5));
   const size_t size = servers.size();
