Request driver: wake the table when it is due, not at the next tick

Events wait for the replica in batches of 20 ms, and the batch then waited for the node's 10 ms tick. Change: a timer at next_due(), 1 ms at the shortest. Conclusion: the batch itself is what is left; the target is two one-way delays.

--- a/src/node/request_driver.cc
+++ b/src/node/request_driver.cc
@@ -1,9 +1,16 @@
 #include "node/request_driver.h"
 
+#include <algorithm>
 #include <utility>
 #include <variant>
 
 namespace oleander::node {
+namespace {
+
+// Keeps a table that is always due from taking the whole loop.
+constexpr Duration kShortestWait = std::chrono::milliseconds(1);
+
+}  // namespace
 
 RequestDriver::RequestDriver(io::EventLoop& loop, RequestTableOptions options,
                              uint64_t seed, SendMessage send_message)
@@ -115,6 +122,17 @@
   for (const RequestAction& action : table_.TakeActions()) {
     std::visit([this](const auto& typed) { Perform(typed); }, action);
   }
+  ArmTimer();
+}
+
+void RequestDriver::ArmTimer() {
+  const auto due = table_.next_due();
+  if (!due.has_value()) {
+    timer_.Cancel();
+    return;
+  }
+  const Duration left = *due - loop_.now();
+  timer_ = loop_.After(std::max(left, kShortestWait), [this] { Tick(); });
 }
 
 void RequestDriver::Perform(const SendRequestMessage& action) {
--- a/src/node/request_driver.h
+++ b/src/node/request_driver.h
@@ -68,6 +68,9 @@
  private:
   void SchedulePump();
   void Pump();
+  // Wakes the table when it is due; events that wait for a replica must not
+  // wait for the node's next tick as well.
+  void ArmTimer();
   void Perform(const SendRequestMessage& action);
   void Perform(const RequestAccepted& action);
   void Perform(const RequestRefused& action);
@@ -90,6 +93,7 @@
   SendMessage send_message_;
   Dispatcher* dispatcher_ = nullptr;
   bool pump_scheduled_ = false;
+  io::Timer timer_;
   absl::flat_hash_map<RequestId, PendingAccept> accepting_;
   absl::flat_hash_map<FollowerId, AnswerReader> readers_;
 };
