--- a/apps/oleanderd/main.cc
+++ b/apps/oleanderd/main.cc
@@ -1,16 +1,23 @@
-// oleanderd: one entry instance. docs/operators/oleanderd.md describes it.
+// oleanderd: one entry instance. docs/operators/oleanderd.md and, for machines
+// of a platform with a store, docs/operators/platform.md describe it.
 #include <fmt/format.h>
 #include <gflags/gflags.h>
 
+#include <algorithm>
+#include <array>
 #include <cstdio>
 #include <cstdlib>
 
+#include "entry/entry_node.h"
+#include "entry/settings.h"
 #include "io/log.h"
 #include "node/mesh_port.h"
 #include "node/node.h"
 #include "node/operator_token.h"
 #include "node/settings.h"
+#include "oleander/field_reader.h"
 #include "oleander/result_code.h"
+#include "platform/ports.h"
 
 DEFINE_string(settings, "", "The settings file, JSON with comments.");
 DEFINE_bool(check, false,
@@ -19,12 +26,16 @@
 namespace oleander {
 namespace {
 
-int Fail(const absl::Status& status) {
-  fmt::print(stderr, "oleanderd: {} (code {}, {})\n",
-             std::string(status.message()), static_cast<int>(CodeOf(status)),
-             InfoOf(CodeOf(status)).name);
-  return EXIT_FAILURE;
-}
+// What a settings file is read from, for messages.
+struct SettingsText {
+  std::string file;
+  std::string text;
+};
+
+// Reads and checks the settings, then, unless only that was asked, runs until
+// the instance has drained.
+using RunDeployment = absl::Status (*)(const SettingsText& source,
+                                       bool check_only);
 
 absl::Status CheckFiles(const node::Settings& settings) {
   if (auto keys = node::ReadMeshKeys(settings.mesh.key_file); !keys.ok()) {
@@ -33,26 +44,99 @@
   return node::OperatorToken::Read(settings.operator_token_file).status();
 }
 
-int Run() {
-  if (FLAGS_settings.empty()) {
-    return Fail(MakeError(ResultCode::kUsage, "--settings=FILE is missing."));
-  }
-  const auto settings = node::ReadSettings(FLAGS_settings);
+void PrepareLog(io::LogLevel level, const InstanceId& instance) {
+  io::SetLogLevel(level);
+  io::SetLogInstance(instance.value());
+}
+
+absl::Status RunOwn(const SettingsText& source, bool check_only) {
+  const auto settings = node::ParseSettings(source.text, source.file);
   if (!settings.ok()) {
-    return Fail(settings.status());
+    return settings.status();
   }
-  if (FLAGS_check) {
-    const absl::Status status = CheckFiles(*settings);
-    return status.ok() ? EXIT_SUCCESS : Fail(status);
+  if (check_only) {
+    return CheckFiles(*settings);
   }
-  io::SetLogLevel(settings->log_level);
-  io::SetLogInstance(settings->instance.value());
+  PrepareLog(settings->log_level, settings->instance);
   const auto node = node::Node::Create(*settings);
   if (!node.ok()) {
-    return Fail(node.status());
+    return node.status();
+  }
+  (*node)->Run();
+  return absl::OkStatus();
+}
+
+absl::Status RunOnPlatform(const SettingsText& source, bool check_only) {
+  const auto settings = entry::ParseEntrySettings(source.text, source.file);
+  if (!settings.ok() || check_only) {
+    return settings.status();
+  }
+  PrepareLog(settings->log_level, settings->instance);
+  const auto node = entry::EntryNode::Create(*settings, source.file,
+                                             platform::MakePorts);
+  if (!node.ok()) {
+    return node.status();
   }
   (*node)->Run();
-  return EXIT_SUCCESS;
+  return absl::OkStatus();
+}
+
+struct Deployment {
+  std::string_view name;  // The settings' field "deployment".
+  RunDeployment run;
+};
+
+constexpr std::array<Deployment, 2> kDeployments = {{
+    {.name = "own", .run = RunOwn},
+    {.name = "platform", .run = RunOnPlatform},
+}};
+
+// Files without the field are for the product's own interfaces.
+absl::StatusOr<RunDeployment> DeploymentOf(const SettingsText& source) {
+  auto document = ParseJsonWithComments(source.text, source.file,
+                                        ResultCode::kSettingsUnreadable);
+  if (!document.ok()) {
+    return document.status();
+  }
+  const nlohmann::json own = "own";
+  const nlohmann::json& name =
+      document->is_object() && document->contains("deployment")
+          ? document->at("deployment")
+          : own;
+  const auto* found = std::ranges::find_if(
+      kDeployments, [&name](const Deployment& deployment) {
+        return name == nlohmann::json(deployment.name);
+      });
+  if (found == kDeployments.end()) {
+    return MakeError(ResultCode::kSettingsInvalid,
+                     fmt::format("{}: deployment is {}; expected \"own\" or "
+                                 "\"platform\".",
+                                 source.file, name.dump()));
+  }
+  return found->run;
+}
+
+absl::Status Run() {
+  if (FLAGS_settings.empty()) {
+    return MakeError(ResultCode::kUsage, "--settings=FILE is missing.");
+  }
+  auto text = node::ReadTextFile(FLAGS_settings);
+  if (!text.ok()) {
+    return text.status();
+  }
+  const SettingsText source{.file = FLAGS_settings, .text = *std::move(text)};
+  const auto run = DeploymentOf(source);
+  return run.ok() ? (*run)(source, FLAGS_check) : run.status();
+}
+
+int ReportAndExitCode(const absl::Status& status) {
+  if (status.ok()) {
+    return EXIT_SUCCESS;
+  }
+  fmt::print(stderr, "oleanderd: {} (code {}, {})\n",
+             std::string(status.message()), static_cast<int>(CodeOf(status)),
+             InfoOf(CodeOf(status)).name);
+  return EXIT_FAILURE;
 }
 
 }  // namespace
@@ -62,5 +146,5 @@
   gflags::SetUsageMessage("oleanderd --settings=FILE [--check]");
   gflags::SetVersionString("0.1.0");
   gflags::ParseCommandLineFlags(&argc, &argv, /*remove_flags=*/true);
-  return oleander::Run();
+  return oleander::ReportAndExitCode(oleander::Run());
 }
--- a/include/oleander/result_code.h
+++ b/include/oleander/result_code.h
@@ -33,6 +33,7 @@
   // 12xx: who asks.
   kMissingToken = 1201,
   kWrongToken = 1202,
+  kUnknownCredential = 1203,
   // 21xx: refused before it ran.
   kOverloaded = 2101,
   kDeadlineUnreachable = 2102,
@@ -43,6 +44,9 @@
   kDraining = 2107,
   kConnectFailed = 2108,
   kRetryBudgetSpent = 2109,
+  kNoConfiguration = 2110,
+  kConfigUnproven = 2111,
+  kQuotaSpent = 2112,
   // 22xx: failed after it may have run.
   kAnswerLost = 2201,
   kServerFailed = 2202,
--- /dev/null
+++ b/include/oleander/serving_config.h
@@ -0,0 +1,153 @@
+// What the operators want served: one immutable value per version.
+//
+// A configuration is decoded once, by the adapter of the system that holds it,
+// and never changes afterwards. Routes are found by host and longest prefix
+// without a scan of the list, callers by their credential.
+//
+//   auto config = ServingConfig::Create(std::move(parts));
+//   const CallRoute* route = config->FindRoute("shop.example", "/orders/7");
+//   const Workspace* workspace = config->FindWorkspace(credential);
+#ifndef OLEANDER_SERVING_CONFIG_H_
+#define OLEANDER_SERVING_CONFIG_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "oleander/types.h"
+
+namespace oleander {
+
+// What may be sent more than once follows from the kind alone.
+enum class CallKind {
+  kRepeatable,  // May run any number of times.
+  kOnce,        // Runs at most once per request of a caller.
+  kStream,      // A stream of events; runs once unless it may be resumed.
+};
+
+// One service that a route leads to, and its part of the route's calls.
+struct RouteTarget {
+  ServiceId service;
+  double weight = 1;
+};
+
+struct CallRoute {
+  std::string name;
+  std::string host;
+  std::string prefix;  // Begins and ends with a slash.
+  CallKind kind = CallKind::kOnce;
+  Duration timeout{};        // The longest that a caller is kept waiting.
+  Duration goal{};           // To the answer, or to a stream's first event.
+  Duration longest_pause{};  // Between two events of a stream.
+  int priority = 0;          // 0 is the most urgent.
+  std::vector<RouteTarget> targets;  // At least one.
+  int max_attempts = 1;              // Servers that may run one call.
+  bool open = false;                 // No credential is asked for.
+  bool resumable = false;            // A stream may go on at another server.
+
+  // Whether a call may be sent again after it may have run.
+  bool may_repeat() const {
+    return kind == CallKind::kRepeatable ||
+           (kind == CallKind::kStream && resumable);
+  }
+};
+
+// A workspace's limit, over all instances together.
+struct WorkspaceQuota {
+  double per_s = 0;  // Tokens, or calls, a second; zero: no limit.
+  double burst = 0;
+  bool in_tokens = false;   // Else in calls.
+  double plain_tokens = 1;  // What a call without token counts takes.
+};
+
+struct Workspace {
+  WorkspaceId id;
+  std::optional<int> priority;  // Goes before the route's.
+  WorkspaceQuota quota;
+  std::vector<std::string> credentials;
+};
+
+// How many servers a service may have in one failure domain, and their price.
+struct ScalingRule {
+  int minimum = 0;
+  int maximum = 0;
+  Duration boot{};             // From the order to the first request served.
+  double reclaimable_price = 1;  // As a share of the other servers' price.
+  std::map<DomainId, double> domain_prices;  // Per server and second.
+};
+
+// What a model engine can do.
+struct EngineRule {
+  int slots = 0;            // Requests in one batch.
+  int64_t cache_tokens = 0;  // Memory for running requests and cached parts.
+};
+
+struct ServiceRule {
+  ServiceId id;
+  std::string health_path;
+  int max_connections = 0;  // Per server, from all instances together.
+  std::optional<EngineRule> engine;  // Only for model services.
+  std::optional<ScalingRule> scaling;
+};
+
+// What callers may send.
+struct CallerLimits {
+  size_t max_header_bytes = 0;
+  size_t max_body_bytes = 0;
+  Duration header_timeout{};
+  Duration idle_timeout{};
+};
+
+// A decoded configuration, before it is indexed.
+struct ServingConfigParts {
+  int64_t version = 0;   // The operators' number.
+  int64_t revision = 0;  // The store's; of two, the higher is the newer.
+  std::vector<CallRoute> routes;
+  std::vector<ServiceRule> services;
+  std::vector<Workspace> workspaces;
+  CallerLimits limits;
+};
+
+class ServingConfig {
+ public:
+  static std::shared_ptr<const ServingConfig> Create(ServingConfigParts parts);
+
+  int64_t version() const { return parts_.version; }
+  int64_t revision() const { return parts_.revision; }
+  const std::vector<CallRoute>& routes() const { return parts_.routes; }
+  const std::vector<ServiceRule>& services() const { return parts_.services; }
+  const std::vector<Workspace>& workspaces() const {
+    return parts_.workspaces;
+  }
+  const CallerLimits& limits() const { return parts_.limits; }
+
+  // The route of `host` with the longest prefix that begins `path`; null where
+  // there is none.
+  const CallRoute* FindRoute(std::string_view host, std::string_view path) const;
+  // The workspace that holds `credential`; null where none does.
+  const Workspace* FindWorkspace(std::string_view credential) const;
+  const ServiceRule* FindService(const ServiceId& service) const;
+
+ private:
+  explicit ServingConfig(ServingConfigParts parts);
+
+  ServingConfigParts parts_;
+  // Indices into parts_; routes by host, a blank, and prefix.
+  absl::flat_hash_map<std::string, size_t> routes_;
+  absl::flat_hash_map<std::string, size_t> credentials_;
+  absl::flat_hash_map<ServiceId, size_t> services_;
+};
+
+// The target for a call of `route`. `draw` is uniform in [0, 1) and the same for
+// each attempt of one call, so that its attempts stay with one service.
+const ServiceId& PickTarget(const CallRoute& route, double draw);
+
+}  // namespace oleander
+
+#endif  // OLEANDER_SERVING_CONFIG_H_
--- /dev/null
+++ b/src/entry/call_context.h
@@ -0,0 +1,36 @@
+// What every call of an entry instance uses, owned by the instance.
+#ifndef OLEANDER_ENTRY_CALL_CONTEXT_H_
+#define OLEANDER_ENTRY_CALL_CONTEXT_H_
+
+#include <memory>
+
+#include "entry/entry_metrics.h"
+#include "io/event_loop.h"
+#include "io/http_client.h"
+#include "oleander/config_proof.h"
+#include "oleander/listed_servers.h"
+#include "oleander/placement.h"
+#include "oleander/retries.h"
+#include "oleander/serving_config.h"
+#include "oleander/usage_windows.h"
+#include "ports/call_port.h"
+
+namespace oleander::entry {
+
+struct CallContext {
+  io::EventLoop& loop;
+  io::HttpClient& servers_client;
+  const ports::CallPort& codec;
+  EntryMetrics& metrics;
+  ConfigProof proof;
+  ListedServers listed;
+  Placement placement;
+  RetryBudget retries;
+  UsageWindows usage;
+  std::shared_ptr<const ServingConfig> config = nullptr;  // Null: none known.
+  bool draining = false;
+};
+
+}  // namespace oleander::entry
+
+#endif  // OLEANDER_ENTRY_CALL_CONTEXT_H_
--- /dev/null
+++ b/src/entry/call_handler.cc
@@ -0,0 +1,146 @@
+#include "entry/call_handler.h"
+
+#include <fmt/format.h>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "io/log.h"
+#include "oleander/result_code.h"
+
+namespace oleander::entry {
+namespace {
+
+// Without a route's or a caller's word.
+constexpr Duration kUsualTimeout = std::chrono::seconds(30);
+// A configuration this old may lack what operators added since; it is read
+// about once a second.
+constexpr Duration kNewestWithin = std::chrono::milliseconds(2400);
+constexpr Duration kComeBackUnready = std::chrono::milliseconds(300);
+constexpr int kLeastUrgent = 9;
+
+absl::Status Unready(ResultCode code, std::string_view message) {
+  return MakeError(
+      {.code = code, .ran = Ran::kNo, .retry_after = kComeBackUnready},
+      message);
+}
+
+// The same for each attempt of one call, and spread evenly over calls.
+double DrawFor(const std::string& attempt) {
+  constexpr double kRange = 18446744073709551616.0;  // 2^64
+  return static_cast<double>(XXH64(attempt.data(), attempt.size(), 0)) / kRange;
+}
+
+Time DeadlineOf(const AcceptedCall& call) {
+  const Duration timeout = call.route->timeout > Duration::zero()
+                               ? call.route->timeout
+                               : kUsualTimeout;
+  return call.arrived +
+         std::min(timeout, call.intake.time_left.value_or(timeout));
+}
+
+}  // namespace
+
+void CallHandler::Handle(std::shared_ptr<io::HttpExchange> exchange) {
+  AcceptedCall call;
+  call.exchange = std::move(exchange);
+  call.arrived = context_.loop.now();
+  if (const absl::Status status = Accept(call); !status.ok()) {
+    Refuse(call, status);
+    return;
+  }
+  std::make_shared<ForwardedCall>(context_, std::move(call))->Start();
+}
+
+absl::Status CallHandler::Accept(AcceptedCall& call) const {
+  auto intake = context_.codec.Read(call.exchange->request());
+  if (!intake.ok()) {
+    return intake.status();
+  }
+  call.intake = *std::move(intake);
+  call.config = context_.config;
+  if (call.config == nullptr) {
+    return Unready(ResultCode::kNoConfiguration,
+                   "This instance knows no configuration yet.");
+  }
+  if (absl::Status status = FindRoute(call); !status.ok()) {
+    return status;
+  }
+  if (absl::Status status = FindWorkspace(call); !status.ok()) {
+    return status;
+  }
+  call.service = PickTarget(*call.route, DrawFor(call.intake.attempt));
+  call.deadline = DeadlineOf(call);
+  return absl::OkStatus();
+}
+
+absl::Status CallHandler::FindRoute(AcceptedCall& call) const {
+  const io::HttpRequest& request = call.exchange->request();
+  call.route = call.config->FindRoute(call.intake.host, request.path);
+  if (call.route != nullptr) {
+    return absl::OkStatus();
+  }
+  if (!knows_newest()) {
+    return Unready(ResultCode::kConfigUnproven,
+                   "The configuration here may lack the newest routes.");
+  }
+  return MakeError(ResultCode::kUnknownPath,
+                   fmt::format("No route of host \"{}\" leads to path \"{}\".",
+                               call.intake.host, request.path));
+}
+
+absl::Status CallHandler::FindWorkspace(AcceptedCall& call) const {
+  int priority = call.route->priority;
+  const Workspace* workspace =
+      call.intake.credential.empty()
+          ? nullptr
+          : call.config->FindWorkspace(call.intake.credential);
+  const bool needed = !call.route->open && !call.config->workspaces().empty();
+  if (workspace == nullptr && needed) {
+    if (!knows_newest()) {
+      return Unready(ResultCode::kConfigUnproven,
+                     "The configuration here may lack the newest "
+                     "credentials.");
+    }
+    return MakeError(ResultCode::kUnknownCredential,
+                     "The request's credential belongs to no workspace.");
+  }
+  if (workspace != nullptr) {
+    call.workspace = workspace->id;
+    priority = workspace->priority.value_or(priority);
+  }
+  call.urgency = std::clamp(priority, 0, kLeastUrgent);
+  return absl::OkStatus();
+}
+
+bool CallHandler::knows_newest() const {
+  return context_.proof.age(context_.loop.now()) < kNewestWithin;
+}
+
+void CallHandler::Refuse(const AcceptedCall& call,
+                         const absl::Status& status) const {
+  const ErrorDetails details = DetailsOf(status);
+  const int http_status = InfoOf(details.code).http_status;
+  io::Headers headers = {
+      {.name = "content-type", .value = "application/json"}};
+  if (details.retry_after) {
+    const double seconds =
+        std::chrono::duration<double>(*details.retry_after).count();
+    headers.push_back(
+        {.name = "retry-after", .value = fmt::format("{:.3f}", seconds)});
+  }
+  call.exchange->Respond(http_status, std::move(headers), ErrorBody(status));
+  context_.metrics.CountAnswer(ServiceId("none"), details.code,
+                               context_.loop.now() - call.arrived);
+  io::Log(io::LogLevel::kInfo, "call.refused",
+          {{"call", call.intake.attempt},
+           {"host", call.intake.host},
+           {"path", call.exchange->request().path},
+           {"status", http_status},
+           {"code", static_cast<int>(details.code)},
+           {"config", call.config == nullptr ? 0 : call.config->version()},
+           {"reason", std::string(status.message())}});
+}
+
+}  // namespace oleander::entry
--- /dev/null
+++ b/src/entry/entry_metrics.cc
@@ -0,0 +1,114 @@
+#include "entry/entry_metrics.h"
+
+#include <prometheus/text_serializer.h>
+
+namespace oleander::entry {
+namespace {
+
+using prometheus::BuildCounter;
+using prometheus::BuildGauge;
+using prometheus::BuildHistogram;
+
+// Seconds; around the latency objectives of the users' kinds of request.
+const prometheus::Histogram::BucketBoundaries& LatencyBuckets() {
+  static const prometheus::Histogram::BucketBoundaries buckets = {
+      0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 1, 2, 5, 15};
+  return buckets;
+}
+
+double Seconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+prometheus::Family<prometheus::Counter>& NewCounters(
+    prometheus::Registry& registry, const char* name, const char* help) {
+  return BuildCounter().Name(name).Help(help).Register(registry);
+}
+
+prometheus::Family<prometheus::Histogram>& NewHistograms(
+    prometheus::Registry& registry, const char* name, const char* help) {
+  return BuildHistogram().Name(name).Help(help).Register(registry);
+}
+
+prometheus::Gauge& NewGauge(prometheus::Registry& registry, const char* name,
+                            const char* help) {
+  return BuildGauge().Name(name).Help(help).Register(registry).Add({});
+}
+
+std::string Outcome(bool good) { return good ? "ok" : "failed"; }
+
+}  // namespace
+
+EntryMetrics::EntryMetrics()
+    : registry_(std::make_shared<prometheus::Registry>()),
+      answers_(NewCounters(*registry_, "oleander_entry_answers_total",
+                           "Final answers by service and result code.")),
+      latency_(NewHistograms(*registry_, "oleander_entry_answer_seconds",
+                             "From a request's arrival to its answer's end.")),
+      first_event_(
+          NewHistograms(*registry_, "oleander_entry_first_event_seconds",
+                        "From a request's arrival to its first event.")),
+      attempts_(NewCounters(*registry_, "oleander_entry_attempts_total",
+                            "Calls sent to backend servers.")),
+      resumes_(NewCounters(*registry_, "oleander_entry_resumes_total",
+                           "Streams that went on at another server.")),
+      store_calls_(NewCounters(*registry_, "oleander_entry_store_calls_total",
+                               "Calls of the platform's store.")),
+      orders_(NewCounters(*registry_, "oleander_entry_duty_calls_total",
+                          "Calls that one instance makes for all.")),
+      config_version_(NewGauge(*registry_, "oleander_entry_config_version",
+                               "The configuration in force here.")),
+      servers_(NewGauge(*registry_, "oleander_entry_ready_servers",
+                        "Backend servers that may get new work.")) {}
+
+void EntryMetrics::CountAnswer(const ServiceId& service, ResultCode code,
+                               Duration latency) {
+  answers_
+      .Add({{"service", service.value()},
+            {"code", std::to_string(static_cast<int>(code))}})
+      .Increment();
+  LatencyOf(latency_, service).Observe(Seconds(latency));
+}
+
+void EntryMetrics::ObserveFirstEvent(const ServiceId& service,
+                                     Duration latency) {
+  LatencyOf(first_event_, service).Observe(Seconds(latency));
+}
+
+void EntryMetrics::CountAttempt(const ServiceId& service) {
+  attempts_.Add({{"service", service.value()}}).Increment();
+}
+
+void EntryMetrics::CountResume(const ServiceId& service) {
+  resumes_.Add({{"service", service.value()}}).Increment();
+}
+
+void EntryMetrics::CountStoreCall(std::string_view what, bool answered) {
+  store_calls_
+      .Add({{"call", std::string(what)}, {"outcome", Outcome(answered)}})
+      .Increment();
+}
+
+void EntryMetrics::CountOrder(std::string_view duty, bool accepted) {
+  orders_.Add({{"duty", std::string(duty)}, {"outcome", Outcome(accepted)}})
+      .Increment();
+}
+
+void EntryMetrics::SetConfigVersion(int64_t version) {
+  config_version_.Set(static_cast<double>(version));
+}
+
+void EntryMetrics::SetServers(size_t ready) {
+  servers_.Set(static_cast<double>(ready));
+}
+
+std::string EntryMetrics::Text() const {
+  return prometheus::TextSerializer().Serialize(registry_->Collect());
+}
+
+prometheus::Histogram& EntryMetrics::LatencyOf(HistogramFamily& family,
+                                               const ServiceId& service) {
+  return family.Add({{"service", service.value()}}, LatencyBuckets());
+}
+
+}  // namespace oleander::entry
--- /dev/null
+++ b/src/entry/entry_node.cc
@@ -0,0 +1,218 @@
+#include "entry/entry_node.h"
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+#include "entry/call_context.h"
+#include "entry/call_handler.h"
+#include "entry/store_feed.h"
+#include "io/event_loop.h"
+#include "io/http_server.h"
+#include "io/log.h"
+#include "oleander/result_code.h"
+
+namespace oleander::entry {
+namespace {
+
+// Backend servers close idle connections after some seconds; younger ones are
+// safe to use again.
+constexpr Duration kServerIdleBound = std::chrono::seconds(4);
+constexpr Duration kPlatformIdleBound = std::chrono::seconds(10);
+// Log lines wait this long for others, so that a burst costs one write.
+constexpr Duration kLogDelay = std::chrono::milliseconds(200);
+// A configuration older than this can't be acted on for long; the balancer is
+// told to look elsewhere before requests have to be refused.
+constexpr Duration kReadyProofAge = std::chrono::milliseconds(2800);
+// The balancer asks once a second and gives up after two misses.
+constexpr Duration kBalancerTurnsAway = std::chrono::milliseconds(3000);
+// Kept of the time that the platform gives for stopping.
+constexpr Duration kStopMargin = std::chrono::milliseconds(600);
+constexpr Duration kStopPoll = std::chrono::milliseconds(50);
+// Callers reuse connections that were idle for up to four fifths of the limit
+// that the configuration names; none of the pages' limits is longer.
+constexpr Duration kCallerIdleTimeout = std::chrono::seconds(60);
+// Until the number of instances is known, a retry budget that stays within the
+// whole even if as many as this spend theirs.
+constexpr double kAssumedInstances = 8;
+// Kept of what all instances together may spend on retries.
+constexpr double kRetryMargin = 0.8;
+
+absl::flat_hash_map<DomainId, RegionId> RegionsOf(
+    const EntrySettings& settings) {
+  return {settings.domains.begin(), settings.domains.end()};
+}
+
+RetryBudgetOptions RetryOptions(const Bounds& bounds) {
+  return {.share = bounds.retry_share * kRetryMargin,
+          .burst = std::max(
+              1.0, bounds.retry_slack * kRetryMargin / kAssumedInstances)};
+}
+
+}  // namespace
+
+class EntryNode::Impl {
+ public:
+  Impl(const EntrySettings& settings, std::string settings_file,
+       const PortsFactory& factory)
+      : settings_(settings),
+        settings_file_(std::move(settings_file)),
+        servers_client_(loop_, kServerIdleBound),
+        platform_client_(loop_, kPlatformIdleBound),
+        ports_(factory(settings_, platform_client_)),
+        context_{.loop = loop_,
+                 .servers_client = servers_client_,
+                 .codec = *ports_.calls,
+                 .metrics = metrics_,
+                 .proof = ConfigProof({.bound = settings_.bounds.revoke}),
+                 .listed = ListedServers(),
+                 .placement = Placement({}, settings_.place, seed_()),
+                 .retries = RetryBudget(RetryOptions(settings_.bounds)),
+                 .usage = UsageWindows(settings_.bounds.usage_window)},
+        handler_(context_),
+        feed_(context_, *ports_.store, *ports_.catalog, [] {}),
+        callers_(loop_,
+                 {.address = settings_.callers.address,
+                  .port = settings_.callers.port,
+                  .idle_timeout = kCallerIdleTimeout},
+                 [this](std::shared_ptr<io::HttpExchange> exchange) {
+                   handler_.Handle(std::move(exchange));
+                 }),
+        readiness_(loop_,
+                   {.address = settings_.readiness.address,
+                    .port = settings_.readiness.port},
+                   [this](const std::shared_ptr<io::HttpExchange>& exchange) {
+                     AnswerReadiness(*exchange);
+                   }),
+        metrics_server_(
+            loop_,
+            {.address = settings_.callers.address,
+             .port = settings_.metrics_port},
+            [this](const std::shared_ptr<io::HttpExchange>& exchange) {
+              exchange->Respond(
+                  200, {{.name = "content-type", .value = "text/plain"}},
+                  metrics_.Text());
+            }) {
+    context_.placement.SetRegions(RegionsOf(settings_));
+  }
+
+  absl::Status Listen() {
+    for (io::HttpServer* server : {&callers_, &readiness_, &metrics_server_}) {
+      if (absl::Status status = server->Listen(); !status.ok()) {
+        return status;
+      }
+    }
+    return absl::OkStatus();
+  }
+
+  void Run() {
+    io::SetLogFlusher([this] {
+      log_timer_ = loop_.After(kLogDelay, [] { io::FlushLog(); });
+    });
+    loop_.OnTerminationSignal([this] { BeginDrain(); });
+    loop_.OnReloadSignal([this] { Reload(); });
+    io::Log(io::LogLevel::kInfo, "entry.started",
+            {{"pid", getpid()}, {"domain", settings_.place.domain.value()}});
+    feed_.Start();
+    loop_.Run();
+    io::Log(io::LogLevel::kInfo, "entry.stopped",
+            {{"open", callers_.open_exchanges()}});
+    io::SetLogFlusher(nullptr);
+    io::FlushLog();
+  }
+
+ private:
+  bool ready() const {
+    return !context_.draining && context_.config != nullptr &&
+           context_.listed.known() &&
+           context_.proof.age(loop_.now()) < kReadyProofAge;
+  }
+
+  void AnswerReadiness(io::HttpExchange& exchange) {
+    const bool is_ready = ready();
+    if (is_ready != was_ready_) {
+      was_ready_ = is_ready;
+      io::Log(io::LogLevel::kInfo, "entry.readiness",
+              {{"ready", is_ready},
+               {"draining", context_.draining},
+               {"config", context_.config != nullptr},
+               {"proof_age_ms",
+                std::chrono::duration_cast<std::chrono::milliseconds>(
+                    context_.proof.age(loop_.now()))
+                    .count()}});
+    }
+    exchange.Respond(is_ready ? 200 : 503, {}, is_ready ? "ready\n" : "not\n");
+  }
+
+  void Reload() {
+    io::Log(io::LogLevel::kInfo, "settings.reload",
+            {{"file", settings_file_}});
+  }
+
+  // Not ready at once, but new connections are taken until the balancer has
+  // turned away; then what runs is waited for.
+  void BeginDrain() {
+    if (context_.draining) {
+      return;
+    }
+    context_.draining = true;
+    stop_by_ = loop_.now() + settings_.bounds.drain_grace - kStopMargin;
+    io::Log(io::LogLevel::kInfo, "entry.draining",
+            {{"open", callers_.open_exchanges()}});
+    callers_.CloseAfterAnswers();
+    drain_timer_ = loop_.After(kBalancerTurnsAway, [this] {
+      callers_.StopAccepting();
+      WaitForEnd();
+    });
+  }
+
+  void WaitForEnd() {
+    const bool idle = callers_.open_exchanges() == 0 &&
+                      callers_.open_connections() == 0;
+    if (idle || loop_.now() >= stop_by_) {
+      loop_.Stop();
+      return;
+    }
+    drain_timer_ = loop_.After(kStopPoll, [this] { WaitForEnd(); });
+  }
+
+  EntrySettings settings_;
+  std::string settings_file_;
+  std::random_device seed_;
+  io::EventLoop loop_;
+  EntryMetrics metrics_;
+  io::HttpClient servers_client_;
+  io::HttpClient platform_client_;
+  Ports ports_;
+  CallContext context_;
+  CallHandler handler_;
+  StoreFeed feed_;
+  io::HttpServer callers_;
+  io::HttpServer readiness_;
+  io::HttpServer metrics_server_;
+  bool was_ready_ = false;
+  Time stop_by_;
+  io::Timer log_timer_;
+  io::Timer drain_timer_;
+};
+
+EntryNode::EntryNode(std::unique_ptr<Impl> impl) : impl_(std::move(impl)) {}
+
+EntryNode::~EntryNode() = default;
+
+absl::StatusOr<std::unique_ptr<EntryNode>> EntryNode::Create(
+    const EntrySettings& settings, std::string settings_file,
+    const PortsFactory& factory) {
+  auto impl =
+      std::make_unique<Impl>(settings, std::move(settings_file), factory);
+  if (absl::Status status = impl->Listen(); !status.ok()) {
+    return status;
+  }
+  return std::unique_ptr<EntryNode>(new EntryNode(std::move(impl)));
+}
+
+void EntryNode::Run() { impl_->Run(); }
+
+}  // namespace oleander::entry
--- /dev/null
+++ b/src/entry/forwarded_call.h
@@ -0,0 +1,100 @@
+// One caller's request on its way: attempts at backend servers, the answer or
+// stream back, and one log line for each decision.
+//
+// Whole answers are collected before the caller sees a byte, so that a broken
+// one can be tried elsewhere where the route allows it. Streams are passed on
+// event by event; one that may be resumed goes on at another server from its
+// last whole event.
+#ifndef OLEANDER_ENTRY_FORWARDED_CALL_H_
+#define OLEANDER_ENTRY_FORWARDED_CALL_H_
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "entry/call_context.h"
+#include "io/http_server.h"
+#include "oleander/send_policy.h"
+#include "oleander/event_cutter.h"
+
+namespace oleander::entry {
+
+// What was found out about a request before it is sent anywhere.
+struct AcceptedCall {
+  std::shared_ptr<io::HttpExchange> exchange;
+  ports::CallIntake intake;
+  std::shared_ptr<const ServingConfig> config;  // Keeps `route` alive.
+  const CallRoute* route = nullptr;
+  WorkspaceId workspace;  // Empty on open routes.
+  ServiceId service;
+  int urgency = 0;
+  Time arrived;
+  Time deadline;  // The caller's, or the route's time-out where it is earlier.
+};
+
+class ForwardedCall : public std::enable_shared_from_this<ForwardedCall> {
+ public:
+  ForwardedCall(CallContext& context, AcceptedCall call);
+  ForwardedCall(const ForwardedCall&) = delete;
+  ForwardedCall& operator=(const ForwardedCall&) = delete;
+  ~ForwardedCall();
+
+  void Start();
+
+ private:
+  // How the answer under way is handled.
+  enum class Mode { kAwaitingHead, kDiscard, kCollect, kStream };
+
+  void SendNext();
+  std::optional<ServerId> PickServer();
+  void SendTo(const ListedServer& server);
+  ports::SendTerms TermsFor(const ServerId& server) const;
+  io::HttpCallRequest RequestFor(const ListedServer& server) const;
+
+  void OnHead(int status, const io::Headers& headers);
+  void OnBody(std::string_view chunk);
+  void OnEnd(const io::HttpCallEnd& end);
+  void OnCallerGone();
+  void OnDeadline();
+  void BeginStream();
+  void PassEvents(std::string_view chunk);
+
+  // What the attempt under way came to.
+  void SettleAttempt(SendOutcome outcome, std::string_view reason);
+  void EndAttempt(bool failed);
+  void Judge(SendOutcome outcome, std::string_view reason);
+  void CountBegun();
+
+  // The final answer; exactly one of these is called.
+  void RespondCollected();
+  void FinishStream();
+  void Refuse(ResultCode code, std::string_view message);
+  void Fail(ResultCode code, std::string_view message);
+  void BreakStream(std::string_view reason);
+  void Finish(ResultCode code, int status, std::string_view reason);
+
+  Duration time_left() const { return call_.deadline - context_.loop.now(); }
+  bool stream_begun() const { return call_.exchange->begun(); }
+
+  CallContext& context_;
+  AcceptedCall call_;
+  PlacementQuestion question_;
+  std::unique_ptr<io::HttpCall> sending_;
+  std::optional<ServerId> server_;  // Of the attempt under way.
+  Mode mode_ = Mode::kAwaitingHead;
+  int status_ = 0;
+  io::Headers headers_;
+  std::string body_;
+  EventCutter cutter_;
+  SendHistory attempts_;
+  int sends_ = 0;
+  bool begun_counted_ = false;  // This attempt's run stands in the usage.
+  bool paused_ = false;
+  bool finished_ = false;
+  io::Timer deadline_timer_;
+};
+
+}  // namespace oleander::entry
+
+#endif  // OLEANDER_ENTRY_FORWARDED_CALL_H_
--- a/src/io/event_loop.cc
+++ b/src/io/event_loop.cc
@@ -8,6 +8,8 @@
 #include <cerrno>
 #include <csignal>
 #include <cstring>
+#include <ctime>
+#include <initializer_list>
 #include <tuple>
 #include <utility>
 #include <vector>
@@ -182,8 +184,33 @@
   TimerHeap timers;
   std::vector<std::function<void()>> posted;
   bool stopped = false;
-  int signal_fd = -1;
-  std::unique_ptr<FdWatch> signal_watch;
+  struct SignalWatch {
+    int fd = -1;
+    std::unique_ptr<FdWatch> watch;
+  };
+  std::vector<SignalWatch> signals;
+
+  void OnSignals(std::initializer_list<int> numbers, EventLoop& owner,
+                 std::function<void()> callback) {
+    sigset_t set;
+    sigemptyset(&set);
+    std::ranges::for_each(numbers,
+                          [&set](int number) { sigaddset(&set, number); });
+    sigprocmask(SIG_BLOCK, &set, nullptr);
+    const int fd = signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
+    auto watch =
+        owner.WatchReadable(fd, [fd, callback = std::move(callback)] {
+          signalfd_siginfo info;
+          bool arrived = false;
+          while (read(fd, &info, sizeof info) == sizeof info) {
+            arrived = true;
+          }
+          if (arrived) {
+            callback();
+          }
+        });
+    signals.push_back({.fd = fd, .watch = std::move(watch)});
+  }
 
   void RunPosted() {
     std::vector<std::function<void()>> round;
@@ -221,21 +248,26 @@
 }
 
 EventLoop::~EventLoop() {
-  impl_->signal_watch.reset();
+  for (Impl::SignalWatch& signal : impl_->signals) {
+    signal.watch.reset();
+    close(signal.fd);
+  }
   // What callbacks hold may point at h2o's loop.
   impl_->timers = TimerHeap();
   impl_->DropPosted();
-  if (impl_->signal_fd >= 0) {
-    close(impl_->signal_fd);
-  }
   // Closed sockets are freed by the round after.
   RunSockets(0);
   h2o_evloop_destroy(impl_->loop);
 }
 
+// The clock that goes on while the machine is suspended: leases and proofs run
+// out then, too.
 Time EventLoop::now() const {
+  timespec time = {};
+  clock_gettime(CLOCK_BOOTTIME, &time);
   return Time(std::chrono::duration_cast<Duration>(
-      std::chrono::steady_clock::now().time_since_epoch()));
+      std::chrono::seconds(time.tv_sec) +
+      std::chrono::nanoseconds(time.tv_nsec)));
 }
 
 WallTime EventLoop::wall_now() {
@@ -263,23 +295,11 @@
 }
 
 void EventLoop::OnTerminationSignal(std::function<void()> callback) {
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  sigprocmask(SIG_BLOCK, &signals, nullptr);
-  const int fd = signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC);
-  impl_->signal_fd = fd;
-  impl_->signal_watch = WatchReadable(fd, [fd, callback = std::move(callback)] {
-    signalfd_siginfo info;
-    bool arrived = false;
-    while (read(fd, &info, sizeof info) == sizeof info) {
-      arrived = true;
-    }
-    if (arrived) {
-      callback();
-    }
-  });
+  impl_->OnSignals({SIGTERM, SIGINT}, *this, std::move(callback));
+}
+
+void EventLoop::OnReloadSignal(std::function<void()> callback) {
+  impl_->OnSignals({SIGHUP}, *this, std::move(callback));
 }
 
 void EventLoop::Run() {
--- a/src/io/event_loop.h
+++ b/src/io/event_loop.h
@@ -37,7 +37,7 @@
   EventLoop(const EventLoop&) = delete;
   EventLoop& operator=(const EventLoop&) = delete;
 
-  // The monotonic clock.
+  // The monotonic clock; it goes on while the machine is suspended.
   Time now() const;
   // The wall clock, for audit records only.
   static WallTime wall_now();
@@ -59,6 +59,9 @@
   // one loop of a process may do so.
   void OnTerminationSignal(std::function<void()> callback);
 
+  // The same for SIGHUP.
+  void OnReloadSignal(std::function<void()> callback);
+
   void Run();
   void Stop();
 
--- a/src/io/http_client.cc
+++ b/src/io/http_client.cc
@@ -107,10 +107,14 @@
 }
 
 std::string BuildHead(const HttpCallRequest& request) {
-  const bool v6 = request.address.find(':') != std::string::npos;
-  std::string head = fmt::format("{} {} HTTP/1.1\r\nhost: {}{}{}:{}\r\n",
-                                 request.method, request.target, v6 ? "[" : "",
-                                 request.address, v6 ? "]" : "", request.port);
+  std::string head =
+      fmt::format("{} {} HTTP/1.1\r\n", request.method, request.target);
+  if (!FindHeader(request.headers, "host").has_value()) {
+    const bool v6 = request.address.find(':') != std::string::npos;
+    fmt::format_to(std::back_inserter(head), "host: {}{}{}:{}\r\n",
+                   v6 ? "[" : "", request.address, v6 ? "]" : "",
+                   request.port);
+  }
   const bool has_body = !request.body.empty() || request.method == "POST" ||
                         request.method == "PUT" || request.method == "PATCH";
   if (has_body) {
@@ -140,9 +144,17 @@
   return copied;
 }
 
-bool IsChunked(const Headers& headers) {
+// What ends an answer's body.
+enum class BodyEnd { kLength, kLastChunk, kConnection };
+
+BodyEnd BodyEndOf(const Headers& headers) {
   const auto encoding = FindHeader(headers, "transfer-encoding");
-  return encoding.has_value() && encoding->find("chunked") != encoding->npos;
+  if (encoding.has_value() && encoding->find("chunked") != encoding->npos) {
+    return BodyEnd::kLastChunk;
+  }
+  return FindHeader(headers, "content-length").has_value()
+             ? BodyEnd::kLength
+             : BodyEnd::kConnection;
 }
 
 // One call. h2o's client object dies with the callback that ends it, so after
@@ -237,6 +249,28 @@
     return call->BodyArrived(client, error) ? 0 : -1;
   }
 
+  // h2o takes any end of the connection for the end of an answer that has no
+  // length; only an orderly one is. So the reading callback, which gets the
+  // difference, is wrapped as soon as h2o has chosen it.
+  void WatchConnectionEnd() {
+    loop_.Post([weak = weak_from_this()] {
+      const auto call = weak.lock();
+      h2o_socket_t* socket = call == nullptr ? nullptr : call->BodySocket();
+      if (socket != nullptr && socket->_cb.read != nullptr &&
+          socket->_cb.read != OnReadUntilEnd) {
+        call->read_until_end_ = socket->_cb.read;
+        socket->_cb.read = OnReadUntilEnd;
+      }
+    });
+  }
+
+  static void OnReadUntilEnd(h2o_socket_t* socket, const char* error) {
+    Call& call = Of(static_cast<h2o_http1client_t*>(socket->data));
+    const std::shared_ptr<Call> keep = call.shared_from_this();
+    call.reset_ = error != nullptr && error != h2o_socket_error_closed;
+    call.read_until_end_(socket, error);
+  }
+
   // Each of these says whether the call goes on.
   bool Connected(h2o_http1client_t* client, const char* error,
                  h2o_iovec_t** bufs, size_t* count, int* method_is_head) {
@@ -289,7 +323,10 @@
       }
     }
     phase_ = Phase::kBody;
-    chunked_ = IsChunked(CopyHeaders(headers, count));
+    body_end_ = BodyEndOf(CopyHeaders(headers, count));
+    if (!whole && body_end_ == BodyEnd::kConnection) {
+      WatchConnectionEnd();
+    }
     if (whole) {
       client_ = nullptr;
       EndWith(absl::OkStatus());
@@ -302,10 +339,13 @@
     h2o_buffer_t** input = &client->sock->input;
     // h2o takes a connection that is closed between two chunks for the end of
     // the answer. The last chunk comes with bytes, a closed connection without.
-    if (error == h2o_http1client_error_is_eos && chunked_ &&
-        client->sock->bytes_read == 0) {
+    if (error == h2o_http1client_error_is_eos &&
+        body_end_ == BodyEnd::kLastChunk && client->sock->bytes_read == 0) {
       error = "the connection was closed before the last chunk";
     }
+    if (error == h2o_http1client_error_is_eos && reset_) {
+      error = "the connection was reset before the answer's end";
+    }
     {
       const InCallback in_callback(*this);
       const auto callbacks = callbacks_;
@@ -448,7 +488,9 @@
   Time timer_due_;
   bool sent_ = false;
   bool paused_ = false;
-  bool chunked_ = false;  // The answer's body comes in chunks.
+  BodyEnd body_end_ = BodyEnd::kLength;
+  h2o_socket_cb read_until_end_ = nullptr;  // h2o's own, while it is wrapped.
+  bool reset_ = false;  // The connection broke instead of ending.
   bool ended_ = false;
   bool in_callback_ = false;
 };
--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -31,7 +31,8 @@
   uint16_t port = 0;
   std::string method = "GET";
   std::string target = "/";  // Path and query.
-  Headers headers;           // Host and Content-Length are added.
+  // Content-Length is added, and Host where it is missing.
+  Headers headers;
   std::string body;
   HttpCallOptions options;
 };
--- a/src/io/http_server.cc
+++ b/src/io/http_server.cc
@@ -418,13 +418,17 @@
   // Closing the listener resets the connections that wait in its queue.
   impl_->AcceptRound();
   impl_->CloseListener();
-  // Each answer then closes its connection. h2o's own call for this also sets a
-  // timer for HTTP/2, which would outlive the server.
-  impl_->context.shutdown_requested = 1;
+  CloseAfterAnswers();
   impl_->idle_grace = impl_->loop.After(
       kIdleGrace, [impl = impl_.get()] { impl->CloseIdle(); });
 }
 
+// h2o's own call for this also sets a timer for HTTP/2, which would outlive the
+// server.
+void HttpServer::CloseAfterAnswers() {
+  impl_->context.shutdown_requested = 1;
+}
+
 uint16_t HttpServer::port() const { return impl_->port; }
 
 size_t HttpServer::open_exchanges() const { return impl_->exchanges.size(); }
--- a/src/io/http_server.h
+++ b/src/io/http_server.h
@@ -100,6 +100,9 @@
   // its way still gets its answer.
   void StopAccepting();
 
+  // Each answer from now on ends its connection; new ones are still taken.
+  void CloseAfterAnswers();
+
   uint16_t port() const;          // The port listened on.
   size_t open_exchanges() const;  // Requests without a finished answer.
   size_t open_connections() const;
--- a/src/io/log.cc
+++ b/src/io/log.cc
@@ -1,11 +1,16 @@
 #include "io/log.h"
 
 #include <fmt/chrono.h>
+#include <poll.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <array>
+#include <cerrno>
 #include <chrono>
-#include <cstdio>
+#include <utility>
+
+#include "absl/container/flat_hash_map.h"
 
 namespace oleander::io {
 namespace {
@@ -23,6 +28,109 @@
   return name;
 }
 
+// Lines of one event written within a second; the rest of that second is
+// counted and told in one line.
+constexpr int kLinesPerEventAndSecond = 40;
+// What may wait for a reader of standard output that doesn't read.
+constexpr size_t kMaxWaitingBytes = size_t{256} << 10;
+// A pipe that is ready takes this much without blocking (POSIX's PIPE_BUF is
+// at least 512; Linux has 4096).
+constexpr size_t kUnblockedWrite = 4096;
+
+// Lines on their way to standard output.
+class Sink {
+ public:
+  static Sink& Instance() {
+    static Sink sink;
+    return sink;
+  }
+
+  void SetDescriptor(int fd) { fd_ = fd; }
+
+  void SetFlusher(std::function<void()> schedule) {
+    schedule_ = std::move(schedule);
+    scheduled_ = false;
+  }
+
+  void Append(std::string_view line) {
+    if (waiting_.size() + line.size() > kMaxWaitingBytes) {
+      ++dropped_;
+      return;
+    }
+    waiting_.append(line);
+    if (schedule_ == nullptr) {
+      Flush();
+    } else if (!scheduled_) {
+      scheduled_ = true;
+      schedule_();
+    }
+  }
+
+  void Flush() {
+    scheduled_ = false;
+    size_t written = 0;
+    while (written < waiting_.size() && MayWrite()) {
+      const size_t size =
+          std::min(kUnblockedWrite, waiting_.size() - written);
+      const ssize_t done = write(fd_, waiting_.data() + written, size);
+      if (done <= 0) {
+        break;
+      }
+      written += static_cast<size_t>(done);
+    }
+    waiting_.erase(0, written);
+  }
+
+  uint64_t TakeDropped() { return std::exchange(dropped_, 0); }
+
+ private:
+  bool MayWrite() const {
+    pollfd output = {.fd = fd_, .events = POLLOUT, .revents = 0};
+    return poll(&output, 1, 0) > 0 && (output.revents & POLLOUT) != 0;
+  }
+
+  int fd_ = STDOUT_FILENO;
+  std::string waiting_;
+  std::function<void()> schedule_;
+  bool scheduled_ = false;
+  uint64_t dropped_ = 0;  // Lines that found no room.
+};
+
+// Bounds how many lines of one event are written.
+class Sampler {
+ public:
+  struct Verdict {
+    bool write = true;
+    uint64_t left_out = 0;  // Lines of this event since the last one written.
+  };
+
+  Verdict Take(std::string_view event, int64_t second) {
+    auto& seen = events_[std::string(event)];
+    if (seen.second != second) {
+      seen.second = second;
+      seen.lines = 0;
+    }
+    if (++seen.lines > kLinesPerEventAndSecond) {
+      ++seen.left_out;
+      return {.write = false, .left_out = 0};
+    }
+    return {.write = true, .left_out = std::exchange(seen.left_out, 0)};
+  }
+
+ private:
+  struct Seen {
+    int64_t second = 0;
+    int lines = 0;
+    uint64_t left_out = 0;
+  };
+  absl::flat_hash_map<std::string, Seen> events_;
+};
+
+Sampler& EventSampler() {
+  static Sampler sampler;
+  return sampler;
+}
+
 bool NeedsQuotes(std::string_view value) {
   return value.empty() || std::ranges::any_of(value, [](unsigned char c) {
            return c <= ' ' || c == '"' || c == '=' || c == '\\' || c == 0x7f;
@@ -74,6 +182,13 @@
   }
   const auto now = std::chrono::floor<std::chrono::milliseconds>(
       std::chrono::system_clock::now());
+  const auto verdict = EventSampler().Take(
+      event, std::chrono::floor<std::chrono::seconds>(now)
+                 .time_since_epoch()
+                 .count());
+  if (!verdict.write) {
+    return;
+  }
   fmt::memory_buffer line;
   fmt::format_to(fmt::appender(line),
                  "time={:%Y-%m-%dT%H:%M:%S}Z level={} event={}", now,
@@ -85,8 +200,22 @@
     fmt::format_to(fmt::appender(line), " {}=", field.key);
     AppendValue(line, field.value);
   }
+  if (verdict.left_out > 0) {
+    fmt::format_to(fmt::appender(line), " left_out={}", verdict.left_out);
+  }
+  if (const uint64_t dropped = Sink::Instance().TakeDropped(); dropped > 0) {
+    fmt::format_to(fmt::appender(line), " lines_dropped={}", dropped);
+  }
   line.push_back('\n');
-  std::fwrite(line.data(), 1, line.size(), stderr);
+  Sink::Instance().Append({line.data(), line.size()});
 }
 
+void LogToStandardError() { Sink::Instance().SetDescriptor(STDERR_FILENO); }
+
+void SetLogFlusher(std::function<void()> schedule) {
+  Sink::Instance().SetFlusher(std::move(schedule));
+}
+
+void FlushLog() { Sink::Instance().Flush(); }
+
 }  // namespace oleander::io
