--- a/include/oleander/leases.h
+++ b/include/oleander/leases.h
@@ -37,6 +37,9 @@
   Duration stop_early = std::chrono::seconds(2);
   // Between two looks at whether the duty is free: one read each.
   Duration retry = std::chrono::seconds(2);
+  // After giving the duty up or losing it, another instance gets this long
+  // before this one asks again, so that two don't take turns in quick order.
+  Duration rest = Duration::zero();
 };
 
 // The duty became this instance's, with this fencing number.
@@ -110,6 +113,7 @@
   Time valid_until_;  // By this instance's clock, before stop_early.
   Time asked_at_;     // When the grant or renewal under way was sent.
   Time next_;
+  Time rest_until_;
   StoreCall call_ = 0;
   StoreCall pending_ = 0;
   std::vector<LeaseAction> actions_;
--- /dev/null
+++ b/include/oleander/workspace_quotas.h
@@ -0,0 +1,110 @@
+// Keeps each workspace within its quota over all instances together.
+//
+// Every instance keeps a bucket per workspace that fills at the quota's rate. It
+// takes out what it lets through itself at once, and what its peers let through
+// as soon as they tell. Between two tidings an instance spends at most its part
+// of what the bucket holds, by how much of the demand comes to it. A peer that
+// is silent is taken to use an even part of the rate, so that instances that
+// are cut off from each other stay within the whole together.
+//
+// Load it answers: one workspace that sends many times its usual, unevenly over
+// instances, and instances that are cut off or restart meanwhile.
+#ifndef OLEANDER_WORKSPACE_QUOTAS_H_
+#define OLEANDER_WORKSPACE_QUOTAS_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "absl/container/flat_hash_map.h"
+#include "oleander/serving_config.h"
+#include "oleander/types.h"
+
+namespace oleander {
+
+struct WorkspaceQuotaOptions {
+  // A peer that told nothing for this long counts as silent.
+  Duration silent_after = std::chrono::milliseconds(1500);
+  // How long demand is remembered when it is divided among instances.
+  Duration demand_memory = std::chrono::seconds(2);
+  // An instance with little demand may still use this part of an even share.
+  double least_share = 0.5;
+  // What the operators let pass beyond the rate (as a share of it) and beyond
+  // the burst; a part of both is used, the rest covers what instances can't know
+  // of each other in time.
+  double overage = 0;
+  double slack = 0;
+  double used_overage = 0.5;
+  double used_slack = 0.6;
+  // A fresh process can't know what was used just before.
+  double start_level = 0.5;  // Of the burst.
+};
+
+// One workspace's totals since a process's start, in the quota's unit.
+struct QuotaTotals {
+  double asked = 0;
+  double used = 0;
+};
+
+class WorkspaceQuotas {
+ public:
+  explicit WorkspaceQuotas(WorkspaceQuotaOptions options = {})
+      : options_(options) {}
+
+  // The quotas in force; a workspace that keeps its quota keeps its bucket.
+  void SetQuotas(Time now, const ServingConfig& config);
+  // How many instances serve, this one included.
+  void SetInstances(size_t instances) { instances_ = instances; }
+
+  // Takes `cost` out, or tells when to come back.
+  std::optional<Duration> TryTake(Time now, const WorkspaceId& workspace,
+                                  double cost);
+
+  // This process's totals, for its peers.
+  const absl::flat_hash_map<WorkspaceId, QuotaTotals>& totals() const {
+    return totals_;
+  }
+  // A peer's totals. `fresh` tells that its process has just started, so that
+  // its first totals are all news.
+  void OnPeer(Time now, const InstanceId& peer, uint64_t run, bool fresh,
+              const absl::flat_hash_map<WorkspaceId, QuotaTotals>& totals);
+
+  double level(const WorkspaceId& workspace) const;
+  double share(Time now, const WorkspaceId& workspace) const;
+
+ private:
+  struct Bucket {
+    WorkspaceQuota quota;
+    double level = 0;
+    double grant = 0;  // What this instance may spend until the next tidings.
+    double own_demand = 0;    // Fading with time.
+    double peers_demand = 0;  // Fading with time.
+    Time filled_at;
+  };
+  struct Peer {
+    uint64_t run = 0;
+    Time heard_at;
+    absl::flat_hash_map<WorkspaceId, QuotaTotals> totals;
+  };
+
+  double RateOf(const WorkspaceQuota& quota) const;
+  double DepthOf(const WorkspaceQuota& quota) const;
+  void Fill(Time now, Bucket& bucket);
+  double ShareOf(const Bucket& bucket) const;
+  size_t SilentPeers(Time now) const;
+
+  WorkspaceQuotaOptions options_;
+  size_t instances_ = 1;
+  absl::flat_hash_map<WorkspaceId, Bucket> buckets_;
+  absl::flat_hash_map<WorkspaceId, QuotaTotals> totals_;
+  absl::flat_hash_map<InstanceId, Peer> peers_;
+};
+
+// What a call takes out of a quota.
+double QuotaCost(const WorkspaceQuota& quota,
+                 std::optional<int64_t> prompt_tokens,
+                 int64_t max_output_tokens);
+
+}  // namespace oleander
+
+#endif  // OLEANDER_WORKSPACE_QUOTAS_H_
--- a/src/entry/call_context.h
+++ b/src/entry/call_context.h
@@ -13,6 +13,7 @@
 #include "oleander/retries.h"
 #include "oleander/serving_config.h"
 #include "oleander/usage_windows.h"
+#include "oleander/workspace_quotas.h"
 #include "ports/call_port.h"
 
 namespace oleander::entry {
@@ -27,6 +28,7 @@
   Placement placement;
   RetryBudget retries;
   UsageWindows usage;
+  WorkspaceQuotas quotas;
   std::shared_ptr<const ServingConfig> config = nullptr;  // Null: none known.
   bool draining = false;
 };
--- a/src/entry/call_handler.cc
+++ b/src/entry/call_handler.cc
@@ -72,7 +72,27 @@
   }
   call.service = PickTarget(*call.route, DrawFor(call.intake.attempt));
   call.deadline = DeadlineOf(call);
-  return absl::OkStatus();
+  return TakeQuota(call);
+}
+
+absl::Status CallHandler::TakeQuota(const AcceptedCall& call) const {
+  const auto& workspaces = call.config->workspaces();
+  const auto found =
+      std::ranges::find(workspaces, call.workspace, &Workspace::id);
+  if (found == workspaces.end()) {
+    return absl::OkStatus();
+  }
+  const auto wait = context_.quotas.TryTake(
+      call.arrived, call.workspace,
+      QuotaCost(found->quota, call.intake.prompt_tokens,
+                call.intake.max_output_tokens));
+  if (!wait) {
+    return absl::OkStatus();
+  }
+  return MakeError(
+      {.code = ResultCode::kQuotaSpent, .ran = Ran::kNo, .retry_after = wait},
+      fmt::format("Workspace {} has used its quota for now.",
+                  call.workspace.value()));
 }
 
 absl::Status CallHandler::FindRoute(AcceptedCall& call) const {
--- a/src/entry/call_handler.h
+++ b/src/entry/call_handler.h
@@ -23,6 +23,8 @@
   absl::Status Accept(AcceptedCall& call) const;
   absl::Status FindRoute(AcceptedCall& call) const;
   absl::Status FindWorkspace(AcceptedCall& call) const;
+  // Takes the call out of its workspace's quota.
+  absl::Status TakeQuota(const AcceptedCall& call) const;
   // Whether "unknown" may be said of a route or credential: an instance that
   // may lag behind can't know.
   bool knows_newest() const;
--- /dev/null
+++ b/src/entry/duty_lease.cc
@@ -0,0 +1,112 @@
+#include "entry/duty_lease.h"
+
+#include <utility>
+#include <variant>
+
+#include "io/log.h"
+
+namespace oleander::entry {
+namespace {
+
+template <typename... Visitors>
+struct Overloaded : Visitors... {
+  using Visitors::operator()...;
+};
+
+}  // namespace
+
+DutyLease::DutyLease(io::EventLoop& loop, ports::StorePort& store,
+                     EntryMetrics& metrics, LeaseOptions options,
+                     uint64_t seed, std::function<void()> on_taken)
+    : loop_(loop),
+      store_(store),
+      metrics_(metrics),
+      keeper_(std::move(options), seed, loop.now()),
+      on_taken_(std::move(on_taken)) {}
+
+void DutyLease::Want(bool want) {
+  keeper_.Want(want, loop_.now());
+  Drive();
+}
+
+std::optional<int64_t> DutyLease::FenceFor(Duration order_time) const {
+  return keeper_.FenceFor(loop_.now(), order_time);
+}
+
+void DutyLease::Drive() {
+  keeper_.Tick(loop_.now());
+  for (const LeaseAction& action : keeper_.TakeActions()) {
+    std::visit(
+        Overloaded{
+            [this](const StoreRequest& request) { Send(request); },
+            [this](const LeaseTaken& taken) {
+              io::Log(io::LogLevel::kInfo, "duty.taken",
+                      {{"key", keeper_.key()}, {"fence", taken.fence}});
+              on_taken_();
+            },
+            [this](const LeaseDropped& dropped) {
+              io::Log(io::LogLevel::kInfo, "duty.dropped",
+                      {{"key", keeper_.key()},
+                       {"fence", dropped.fence},
+                       {"reason", dropped.reason}});
+            }},
+        action);
+  }
+  const Time due = keeper_.next_due();
+  if (due == Time::max()) {
+    timer_.Cancel();
+    return;
+  }
+  timer_ = loop_.After(due - loop_.now(), [this] { Drive(); });
+}
+
+void DutyLease::Send(const StoreRequest& request) {
+  const auto counted = [this](const absl::Status& status) {
+    metrics_.CountStoreCall("lease", status.ok());
+  };
+  std::visit(
+      Overloaded{
+          [&](const StoreLeaseGrant& grant) {
+            store_.LeaseGrant(grant, [this, counted,
+                                      call = grant.call](const auto& answer) {
+              counted(answer.status());
+              keeper_.OnLease(call, answer, loop_.now());
+              Drive();
+            });
+          },
+          [&](const StoreLeaseKeepAlive& renewal) {
+            store_.LeaseKeepAlive(
+                renewal,
+                [this, counted, call = renewal.call](const auto& answer) {
+                  counted(answer.status());
+                  keeper_.OnLease(call, answer, loop_.now());
+                  Drive();
+                });
+          },
+          [&](const StoreLeaseRevoke& revoke) {
+            store_.LeaseRevoke(revoke, [counted](const auto& answer) {
+              counted(answer.status());
+            });
+          },
+          [&](const StoreCas& cas) {
+            store_.Cas(cas,
+                       [this, counted, call = cas.call](const auto& answer) {
+                         counted(answer.status());
+                         keeper_.OnCas(call, answer, loop_.now());
+                         Drive();
+                       });
+          },
+          [&](const StoreRange& range) {
+            store_.Range(
+                range, [this, counted, call = range.call](const auto& answer) {
+                  counted(answer.status());
+                  keeper_.OnRange(call, answer, loop_.now());
+                  Drive();
+                });
+          },
+          // A lease keeper watches nothing.
+          [](const StoreWatch&) {}, [](const StoreCancelWatch&) {}},
+      request);
+}
+
+}  // namespace oleander::entry
--- /dev/null
+++ b/src/entry/duty_lease.h
@@ -0,0 +1,40 @@
+// Drives a LeaseKeeper over the store: one duty that one instance holds.
+#ifndef OLEANDER_ENTRY_DUTY_LEASE_H_
+#define OLEANDER_ENTRY_DUTY_LEASE_H_
+
+#include <functional>
+#include <optional>
+
+#include "entry/entry_metrics.h"
+#include "io/event_loop.h"
+#include "oleander/leases.h"
+#include "ports/store_port.h"
+
+namespace oleander::entry {
+
+class DutyLease {
+ public:
+  // `on_taken` is called each time the duty becomes this instance's.
+  DutyLease(io::EventLoop& loop, ports::StorePort& store,
+            EntryMetrics& metrics, LeaseOptions options, uint64_t seed,
+            std::function<void()> on_taken);
+
+  void Want(bool want);
+  // The fencing number where the duty is held for at least `order_time` more.
+  std::optional<int64_t> FenceFor(Duration order_time) const;
+
+ private:
+  void Drive();
+  void Send(const StoreRequest& request);
+
+  io::EventLoop& loop_;
+  ports::StorePort& store_;
+  EntryMetrics& metrics_;
+  LeaseKeeper keeper_;
+  std::function<void()> on_taken_;
+  io::Timer timer_;
+};
+
+}  // namespace oleander::entry
+
+#endif  // OLEANDER_ENTRY_DUTY_LEASE_H_
--- a/src/entry/entry_node.cc
+++ b/src/entry/entry_node.cc
@@ -1,5 +1,6 @@
 #include "entry/entry_node.h"
 
+#include <fmt/format.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -8,7 +9,12 @@
 
 #include "entry/call_context.h"
 #include "entry/call_handler.h"
+#include "entry/duty_lease.h"
+#include "entry/peer_news.h"
+#include "entry/record_keeper.h"
+#include "entry/size_orderer.h"
 #include "entry/store_feed.h"
+#include "entry/usage_reporter.h"
 #include "io/event_loop.h"
 #include "io/http_server.h"
 #include "io/log.h"
@@ -30,6 +36,8 @@
 constexpr Duration kBalancerTurnsAway = std::chrono::milliseconds(3000);
 // Kept of the time that the platform gives for stopping.
 constexpr Duration kStopMargin = std::chrono::milliseconds(600);
+// For the last counts to reach the store.
+constexpr Duration kLastWrite = std::chrono::milliseconds(300);
 constexpr Duration kStopPoll = std::chrono::milliseconds(50);
 // Callers reuse connections that were idle for up to four fifths of the limit
 // that the configuration names; none of the pages' limits is longer.
@@ -37,6 +45,14 @@
 // Until the number of instances is known, a retry budget that stays within the
 // whole even if as many as this spend theirs.
 constexpr double kAssumedInstances = 8;
+// The one duty: reports of usage and orders of servers.
+constexpr const char* kDuty = "platform";
+// Renewals cost a tenth of a read. A dead holder's duty is taken up within the
+// lease and one look.
+constexpr Duration kDutyLease = std::chrono::milliseconds(4500);
+constexpr Duration kDutyRenewal = std::chrono::milliseconds(1200);
+constexpr Duration kDutyStopEarly = std::chrono::milliseconds(1200);
+constexpr Duration kDutyLook = std::chrono::milliseconds(2000);
 // Kept of what all instances together may spend on retries.
 constexpr double kRetryMargin = 0.8;
 
@@ -45,6 +61,23 @@
   return {settings.domains.begin(), settings.domains.end()};
 }
 
+LeaseOptions DutyOptions(const EntrySettings& settings) {
+  return {.duty = kDuty,
+          .self = settings.instance,
+          .ttl = std::max<Duration>(kDutyLease, settings.bounds.lease),
+          .renew_every = kDutyRenewal,
+          .stop_early = kDutyStopEarly,
+          .retry = kDutyLook,
+          .rest = settings.bounds.lease * 2};
+}
+
+WorkspaceQuotaOptions QuotaOptions(const Bounds& bounds) {
+  WorkspaceQuotaOptions options;
+  options.overage = bounds.quota_overage;
+  options.slack = bounds.quota_slack;
+  return options;
+}
+
 RetryBudgetOptions RetryOptions(const Bounds& bounds) {
   return {.share = bounds.retry_share * kRetryMargin,
           .burst = std::max(
@@ -70,9 +103,23 @@
                  .listed = ListedServers(),
                  .placement = Placement({}, settings_.place, seed_()),
                  .retries = RetryBudget(RetryOptions(settings_.bounds)),
-                 .usage = UsageWindows(settings_.bounds.usage_window)},
+                 .usage = UsageWindows(settings_.bounds.usage_window),
+                 .quotas = WorkspaceQuotas(QuotaOptions(settings_.bounds))},
         handler_(context_),
-        feed_(context_, *ports_.store, *ports_.catalog, [] {}),
+        feed_(context_, *ports_.store, *ports_.catalog,
+              [this] { orderer_.OnServers(); }),
+        run_(RunNumber()),
+        lease_(loop_, *ports_.store, metrics_, DutyOptions(settings_), seed_(),
+               [this] {
+                 reporter_.OnTaken();
+                 orderer_.OnTaken();
+               }),
+        records_(context_, *ports_.store, settings_,
+                 fmt::format("{:016x}", run_), [this] { OnRecords(); }),
+        reporter_(context_, *ports_.store, *ports_.duties, records_, lease_,
+                  settings_.bounds),
+        orderer_(context_, *ports_.duties, lease_),
+        news_(context_, context_.quotas, settings_, run_),
         callers_(loop_,
                  {.address = settings_.callers.address,
                   .port = settings_.callers.port,
@@ -104,7 +151,7 @@
         return status;
       }
     }
-    return absl::OkStatus();
+    return news_.Listen();
   }
 
   void Run() {
@@ -116,6 +163,9 @@
     io::Log(io::LogLevel::kInfo, "entry.started",
             {{"pid", getpid()}, {"domain", settings_.place.domain.value()}});
     feed_.Start();
+    records_.Start();
+    news_.Start();
+    lease_.Want(!settings_.duty_names.empty());
     loop_.Run();
     io::Log(io::LogLevel::kInfo, "entry.stopped",
             {{"open", callers_.open_exchanges()}});
@@ -124,6 +174,18 @@
   }
 
  private:
+  uint64_t RunNumber() {
+    return (uint64_t{seed_()} << 32) | seed_();
+  }
+
+  void OnRecords() {
+    const size_t instances = records_.live_instances();
+    context_.quotas.SetInstances(instances);
+    orderer_.SetInstances(instances);
+    news_.OnRecords(records_);
+    reporter_.OnRecords();
+  }
+
   bool ready() const {
     return !context_.draining && context_.config != nullptr &&
            context_.listed.known() &&
@@ -162,17 +224,29 @@
     io::Log(io::LogLevel::kInfo, "entry.draining",
             {{"open", callers_.open_exchanges()}});
     callers_.CloseAfterAnswers();
+    GiveUpDuty();
     drain_timer_ = loop_.After(kBalancerTurnsAway, [this] {
       callers_.StopAccepting();
       WaitForEnd();
     });
   }
 
+  // Not before the calls under way have their answers, so that none arrives
+  // after the next holder's.
+  void GiveUpDuty() {
+    if (reporter_.busy() || orderer_.busy()) {
+      duty_timer_ = loop_.After(kStopPoll, [this] { GiveUpDuty(); });
+      return;
+    }
+    lease_.Want(false);
+  }
+
   void WaitForEnd() {
     const bool idle = callers_.open_exchanges() == 0 &&
                       callers_.open_connections() == 0;
     if (idle || loop_.now() >= stop_by_) {
-      loop_.Stop();
+      duty_timer_ = loop_.After(kLastWrite, [this] { loop_.Stop(); });
+      records_.WriteLast([this] { loop_.Stop(); });
       return;
     }
     drain_timer_ = loop_.After(kStopPoll, [this] { WaitForEnd(); });
@@ -189,6 +263,12 @@
   CallContext context_;
   CallHandler handler_;
   StoreFeed feed_;
+  uint64_t run_;
+  DutyLease lease_;
+  RecordKeeper records_;
+  UsageReporter reporter_;
+  SizeOrderer orderer_;
+  PeerNews news_;
   io::HttpServer callers_;
   io::HttpServer readiness_;
   io::HttpServer metrics_server_;
@@ -196,6 +276,7 @@
   Time stop_by_;
   io::Timer log_timer_;
   io::Timer drain_timer_;
+  io::Timer duty_timer_;
 };
 
 EntryNode::EntryNode(std::unique_ptr<Impl> impl) : impl_(std::move(impl)) {}
--- /dev/null
+++ b/src/entry/peer_news.h
@@ -0,0 +1,47 @@
+// Tells peers over the mesh what this instance let through of quotas and knows
+// of the configuration, and takes in what they tell.
+#ifndef OLEANDER_ENTRY_PEER_NEWS_H_
+#define OLEANDER_ENTRY_PEER_NEWS_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "entry/call_context.h"
+#include "entry/record_keeper.h"
+#include "io/mesh.h"
+#include "oleander/workspace_quotas.h"
+
+namespace oleander::entry {
+
+class PeerNews {
+ public:
+  PeerNews(CallContext& context, WorkspaceQuotas& quotas,
+           const EntrySettings& settings, uint64_t run);
+
+  absl::Status Listen() { return mesh_.Listen(); }
+  void Start();
+  // The peers are those that have a live record.
+  void OnRecords(const RecordKeeper& records);
+
+ private:
+  void Tell();
+  mesh::Envelope Message() const;
+  void OnMessage(const InstanceId& from, const mesh::Envelope& message);
+  Duration Period() const;
+
+  CallContext& context_;
+  WorkspaceQuotas& quotas_;
+  InstanceId self_;
+  uint64_t run_;
+  uint64_t round_ = 0;
+  std::map<InstanceId, std::string> peers_;  // With their addresses.
+  double told_asked_ = -1;  // The sum of what was told last.
+  Time told_at_;
+  io::Mesh mesh_;
+  io::Timer timer_;
+};
+
+}  // namespace oleander::entry
+
+#endif  // OLEANDER_ENTRY_PEER_NEWS_H_
--- /dev/null
+++ b/src/entry/record_keeper.cc
@@ -0,0 +1,208 @@
+#include "entry/record_keeper.h"
+
+#include <fmt/format.h>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "entry.pb.h"
+#include "io/log.h"
+#include "oleander/result_code.h"
+
+namespace oleander::entry {
+namespace {
+
+constexpr std::string_view kRecordsPrefix = "/oleander/instances/";
+// After a window's end the last calls that began in it may still be on their
+// way here; the writes of a fleet are spread over the time after that.
+constexpr Duration kWriteAfterEnd = std::chrono::milliseconds(150);
+constexpr Duration kWriteSpread = std::chrono::milliseconds(400);
+constexpr Duration kReadAfterEnd = std::chrono::milliseconds(900);
+constexpr Duration kWriteRetry = std::chrono::milliseconds(700);
+// Windows kept in a record; a report is due two windows after a window's end.
+constexpr int64_t kKeptWindows = 5;
+// Records that weren't written for this many windows are of ended processes.
+constexpr int64_t kWindowsAlive = 2;
+constexpr int64_t kWindowsKept = 8;
+constexpr size_t kRemovedAtOnce = 16;  // The store takes 32 entries a call.
+
+InstanceRecord Decode(const entrywire::EntryRecord& wire) {
+  InstanceRecord record{.instance = InstanceId(wire.instance()),
+                        .address = wire.address(),
+                        .mesh_port = static_cast<uint16_t>(wire.mesh_port()),
+                        .closed_window = wire.closed_window(),
+                        .windows = {},
+                        .alive = false};
+  for (const entrywire::UsageWindow& window : wire.windows()) {
+    UsageCounts& counts = record.windows[window.window()];
+    for (const auto& [workspace, count] : window.counts()) {
+      counts[WorkspaceId(workspace)] = count;
+    }
+  }
+  return record;
+}
+
+}  // namespace
+
+RecordKeeper::RecordKeeper(CallContext& context, ports::StorePort& store,
+                           const EntrySettings& settings, std::string run,
+                           std::function<void()> on_records)
+    : context_(context),
+      store_(store),
+      settings_(settings),
+      run_(std::move(run)),
+      on_records_(std::move(on_records)) {}
+
+void RecordKeeper::Start() {
+  // The first record tells peers where this instance is.
+  const int64_t current =
+      context_.usage.WindowOf(io::EventLoop::wall_now());
+  Write(current - 1, [this] { Read(); });
+  ScheduleWrite();
+  ScheduleRead();
+}
+
+void RecordKeeper::ScheduleWrite() {
+  const WallTime now = io::EventLoop::wall_now();
+  const int64_t window = context_.usage.WindowOf(now);
+  const Duration to_end = context_.usage.EndOf(window) - now;
+  const uint64_t hash = XXH64(run_.data(), run_.size(), 0);
+  const Duration spread(static_cast<Duration::rep>(
+      hash % static_cast<uint64_t>(kWriteSpread.count())));
+  write_timer_ =
+      context_.loop.After(to_end + kWriteAfterEnd + spread, [this, window] {
+        Write(window, [] {});
+        ScheduleWrite();
+      });
+}
+
+void RecordKeeper::ScheduleRead() {
+  const WallTime now = io::EventLoop::wall_now();
+  const Duration to_end =
+      context_.usage.EndOf(context_.usage.WindowOf(now)) - now;
+  read_timer_ = context_.loop.After(to_end + kReadAfterEnd, [this] {
+    Read();
+    ScheduleRead();
+  });
+}
+
+void RecordKeeper::WriteLast(std::function<void()> done) {
+  write_timer_.Cancel();
+  Write(context_.usage.WindowOf(io::EventLoop::wall_now()), std::move(done));
+}
+
+void RecordKeeper::Write(int64_t closed_window, std::function<void()> done) {
+  context_.usage.Forget(closed_window - kKeptWindows + 1);
+  const StoreCas cas{
+      .call = 0,
+      .compares = {},
+      .puts = {{.key = fmt::format("{}{}/{}", kRecordsPrefix,
+                                   settings_.instance.value(), run_),
+                .value = Encode(closed_window)}},
+      .deletes = {}};
+  store_.Cas(cas, [this, closed_window, done = std::move(done)](
+                      const absl::StatusOr<StoreCasAnswer>& answer) {
+    context_.metrics.CountStoreCall("record", answer.ok());
+    if (!answer.ok()) {
+      io::Log(io::LogLevel::kWarning, "record.not_written",
+              {{"window", closed_window},
+               {"reason", std::string(answer.status().message())}});
+      // The next write carries these counts, too; a retry makes it sooner.
+      write_timer_ = context_.loop.After(kWriteRetry, [this, closed_window] {
+        Write(closed_window, [] {});
+        ScheduleWrite();
+      });
+    }
+    done();
+  });
+}
+
+std::string RecordKeeper::Encode(int64_t closed_window) const {
+  entrywire::EntryRecord record;
+  record.set_instance(settings_.instance.value());
+  record.set_address(settings_.callers.address);
+  record.set_mesh_port(settings_.mesh_port);
+  record.set_closed_window(closed_window);
+  for (const auto& [window, counts] : context_.usage.windows()) {
+    entrywire::UsageWindow& wire = *record.add_windows();
+    wire.set_window(window);
+    for (const auto& [workspace, count] : counts) {
+      (*wire.mutable_counts())[workspace.value()] = count;
+    }
+  }
+  return record.SerializeAsString();
+}
+
+void RecordKeeper::Read() {
+  store_.Range(
+      {.call = 0, .key = std::string(kRecordsPrefix), .prefix = true},
+      [this](const absl::StatusOr<StoreRangeAnswer>& answer) {
+        OnRead(answer);
+      });
+}
+
+void RecordKeeper::OnRead(const absl::StatusOr<StoreRangeAnswer>& answer) {
+  context_.metrics.CountStoreCall("records", answer.ok());
+  if (!answer.ok()) {
+    io::Log(io::LogLevel::kWarning, "records.not_read",
+            {{"reason", std::string(answer.status().message())}});
+    return;
+  }
+  const Time now = context_.loop.now();
+  const Duration window = settings_.bounds.usage_window;
+  std::vector<InstanceRecord> records;
+  std::vector<std::string> stale;
+  absl::flat_hash_map<std::string, Sighting> sightings;
+  for (const StoreEntry& entry : answer->entries) {
+    entrywire::EntryRecord wire;
+    if (!wire.ParseFromString(entry.value)) {
+      io::Log(io::LogLevel::kWarning, "record.unreadable",
+              {{"key", entry.key}, {"bytes", entry.value.size()}});
+      continue;
+    }
+    const auto seen = sightings_.find(entry.key);
+    const bool changed = seen == sightings_.end() ||
+                         seen->second.revision != entry.mod_revision;
+    const Time changed_at = changed ? now : seen->second.changed_at;
+    sightings[entry.key] = {.revision = entry.mod_revision,
+                            .changed_at = changed_at};
+    records.push_back(Decode(wire));
+    records.back().alive =
+        now - changed_at < window * kWindowsAlive + window / 2;
+    if (now - changed_at > window * kWindowsKept) {
+      stale.push_back(entry.key);
+    }
+  }
+  sightings_ = std::move(sightings);
+  records_ = std::move(records);
+  RemoveStale(stale);
+  on_records_();
+}
+
+// Whoever notices removes; a key that is gone already changes nothing.
+void RecordKeeper::RemoveStale(const std::vector<std::string>& keys) {
+  if (keys.empty()) {
+    return;
+  }
+  StoreCas cas;
+  std::ranges::copy_n(keys.begin(),
+                      static_cast<int64_t>(std::min(keys.size(), kRemovedAtOnce)),
+                      std::back_inserter(cas.deletes));
+  store_.Cas(cas, [this](const absl::StatusOr<StoreCasAnswer>& answer) {
+    context_.metrics.CountStoreCall("record_removal", answer.ok());
+  });
+}
+
+size_t RecordKeeper::live_instances() const {
+  std::set<InstanceId> live = {settings_.instance};
+  for (const InstanceRecord& record : records_) {
+    if (record.alive) {
+      live.insert(record.instance);
+    }
+  }
+  return live.size();
+}
+
+}  // namespace oleander::entry
--- /dev/null
+++ b/src/entry/record_keeper.h
@@ -0,0 +1,79 @@
+// This instance's record in the store, and everybody's.
+//
+// Once per window of usage each instance writes its counts; a moment later each
+// reads all records. So the holder of the duty finds every count in one place,
+// also of instances that have ended since, and all learn how many instances
+// serve and where their peers are, at one write and one read a window each.
+#ifndef OLEANDER_ENTRY_RECORD_KEEPER_H_
+#define OLEANDER_ENTRY_RECORD_KEEPER_H_
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "entry/call_context.h"
+#include "entry/settings.h"
+#include "oleander/usage_windows.h"
+#include "ports/store_port.h"
+
+namespace oleander::entry {
+
+// One run of an instance, as its record tells.
+struct InstanceRecord {
+  InstanceId instance;
+  std::string address;
+  uint16_t mesh_port = 0;
+  int64_t closed_window = 0;  // Its counts up to this window are final.
+  std::map<int64_t, UsageCounts> windows;
+  bool alive = false;  // It was written anew of late.
+};
+
+class RecordKeeper {
+ public:
+  // `on_records` is called after each reading.
+  RecordKeeper(CallContext& context, ports::StorePort& store,
+               const EntrySettings& settings, std::string run,
+               std::function<void()> on_records);
+
+  void Start();
+  // Writes the counts so far, once, before the process ends.
+  void WriteLast(std::function<void()> done);
+  // Reads the records now, for who waits for one that is missing.
+  void ReadNow() { Read(); }
+
+  // All runs that have a record, as last read.
+  const std::vector<InstanceRecord>& records() const { return records_; }
+  // Instances that serve, this one included.
+  size_t live_instances() const;
+
+ private:
+  void ScheduleWrite();
+  void ScheduleRead();
+  void Write(int64_t closed_window, std::function<void()> done);
+  std::string Encode(int64_t closed_window) const;
+  void Read();
+  void OnRead(const absl::StatusOr<StoreRangeAnswer>& answer);
+  void RemoveStale(const std::vector<std::string>& keys);
+
+  // What is remembered of a record between two readings.
+  struct Sighting {
+    int64_t revision = 0;
+    Time changed_at;
+  };
+
+  CallContext& context_;
+  ports::StorePort& store_;
+  const EntrySettings& settings_;
+  std::string run_;
+  std::function<void()> on_records_;
+  std::vector<InstanceRecord> records_;
+  absl::flat_hash_map<std::string, Sighting> sightings_;
+  io::Timer write_timer_;
+  io::Timer read_timer_;
+};
+
+}  // namespace oleander::entry
+
+#endif  // OLEANDER_ENTRY_RECORD_KEEPER_H_
--- a/src/entry/settings.cc
+++ b/src/entry/settings.cc
@@ -55,6 +55,8 @@
   bounds.drain_grace = ReadSeconds(reader, "drain_grace_s");
   bounds.retry_share = reader.Number("retry_share", {.maximum = 10});
   bounds.retry_slack = reader.Number("retry_slack");
+  bounds.quota_overage = reader.Number("quota_overage", {.maximum = 10});
+  bounds.quota_slack = reader.Number("quota_slack");
   bounds.lease = reader.Milliseconds("lease_ms");
   bounds.usage_window = ReadSeconds(reader, "usage_window_s");
   bounds.usage_late = ReadSeconds(reader, "usage_late_s");
--- /dev/null
+++ b/src/entry/size_orderer.cc
@@ -0,0 +1,120 @@
+#include "entry/size_orderer.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "io/log.h"
+
+namespace oleander::entry {
+namespace {
+
+// Between two looks at the load.
+constexpr Duration kLookEvery = std::chrono::milliseconds(500);
+// An order whose effect doesn't show is sent again after a boot and some slack.
+constexpr Duration kOrderAgain = std::chrono::milliseconds(6000);
+// A call's time-out; the lease must outlast it.
+constexpr Duration kOrderTime = std::chrono::milliseconds(1000);
+
+}  // namespace
+
+void SizeOrderer::OnTaken() {
+  ordered_.clear();
+  Look();
+}
+
+void SizeOrderer::OnServers() {
+  if (lease_.FenceFor(kOrderTime)) {
+    Look();
+  }
+}
+
+void SizeOrderer::Look() {
+  if (context_.draining || !lease_.FenceFor(kOrderTime)) {
+    sizings_.clear();
+    timer_.Cancel();
+    return;
+  }
+  timer_ = context_.loop.After(kLookEvery, [this] { Look(); });
+  if (context_.config == nullptr || !context_.listed.known()) {
+    return;
+  }
+  for (const ServiceRule& service : context_.config->services()) {
+    if (service.scaling) {
+      LookAt(service);
+    }
+  }
+}
+
+void SizeOrderer::LookAt(const ServiceRule& service) {
+  std::vector<const ListedServer*> servers = context_.listed.all();
+  std::erase_if(servers, [&service](const ListedServer* server) {
+    return server->service != service.id;
+  });
+  if (servers.empty()) {
+    return;  // Nothing runs there: the service is no subject of orders.
+  }
+  const Time now = context_.loop.now();
+  FleetSizing& sizing = sizings_[service.id];
+  sizing.Observe(now, CallsOf(service.id, servers));
+  const int slots = service.engine ? service.engine->slots : 1;
+  for (const DomainSize& size :
+       sizing.Plan(now, *service.scaling, slots, servers)) {
+    const auto present = static_cast<int>(
+        std::ranges::count_if(servers, [&size](const ListedServer* server) {
+          return server->domain == size.domain &&
+                 server->market == size.market &&
+                 server->state == ListedState::kReady;
+        }));
+    Order(service.id, size, present);
+  }
+}
+
+double SizeOrderer::CallsOf(
+    const ServiceId& /*service*/,
+    const std::vector<const ListedServer*>& servers) const {
+  double known = 0;
+  double own = 0;
+  const Time now = context_.loop.now();
+  for (const ListedServer* server : servers) {
+    known += context_.placement.EstimatedCalls(now, server->id);
+    own += context_.placement.own_calls(server->id);
+  }
+  // Servers that this instance heard nothing from of late are known by its own
+  // calls only; others send theirs.
+  return std::max(known, own * static_cast<double>(instances_));
+}
+
+void SizeOrderer::Order(const ServiceId& service, const DomainSize& size,
+                        int present) {
+  const auto fence = lease_.FenceFor(kOrderTime);
+  Ordered& last = ordered_[{service, size.domain, size.market}];
+  const Time now = context_.loop.now();
+  const bool changed = last.servers != size.servers;
+  const bool stuck =
+      present != size.servers && now - last.at >= kOrderAgain;
+  if (!fence || last.pending || (!changed && !stuck)) {
+    return;
+  }
+  last = {.servers = size.servers, .at = now, .pending = true};
+  ++calls_;
+  duties_.OrderServers(
+      {.service = service,
+       .domain = size.domain,
+       .market = size.market,
+       .servers = size.servers},
+      *fence, [this, service, size, present](const absl::Status& status) {
+        --calls_;
+        ordered_[{service, size.domain, size.market}].pending = false;
+        context_.metrics.CountOrder("servers", status.ok());
+        io::Log(io::LogLevel::kInfo, "servers.ordered",
+                {{"service", service.value()},
+                 {"domain", size.domain.value()},
+                 {"reclaimable", size.market == Market::kReclaimable},
+                 {"servers", size.servers},
+                 {"present", present},
+                 {"outcome", std::string(status.message())}});
+      });
+}
+
+}  // namespace oleander::entry
--- a/src/entry/store_feed.cc
+++ b/src/entry/store_feed.cc
@@ -68,6 +68,7 @@
     return;
   }
   context_.config = ServingConfig::Create(*std::move(parts));
+  context_.quotas.SetQuotas(context_.loop.now(), *context_.config);
   context_.metrics.SetConfigVersion(context_.config->version());
   io::Log(io::LogLevel::kInfo, "config.applied",
           {{"version", context_.config->version()},
--- /dev/null
+++ b/src/entry/usage_reporter.cc
@@ -0,0 +1,192 @@
+#include "entry/usage_reporter.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "entry.pb.h"
+#include "io/log.h"
+#include "oleander/result_code.h"
+
+namespace oleander::entry {
+namespace {
+
+constexpr std::string_view kUsagePrefix = "/oleander/usage/";
+// A call's time-out is no longer than this; the lease must outlast it.
+constexpr Duration kOrderTime = std::chrono::milliseconds(1000);
+// Between two looks while something is due.
+constexpr Duration kLookAgain = std::chrono::milliseconds(700);
+// A record that is missing is waited for until this part of the time that the
+// report has.
+constexpr double kWaitForRecords = 0.6;
+constexpr int64_t kWindowsBack = 3;
+// Sums this old are removed with the next one written.
+constexpr int64_t kWindowsKept = 24;
+
+std::string KeyOf(int64_t window) {
+  return fmt::format("{}{}", kUsagePrefix, window);
+}
+
+std::string Encode(int64_t number, const UsageCounts& counts) {
+  entrywire::UsageWindow wire;
+  wire.set_window(number);
+  for (const auto& [workspace, count] : counts) {
+    (*wire.mutable_counts())[workspace.value()] = count;
+  }
+  return wire.SerializeAsString();
+}
+
+}  // namespace
+
+void UsageReporter::OnTaken() {
+  const int64_t current = context_.usage.WindowOf(io::EventLoop::wall_now());
+  for (int64_t number = current - kWindowsBack; number < current; ++number) {
+    windows_[number].phase = Phase::kGathering;
+  }
+  records_.ReadNow();
+}
+
+void UsageReporter::OnRecords() { Look(); }
+
+void UsageReporter::Look() {
+  const int64_t current = context_.usage.WindowOf(io::EventLoop::wall_now());
+  if (context_.draining || !lease_.FenceFor(kOrderTime)) {
+    windows_.clear();
+    timer_.Cancel();
+    return;
+  }
+  windows_.try_emplace(current - 1);
+  windows_.erase(windows_.begin(),
+                 windows_.lower_bound(current - kWindowsBack - 1));
+  for (auto& [number, window] : windows_) {
+    Advance(number, window);
+  }
+  const bool open = std::ranges::any_of(windows_, [](const auto& item) {
+    return item.second.phase != Phase::kSent;
+  });
+  if (open) {
+    timer_ = context_.loop.After(kLookAgain, [this] {
+      const bool gathering = std::ranges::any_of(windows_, [](const auto& item) {
+        return item.second.phase == Phase::kGathering;
+      });
+      if (gathering && lease_.FenceFor(kOrderTime)) {
+        records_.ReadNow();  // Look() follows.
+      } else {
+        Look();
+      }
+    });
+  }
+}
+
+void UsageReporter::Advance(int64_t number, Window& window) {
+  if (window.phase == Phase::kGathering && IsGathered(number)) {
+    Fix(number, window);
+  } else if (window.phase == Phase::kFixed) {
+    Send(number, window);
+  }
+}
+
+bool UsageReporter::IsGathered(int64_t number) const {
+  const Duration since_end =
+      io::EventLoop::wall_now() - context_.usage.EndOf(number);
+  const auto patience = std::chrono::duration_cast<Duration>(
+      bounds_.usage_late * kWaitForRecords);
+  if (since_end > patience) {
+    return true;
+  }
+  return std::ranges::all_of(
+      records_.records(), [number](const InstanceRecord& record) {
+        return !record.alive || record.closed_window >= number;
+      });
+}
+
+UsageCounts UsageReporter::Sum(int64_t number) const {
+  UsageCounts sum;
+  for (const InstanceRecord& record : records_.records()) {
+    const auto window = record.windows.find(number);
+    if (window == record.windows.end()) {
+      continue;
+    }
+    for (const auto& [workspace, count] : window->second) {
+      sum[workspace] += count;
+    }
+  }
+  return sum;
+}
+
+void UsageReporter::Fix(int64_t number, Window& window) {
+  window.phase = Phase::kFixing;
+  window.counts = Sum(number);
+  ++calls_;
+  store_.Cas({.call = 0,
+              .compares = {{.key = KeyOf(number), .mod_revision = 0}},
+              .puts = {{.key = KeyOf(number),
+                        .value = Encode(number, window.counts)}},
+              .deletes = {KeyOf(number - kWindowsKept)}},
+             [this, number](const absl::StatusOr<StoreCasAnswer>& answer) {
+               --calls_;
+               OnFixed(number, answer);
+             });
+}
+
+void UsageReporter::OnFixed(int64_t number,
+                            const absl::StatusOr<StoreCasAnswer>& answer) {
+  context_.metrics.CountStoreCall("usage", answer.ok());
+  const auto found = windows_.find(number);
+  if (found == windows_.end()) {
+    return;
+  }
+  Window& window = found->second;
+  if (!answer.ok()) {
+    // It may stand there or not; the next try finds out.
+    io::Log(io::LogLevel::kWarning, "usage.not_fixed",
+            {{"window", number},
+             {"reason", std::string(answer.status().message())}});
+    window.phase = Phase::kGathering;
+    return;
+  }
+  if (!answer->succeeded) {
+    entrywire::UsageWindow wire;
+    const bool readable = !answer->current.empty() &&
+                          wire.ParseFromString(answer->current.front().value);
+    if (!readable) {
+      io::Log(io::LogLevel::kError, "usage.unreadable", {{"window", number}});
+      window.phase = Phase::kSent;
+      return;
+    }
+    window.counts.clear();
+    for (const auto& [workspace, count] : wire.counts()) {
+      window.counts[WorkspaceId(workspace)] = count;
+    }
+  }
+  window.phase = Phase::kFixed;
+  Send(number, window);
+}
+
+void UsageReporter::Send(int64_t number, Window& window) {
+  const auto fence = lease_.FenceFor(kOrderTime);
+  if (!fence || context_.draining) {
+    return;
+  }
+  window.phase = Phase::kSending;
+  ++calls_;
+  duties_.SendUsage({.window = number, .counts = window.counts}, *fence,
+                    [this, number](const absl::Status& status) {
+                      --calls_;
+                      OnSent(number, status);
+                    });
+}
+
+void UsageReporter::OnSent(int64_t number, const absl::Status& status) {
+  context_.metrics.CountOrder("usage", status.ok());
+  io::Log(status.ok() ? io::LogLevel::kDebug : io::LogLevel::kWarning,
+          "usage.sent",
+          {{"window", number}, {"outcome", std::string(status.message())}});
+  const auto found = windows_.find(number);
+  if (found != windows_.end()) {
+    found->second.phase = status.ok() ? Phase::kSent : Phase::kFixed;
+  }
+}
+
+}  // namespace oleander::entry
--- /dev/null
+++ b/src/entry/usage_reporter.h
@@ -0,0 +1,66 @@
+// Sends each window's usage once: the holder of the duty adds up the records,
+// writes the sum into the store under the condition that none stands there, and
+// sends exactly what stands there. Whoever holds the duty later repeats that
+// sum, never another.
+#ifndef OLEANDER_ENTRY_USAGE_REPORTER_H_
+#define OLEANDER_ENTRY_USAGE_REPORTER_H_
+
+#include <cstdint>
+#include <map>
+
+#include "entry/duty_lease.h"
+#include "entry/record_keeper.h"
+#include "ports/duty_port.h"
+
+namespace oleander::entry {
+
+class UsageReporter {
+ public:
+  UsageReporter(CallContext& context, ports::StorePort& store,
+                ports::DutyPort& duties, RecordKeeper& records,
+                const DutyLease& lease, const Bounds& bounds)
+      : context_(context),
+        store_(store),
+        duties_(duties),
+        records_(records),
+        lease_(lease),
+        bounds_(bounds) {}
+
+  // The duty became this instance's: windows whose reports may still be due
+  // are looked at again.
+  void OnTaken();
+  void OnRecords();
+  // Whether a report is on its way.
+  bool busy() const { return calls_ > 0; }
+
+ private:
+  enum class Phase { kGathering, kFixing, kFixed, kSending, kSent };
+  struct Window {
+    Phase phase = Phase::kGathering;
+    UsageCounts counts;
+  };
+
+  void Look();
+  void Advance(int64_t number, Window& window);
+  // Whether every live instance has told all of the window, or it is late.
+  bool IsGathered(int64_t number) const;
+  UsageCounts Sum(int64_t number) const;
+  void Fix(int64_t number, Window& window);
+  void OnFixed(int64_t number, const absl::StatusOr<StoreCasAnswer>& answer);
+  void Send(int64_t number, Window& window);
+  void OnSent(int64_t number, const absl::Status& status);
+
+  CallContext& context_;
+  ports::StorePort& store_;
+  ports::DutyPort& duties_;
+  RecordKeeper& records_;
+  const DutyLease& lease_;
+  const Bounds& bounds_;
+  std::map<int64_t, Window> windows_;
+  int calls_ = 0;
+  io::Timer timer_;
+};
+
+}  // namespace oleander::entry
+
+#endif  // OLEANDER_ENTRY_USAGE_REPORTER_H_
--- a/src/io/http_exchange.cc
+++ b/src/io/http_exchange.cc
@@ -196,6 +196,9 @@
     return;
   }
   if (aborted_) {
+    // h2o ends a chunked answer with a chunk that isn't one; a connection that
+    // ends early tells the caller the same in terms of the protocol.
+    BreakConnection();
     SendLast(H2O_SEND_STATE_ERROR);
   } else if (ended_) {
     in_flight_.swap(waiting_);
--- a/src/io/log.cc
+++ b/src/io/log.cc
@@ -191,7 +191,9 @@
   }
   fmt::memory_buffer line;
   fmt::format_to(fmt::appender(line),
-                 "time={:%Y-%m-%dT%H:%M:%S}Z level={} event={}", now,
+                 "time={:%Y-%m-%dT%H:%M:%S}.{:03d}Z level={} event={}",
+                 std::chrono::floor<std::chrono::seconds>(now),
+                 now.time_since_epoch().count() % 1000,
                  kLevelNames[static_cast<size_t>(level)], event);
   if (!InstanceName().empty()) {
     fmt::format_to(fmt::appender(line), " instance={}", InstanceName());
--- a/src/io/mesh_codec.cc
+++ b/src/io/mesh_codec.cc
@@ -31,6 +31,8 @@
       return 4;
     case Envelope::kLoad:
       return 5;
+    case Envelope::kNews:
+      return 6;
     case Envelope::BODY_NOT_SET:
       break;
   }
--- a/src/io/mesh_codec.h
+++ b/src/io/mesh_codec.h
@@ -13,8 +13,8 @@
 
 // The classes of messages are the names of the envelope's fields; the first is
 // the one without a body.
-inline constexpr std::array<std::string_view, 6> kMeshClasses = {
-    "none", "request", "ledger", "profile", "membership", "load"};
+inline constexpr std::array<std::string_view, 7> kMeshClasses = {
+    "none", "request", "ledger", "profile", "membership", "load", "news"};
 
 // The index of the message's class in kMeshClasses.
 size_t MeshClassOf(const mesh::Envelope& message);
--- a/src/node/mesh_port.cc
+++ b/src/node/mesh_port.cc
@@ -203,6 +203,10 @@
     case mesh::Envelope::kLoad:
       ReceiveLoad(from, envelope.load());
       break;
+    // News are of instances on a platform; the two kinds don't share a mesh.
+    case mesh::Envelope::kNews:
+      metrics_.CountDroppedEvents("mesh_news", 1);
+      break;
     case mesh::Envelope::BODY_NOT_SET:
       metrics_.CountDroppedEvents("mesh_empty", 1);
       break;
--- a/src/parts/leases.cc
+++ b/src/parts/leases.cc
@@ -38,7 +38,7 @@
   }
   wanted_ = want;
   if (want) {
-    next_ = now;
+    next_ = std::max(now, rest_until_);
     return;
   }
   Drop("given up", now);
@@ -227,6 +227,10 @@
     holder_ = InstanceId();
   }
   TryAgain(now);
+  if (held) {
+    next_ = std::max(next_, now + options_.rest);
+    rest_until_ = now + options_.rest;
+  }
 }
 
 void LeaseKeeper::TryAgain(Time now) {
