--- a/src/entry/call_context.h
+++ b/src/entry/call_context.h
@@ -31,6 +31,7 @@
   WorkspaceQuotas quotas;
   std::shared_ptr<const ServingConfig> config = nullptr;  // Null: none known.
   bool draining = false;
+  bool refusing = false;  // Too late to take a request before the end.
 };
 
 }  // namespace oleander::entry
--- a/src/entry/call_handler.cc
+++ b/src/entry/call_handler.cc
@@ -18,6 +18,8 @@
 // about once a second.
 constexpr Duration kNewestWithin = std::chrono::milliseconds(2400);
 constexpr Duration kComeBackUnready = std::chrono::milliseconds(300);
+// Another instance can take the request at once.
+constexpr Duration kComeBackElsewhere = std::chrono::milliseconds(20);
 constexpr int kLeastUrgent = 9;
 
 absl::Status Unready(ResultCode code, std::string_view message) {
@@ -60,6 +62,12 @@
   }
   call.intake = *std::move(intake);
   call.config = context_.config;
+  if (context_.refusing) {
+    return MakeError({.code = ResultCode::kDraining,
+                      .ran = Ran::kNo,
+                      .retry_after = kComeBackElsewhere},
+                     "This instance is about to stop.");
+  }
   if (call.config == nullptr) {
     return Unready(ResultCode::kNoConfiguration,
                    "This instance knows no configuration yet.");
--- a/src/entry/entry_node.cc
+++ b/src/entry/entry_node.cc
@@ -33,7 +33,7 @@
 // told to look elsewhere before requests have to be refused.
 constexpr Duration kReadyProofAge = std::chrono::milliseconds(2800);
 // The balancer asks once a second and gives up after two misses.
-constexpr Duration kBalancerTurnsAway = std::chrono::milliseconds(3000);
+constexpr Duration kBalancerTurnsAway = std::chrono::milliseconds(2700);
 // Kept of the time that the platform gives for stopping.
 constexpr Duration kStopMargin = std::chrono::milliseconds(600);
 // For the last counts to reach the store.
@@ -226,6 +226,7 @@
     callers_.CloseAfterAnswers();
     GiveUpDuty();
     drain_timer_ = loop_.After(kBalancerTurnsAway, [this] {
+      context_.refusing = true;
       callers_.StopAccepting();
       WaitForEnd();
     });
--- a/src/io/http_client.cc
+++ b/src/io/http_client.cc
@@ -16,6 +16,9 @@
 // h2o's own bound; ours are timers of the loop, which have finer classes.
 constexpr uint64_t kNever = uint64_t{1} << 40;  // Milliseconds.
 
+// While a request's body is written; no server answers sooner.
+constexpr Duration kHeadCheckPeriod = std::chrono::milliseconds(1);
+
 // Connections to one server that are kept for reuse, or for a fresh connection
 // a pool of its own that goes with the call.
 class Pool {
@@ -132,6 +135,55 @@
   return head;
 }
 
+bool IsNumber(std::string_view text) {
+  constexpr size_t kMostDigits = 18;
+  return !text.empty() && text.size() <= kMostDigits &&
+         std::ranges::all_of(text,
+                             [](char c) { return c >= '0' && c <= '9'; });
+}
+
+std::string_view Trimmed(std::string_view text) {
+  constexpr std::string_view kBlanks = " \t\r";
+  const size_t first = text.find_first_not_of(kBlanks);
+  return first == std::string_view::npos
+             ? std::string_view()
+             : text.substr(first, text.find_last_not_of(kBlanks) + 1 - first);
+}
+
+bool IsLineSound(std::string_view line) {
+  const size_t colon = std::min(line.find(':'), line.size());
+  std::string name(line.substr(0, colon));
+  std::ranges::transform(name, name.begin(), [](char c) {
+    return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+  });
+  const std::string_view value =
+      Trimmed(line.substr(std::min(colon + 1, line.size())));
+  if (name == "content-length") {
+    return IsNumber(value);
+  }
+  return name != "transfer-encoding" || value == "chunked";
+}
+
+// Whether h2o's client can take the head in `bytes`: it ends the process on a
+// length that is no number, on an unknown encoding, and where an answer breaks
+// off after an interim one. A head that isn't complete yet counts as sound.
+bool IsHeadSound(std::string_view bytes) {
+  constexpr std::string_view kInterim = "HTTP/1.1 1";
+  if (bytes.starts_with(kInterim) || bytes.starts_with("HTTP/1.0 1")) {
+    return false;
+  }
+  const size_t end = bytes.find("\r\n\r\n");
+  std::string_view head = bytes.substr(0, end);
+  while (end != std::string_view::npos && !head.empty()) {
+    const std::string_view line = head.substr(0, head.find('\n'));
+    head.remove_prefix(std::min(line.size() + 1, head.size()));
+    if (!IsLineSound(line)) {
+      return false;
+    }
+  }
+  return true;
+}
+
 Headers CopyHeaders(const h2o_header_t* headers, size_t count) {
   Headers copied;
   copied.reserve(count);
@@ -249,6 +301,41 @@
     return call->BodyArrived(client, error) ? 0 : -1;
   }
 
+  // h2o starts to read the answer once the request is written, in the round
+  // that is under way or a later one; no answer can come before.
+  void CheckHeadFirst() {
+    loop_.Post([weak = weak_from_this()] {
+      const auto call = weak.lock();
+      if (call == nullptr || call->client_ == nullptr ||
+          call->phase_ != Phase::kHead) {
+        return;
+      }
+      h2o_socket_t* socket = call->client_->sock;
+      if (socket->_cb.read == nullptr) {
+        // A long body is still being written.
+        call->head_check_ = call->loop_.After(
+            kHeadCheckPeriod, [raw = call.get()] { raw->CheckHeadFirst(); });
+      } else if (socket->_cb.read != OnReadHead) {
+        call->read_head_ = socket->_cb.read;
+        socket->_cb.read = OnReadHead;
+      }
+    });
+  }
+
+  static void OnReadHead(h2o_socket_t* socket, const char* error) {
+    Call& call = Of(static_cast<h2o_http1client_t*>(socket->data));
+    const std::shared_ptr<Call> keep = call.shared_from_this();
+    const bool sound =
+        error != nullptr ||
+        IsHeadSound({socket->input->bytes, socket->input->size});
+    if (sound) {
+      call.read_head_(socket, error);
+      return;
+    }
+    call.Close();
+    call.EndWith(call.AnswerError("its head does not parse"));
+  }
+
   // h2o takes any end of the connection for the end of an answer that has no
   // length; only an orderly one is. So the reading callback, which gets the
   // difference, is wrapped as soon as h2o has chosen it.
@@ -295,6 +382,7 @@
     sent_ = true;
     phase_ = Phase::kHead;
     Expect(options_.head_timeout);
+    CheckHeadFirst();
     iovecs_[0] = {.base = head_.data(), .len = head_.size()};
     iovecs_[1] = {.base = body_.data(), .len = body_.size()};
     *bufs = iovecs_;
@@ -485,11 +573,14 @@
   Duration bound_ = Duration::zero();
   Time progress_at_;
   Timer timer_;
+  Timer head_check_;
   Time timer_due_;
   bool sent_ = false;
   bool paused_ = false;
   BodyEnd body_end_ = BodyEnd::kLength;
-  h2o_socket_cb read_until_end_ = nullptr;  // h2o's own, while it is wrapped.
+  // h2o's own, while they are wrapped.
+  h2o_socket_cb read_head_ = nullptr;
+  h2o_socket_cb read_until_end_ = nullptr;
   bool reset_ = false;  // The connection broke instead of ending.
   bool ended_ = false;
   bool in_callback_ = false;
--- a/src/io/http_server.cc
+++ b/src/io/http_server.cc
@@ -199,6 +199,7 @@
           if (found != exchanges.end() && found->second == finished) {
             exchanges.erase(found);
           }
+          CloseIfStopping(socket);
         });
     exchanges[socket] = exchange.get();
     DetachFromInput(req);
@@ -339,6 +340,20 @@
     }
   }
 
+  // An answer whose head went out before the server was told to stop promised
+  // to keep the connection.
+  void CloseIfStopping(h2o_socket_t* socket) {
+    if (context.shutdown_requested == 0) {
+      return;
+    }
+    loop.Post([this, socket] {
+      if (connections.contains(socket) && !exchanges.contains(socket) &&
+          socket->input->size == 0) {
+        shutdown(h2o_socket_get_fd(socket), SHUT_RDWR);
+      }
+    });
+  }
+
   void CloseAll() {
     std::vector<Exchange*> open;
     for (const auto& [socket, exchange] : exchanges) {
--- /dev/null
+++ b/test/support/scripted_server.h
@@ -0,0 +1,126 @@
+// A server that answers each request on a connection with given bytes, and then
+// keeps, closes or resets the connection: for answers that no HTTP server makes.
+#ifndef OLEANDER_TEST_SUPPORT_SCRIPTED_SERVER_H_
+#define OLEANDER_TEST_SUPPORT_SCRIPTED_SERVER_H_
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <boost/test/unit_test.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "io/event_loop.h"
+#include "io/socket_address.h"
+
+namespace oleander::io {
+
+enum class AfterAnswer { kKeep, kClose, kReset };
+
+struct ScriptedAnswer {
+  std::string bytes;
+  AfterAnswer after = AfterAnswer::kKeep;
+};
+
+class ScriptedServer {
+ public:
+  using Script = std::function<ScriptedAnswer(const std::string& request)>;
+
+  ScriptedServer(EventLoop& loop, const std::string& address, Script script)
+      : loop_(loop), script_(std::move(script)) {
+    auto bound = ListenTcp(address, 0);
+    BOOST_REQUIRE(bound.ok());
+    listener_ = bound->fd;
+    port_ = bound->port;
+    watch_ = loop_.WatchReadable(listener_, [this] { Accept(); });
+  }
+  ScriptedServer(const ScriptedServer&) = delete;
+  ScriptedServer& operator=(const ScriptedServer&) = delete;
+  ~ScriptedServer() {
+    watch_.reset();
+    connections_.clear();
+    close(listener_);
+  }
+
+  uint16_t port() const { return port_; }
+  int accepted() const { return accepted_; }
+  const std::vector<std::string>& requests() const { return requests_; }
+
+ private:
+  struct Connection {
+    Connection() = default;
+    Connection(const Connection&) = delete;
+    Connection& operator=(const Connection&) = delete;
+    ~Connection() { Close(); }
+    void Close() {
+      watch.reset();
+      if (fd >= 0) {
+        close(fd);
+        fd = -1;
+      }
+    }
+    int fd = -1;
+    std::unique_ptr<EventLoop::FdWatch> watch;
+    std::string received;
+  };
+
+  void Accept() {
+    const int fd =
+        accept4(listener_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (fd < 0) {
+      return;
+    }
+    ++accepted_;
+    auto connection = std::make_shared<Connection>();
+    connection->fd = fd;
+    Connection* raw = connection.get();
+    connection->watch = loop_.WatchReadable(fd, [this, raw] { Read(*raw); });
+    connections_.push_back(std::move(connection));
+  }
+
+  void Read(Connection& connection) {
+    std::array<char, 65536> buffer;
+    const ssize_t count =
+        recv(connection.fd, buffer.data(), buffer.size(), MSG_DONTWAIT);
+    if (count <= 0) {
+      connection.watch.reset();
+      return;
+    }
+    connection.received.append(buffer.data(), static_cast<size_t>(count));
+    if (connection.received.find("\r\n\r\n") == std::string::npos) {
+      return;
+    }
+    requests_.push_back(std::exchange(connection.received, {}));
+    const ScriptedAnswer answer = script_(requests_.back());
+    BOOST_REQUIRE(send(connection.fd, answer.bytes.data(), answer.bytes.size(),
+                       MSG_NOSIGNAL) ==
+                  static_cast<ssize_t>(answer.bytes.size()));
+    if (answer.after == AfterAnswer::kReset) {
+      const linger none = {.l_onoff = 1, .l_linger = 0};
+      setsockopt(connection.fd, SOL_SOCKET, SO_LINGER, &none, sizeof none);
+    }
+    if (answer.after != AfterAnswer::kKeep) {
+      // The bytes go out before the end does.
+      end_timers_.push_back(loop_.After(
+          std::chrono::milliseconds(20),
+          [&connection] { connection.Close(); }));
+    }
+  }
+
+  EventLoop& loop_;
+  Script script_;
+  int listener_ = -1;
+  uint16_t port_ = 0;
+  int accepted_ = 0;
+  std::unique_ptr<EventLoop::FdWatch> watch_;
+  std::vector<std::shared_ptr<Connection>> connections_;
+  std::vector<std::string> requests_;
+  std::vector<Timer> end_timers_;
+};
+
+}  // namespace oleander::io
+
+#endif  // OLEANDER_TEST_SUPPORT_SCRIPTED_SERVER_H_
