Sizing by bounded load: steady servers carry two thirds, reclaimable ones the rest and what comes on top

Change: calls of a server count up to one and a half times its target; load is remembered for 8 s; reclaimable servers for 1.2 of the need, others for two thirds of it or for what reclaimable ones lack. The duty's key is followed by a waiting call instead of a look every 2 s.

--- a/include/oleander/fleet_sizing.h
+++ b/include/oleander/fleet_sizing.h
@@ -2,11 +2,13 @@
 //
 // Reclaimable servers cost a fraction of the others and go all at once, a
 // domain at a time, sometimes several domains in turn while none are to be had;
-// others take seconds to boot. So the load of late is carried by the others, and
-// a few reclaimable ones in each domain take what comes on top.
+// others take seconds to boot. So the others carry a good part of the load of
+// late at any time, reclaimable ones take the rest and what comes on top, and
+// the others take over what reclaimable ones are missing.
 //
 // Load it answers: calls under way over all servers of a service, with bursts
-// and with domains reclaimed seconds apart.
+// that end before a server has booted, and with domains reclaimed seconds
+// apart.
 #ifndef OLEANDER_FLEET_SIZING_H_
 #define OLEANDER_FLEET_SIZING_H_
 
@@ -24,16 +26,21 @@
   // Calls under way per server that keep first tokens within their objective,
   // as a share of the server's slots.
   double calls_per_slot = 0.25;
+  // A server that is overloaded collects calls; beyond this many times the
+  // calls above they say how slow it is, not how many servers are missing.
+  double most_overload = 1.5;
   // The highest load of this long counts, since a server takes seconds to boot.
-  Duration load_memory = std::chrono::seconds(20);
+  Duration load_memory = std::chrono::seconds(8);
   // Servers are given back after fewer were needed for this long.
-  Duration shrink_after = std::chrono::seconds(8);
+  Duration shrink_after = std::chrono::seconds(6);
   // Until load has been seen for this long, a share of the servers that are
   // there is kept.
   Duration settle = std::chrono::seconds(6);
   double share_at_start = 0.67;
-  // Reclaimable servers, all domains together, as a share of the others.
-  double reclaimable_share = 0.5;
+  // Of the servers needed: how many aren't reclaimable at any time, and how
+  // many reclaimable ones there are.
+  double steady_share = 0.67;
+  double reclaimable_share = 1.2;
 };
 
 // How many servers of one market a domain is to have.
@@ -50,20 +57,20 @@
  public:
   explicit FleetSizing(FleetSizingOptions options = {}) : options_(options) {}
 
-  // Calls running and waiting at all servers of the service.
-  void Observe(Time now, double calls);
+  // Calls running and waiting at each server of the service.
+  void Observe(Time now, int slots, const std::vector<double>& calls);
 
   // The sizes wanted now, for each domain with a price and both markets.
-  std::vector<DomainSize> Plan(Time now, const ScalingRule& rule, int slots,
+  std::vector<DomainSize> Plan(Time now, const ScalingRule& rule,
                                const std::vector<const ListedServer*>& servers);
 
   // Servers that the load of late needs.
-  int needed(int slots) const;
+  int needed() const;
 
  private:
   struct Sample {
     Time at;
-    double calls = 0;
+    double servers = 0;  // That the load then needed.
   };
 
   FleetSizingOptions options_;
@@ -72,7 +79,7 @@
   int Settled(Time now, int need);
 
   std::optional<Time> loaded_since_;
-  int wanted_ = 0;  // Others than reclaimable ones, all domains together.
+  int wanted_ = 0;  // Servers of both markets, all domains together.
   std::optional<Time> fewer_since_;
 };
 
--- a/include/oleander/leases.h
+++ b/include/oleander/leases.h
@@ -69,6 +69,9 @@
   void OnRange(StoreCall call, const absl::StatusOr<StoreRangeAnswer>& answer,
                Time now);
 
+  // The duty's key is told to have gone: looks at once instead of at its turn.
+  void LookNow(Time now);
+
   void Tick(Time now);
   Time next_due() const;
   std::vector<LeaseAction> TakeActions();
--- a/src/entry/duty_lease.cc
+++ b/src/entry/duty_lease.cc
@@ -8,6 +8,10 @@
 namespace oleander::entry {
 namespace {
 
+// The longest that the store lets a call wait is 30 s.
+constexpr Duration kFollowWait = std::chrono::seconds(25);
+constexpr Duration kFollowRetry = std::chrono::seconds(2);
+
 template <typename... Visitors>
 struct Overloaded : Visitors... {
   using Visitors::operator()...;
@@ -25,8 +29,42 @@
       on_taken_(std::move(on_taken)) {}
 
 void DutyLease::Want(bool want) {
+  wanted_ = want;
   keeper_.Want(want, loop_.now());
   Drive();
+  if (want && !following_) {
+    Follow();
+  }
+}
+
+void DutyLease::Follow() {
+  following_ = true;
+  store_.Wait({.prefix = keeper_.key(),
+               .after_revision = followed_to_,
+               .longest = kFollowWait},
+              [this](const auto& answer) { OnChanges(answer); });
+}
+
+void DutyLease::OnChanges(const absl::StatusOr<ports::StoreChanges>& answer) {
+  following_ = false;
+  metrics_.CountStoreCall("lease_wait", answer.ok());
+  if (!wanted_) {
+    return;
+  }
+  if (!answer.ok()) {
+    // What went unseen is found by the keeper's own looks.
+    followed_to_ = 0;
+    follow_timer_ = loop_.After(kFollowRetry, [this] { Follow(); });
+    return;
+  }
+  const bool gone =
+      !answer->changes.empty() && answer->changes.back().removed;
+  followed_to_ = answer->revision;
+  if (gone) {
+    keeper_.LookNow(loop_.now());
+    Drive();
+  }
+  Follow();
 }
 
 std::optional<int64_t> DutyLease::FenceFor(Duration order_time) const {
--- a/src/entry/duty_lease.h
+++ b/src/entry/duty_lease.h
@@ -25,6 +25,10 @@
 
  private:
   void Drive();
+  // Follows the duty's key, so that its loss is seen without asking again and
+  // again.
+  void Follow();
+  void OnChanges(const absl::StatusOr<ports::StoreChanges>& answer);
   void Send(const StoreRequest& request);
 
   io::EventLoop& loop_;
@@ -32,7 +36,11 @@
   EntryMetrics& metrics_;
   LeaseKeeper keeper_;
   std::function<void()> on_taken_;
+  bool wanted_ = false;
+  bool following_ = false;
+  int64_t followed_to_ = 0;
   io::Timer timer_;
+  io::Timer follow_timer_;
 };
 
 }  // namespace oleander::entry
--- a/src/entry/entry_node.cc
+++ b/src/entry/entry_node.cc
@@ -48,11 +48,11 @@
 // The one duty: reports of usage and orders of servers.
 constexpr const char* kDuty = "platform";
 // Renewals cost a tenth of a read. A dead holder's duty is taken up within the
-// lease and one look.
+// lease, since each waits for its key to go; the look is for what goes unseen.
 constexpr Duration kDutyLease = std::chrono::milliseconds(4500);
 constexpr Duration kDutyRenewal = std::chrono::milliseconds(1200);
 constexpr Duration kDutyStopEarly = std::chrono::milliseconds(1200);
-constexpr Duration kDutyLook = std::chrono::milliseconds(2000);
+constexpr Duration kDutyLook = std::chrono::milliseconds(6000);
 // Kept of what all instances together may spend on retries.
 constexpr double kRetryMargin = 0.8;
 
--- a/src/entry/size_orderer.cc
+++ b/src/entry/size_orderer.cc
@@ -56,10 +56,9 @@
   }
   const Time now = context_.loop.now();
   FleetSizing& sizing = sizings_[service.id];
-  sizing.Observe(now, CallsOf(service.id, servers));
-  const int slots = service.engine ? service.engine->slots : 1;
-  for (const DomainSize& size :
-       sizing.Plan(now, *service.scaling, slots, servers)) {
+  sizing.Observe(now, service.engine ? service.engine->slots : 1,
+                 CallsAt(servers));
+  for (const DomainSize& size : sizing.Plan(now, *service.scaling, servers)) {
     const auto present = static_cast<int>(
         std::ranges::count_if(servers, [&size](const ListedServer* server) {
           return server->domain == size.domain &&
@@ -70,19 +69,20 @@
   }
 }
 
-double SizeOrderer::CallsOf(
-    const ServiceId& /*service*/,
+std::vector<double> SizeOrderer::CallsAt(
     const std::vector<const ListedServer*>& servers) const {
-  double known = 0;
-  double own = 0;
   const Time now = context_.loop.now();
-  for (const ListedServer* server : servers) {
-    known += context_.placement.EstimatedCalls(now, server->id);
-    own += context_.placement.own_calls(server->id);
-  }
-  // Servers that this instance heard nothing from of late are known by its own
-  // calls only; others send theirs.
-  return std::max(known, own * static_cast<double>(instances_));
+  std::vector<double> calls;
+  std::ranges::transform(
+      servers, std::back_inserter(calls), [&](const ListedServer* server) {
+        // A server that this instance heard nothing from of late is known by
+        // its own calls only; others send theirs.
+        return std::max(context_.placement.EstimatedCalls(now, server->id),
+                        static_cast<double>(
+                            context_.placement.own_calls(server->id)) *
+                            static_cast<double>(instances_));
+      });
+  return calls;
 }
 
 void SizeOrderer::Order(const ServiceId& service, const DomainSize& size,
--- a/src/entry/size_orderer.h
+++ b/src/entry/size_orderer.h
@@ -36,8 +36,9 @@
 
   void Look();
   void LookAt(const ServiceRule& service);
-  double CallsOf(const ServiceId& service,
-                 const std::vector<const ListedServer*>& servers) const;
+  // Calls at each of the servers, from all instances.
+  std::vector<double> CallsAt(
+      const std::vector<const ListedServer*>& servers) const;
   void Order(const ServiceId& service, const DomainSize& size, int present);
 
   CallContext& context_;
--- a/src/entry/store_feed.cc
+++ b/src/entry/store_feed.cc
@@ -21,6 +21,19 @@
 constexpr Duration kServersWait = std::chrono::seconds(10);
 constexpr Duration kServersRetry = std::chrono::milliseconds(250);
 
+// Each limited workspace with its rate and burst.
+std::string QuotaText(const ServingConfig& config) {
+  std::string text;
+  for (const Workspace& workspace : config.workspaces()) {
+    if (workspace.quota.per_s > 0) {
+      text += fmt::format("{}{}:{:.0f}/s+{:.0f}", text.empty() ? "" : ",",
+                          workspace.id.value(), workspace.quota.per_s,
+                          workspace.quota.burst);
+    }
+  }
+  return text;
+}
+
 }  // namespace
 
 void StoreFeed::Start() {
@@ -74,7 +87,7 @@
           {{"version", context_.config->version()},
            {"revision", entry.mod_revision},
            {"routes", context_.config->routes().size()},
-           {"workspaces", context_.config->workspaces().size()}});
+           {"quotas", QuotaText(*context_.config)}});
 }
 
 void StoreFeed::ListServers() {
--- a/src/parts/fleet_sizing.cc
+++ b/src/parts/fleet_sizing.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 #include <utility>
 
 namespace oleander {
@@ -26,30 +27,67 @@
   return domains;
 }
 
+int Share(double share, int servers) {
+  return static_cast<int>(std::ceil(share * servers));
+}
+
+// Even parts, so that a domain's loss or cut takes a part only; the cheapest
+// domains take what can't be divided.
+std::vector<DomainSize> Spread(
+    const ScalingRule& rule,
+    const std::vector<std::pair<double, DomainId>>& domains, int steady,
+    int reclaimable) {
+  std::vector<DomainSize> plan;
+  auto domains_left = static_cast<int>(domains.size());
+  for (const auto& [price, domain] : domains) {
+    const int here = std::clamp((steady + domains_left - 1) / domains_left,
+                                rule.minimum, rule.maximum);
+    const int more =
+        std::min((reclaimable + domains_left - 1) / domains_left,
+                 rule.maximum - here);
+    plan.push_back({.domain = domain,
+                    .market = Market::kOnDemand,
+                    .servers = here});
+    plan.push_back({.domain = domain,
+                    .market = Market::kReclaimable,
+                    .servers = more});
+    steady -= here;
+    reclaimable -= more;
+    --domains_left;
+  }
+  return plan;
+}
+
 }  // namespace
 
-void FleetSizing::Observe(Time now, double calls) {
-  if (calls > 0 && !loaded_since_) {
+void FleetSizing::Observe(Time now, int slots,
+                          const std::vector<double>& calls) {
+  const double per_server = std::max(1.0, slots * options_.calls_per_slot);
+  const double most = per_server * options_.most_overload;
+  const double load = std::accumulate(
+      calls.begin(), calls.end(), 0.0,
+      [most](double sum, double here) { return sum + std::min(here, most); });
+  if (load > 0 && !loaded_since_) {
     loaded_since_ = now;
   }
-  samples_.push_back({.at = now, .calls = calls});
+  samples_.push_back({.at = now, .servers = load / per_server});
   while (samples_.front().at + options_.load_memory < now) {
     samples_.pop_front();
   }
 }
 
-int FleetSizing::needed(int slots) const {
+int FleetSizing::needed() const {
   if (samples_.empty()) {
     return 0;
   }
   // The highest load that was seen twice, so that one odd report orders no
   // server.
-  std::vector<double> calls;
-  std::ranges::transform(samples_, std::back_inserter(calls), &Sample::calls);
-  std::ranges::sort(calls, std::greater<>());
-  const double load = calls[std::min<size_t>(1, calls.size() - 1)];
-  const double per_server = std::max(1.0, slots * options_.calls_per_slot);
-  return static_cast<int>(std::ceil(load / per_server));
+  std::vector<double> loads;
+  std::ranges::transform(samples_, std::back_inserter(loads),
+                         &Sample::servers);
+  std::ranges::sort(loads, std::greater<>());
+  return static_cast<int>(
+      std::ceil(loads[std::min<size_t>(1, loads.size() - 1)]));
 }
 
 int FleetSizing::Settled(Time now, int need) {
@@ -66,49 +104,28 @@
 }
 
 std::vector<DomainSize> FleetSizing::Plan(
-    Time now, const ScalingRule& rule, int slots,
+    Time now, const ScalingRule& rule,
     const std::vector<const ListedServer*>& servers) {
   const auto domains = CheapestFirst(rule);
   if (domains.empty()) {
     return {};
   }
-  const bool settled =
-      loaded_since_ && now - *loaded_since_ >= options_.settle;
-  const int at_start = static_cast<int>(std::lround(
-      options_.share_at_start *
-      CountReady(servers, Market::kOnDemand)));
   if (wanted_ == 0) {
-    wanted_ = std::max(1, at_start);
+    wanted_ = std::max(1, Share(options_.share_at_start,
+                                CountReady(servers, Market::kOnDemand)));
   }
+  const bool settled = loaded_since_ && now - *loaded_since_ >= options_.settle;
   const int wanted =
-      settled ? Settled(now, needed(slots)) : std::max(wanted_, needed(slots));
-  const auto count = static_cast<int>(domains.size());
+      settled ? Settled(now, needed()) : std::max(wanted_, needed());
   const bool reclaimable_pays = rule.reclaimable_price < 1;
-  const int reclaimable =
+  const int steady =
       reclaimable_pays
-          ? static_cast<int>(std::ceil(wanted * options_.reclaimable_share /
-                                       count))
-          : 0;
-  std::vector<DomainSize> plan;
-  int left = wanted;
-  int domains_left = count;
-  for (const auto& [price, domain] : domains) {
-    // An even part, and the cheapest domains take what can't be divided: a
-    // domain's loss or cut then takes a part only.
-    const int even = (left + domains_left - 1) / domains_left;
-    const int here = std::clamp(even, rule.minimum, rule.maximum);
-    left -= here;
-    --domains_left;
-    plan.push_back({.domain = domain,
-                    .market = Market::kOnDemand,
-                    .servers = here});
-    if (reclaimable_pays) {
-      plan.push_back({.domain = domain,
-                      .market = Market::kReclaimable,
-                      .servers = std::min(reclaimable, rule.maximum - here)});
-    }
-  }
-  return plan;
+          ? std::max(Share(options_.steady_share, wanted),
+                     wanted - CountReady(servers, Market::kReclaimable))
+          : wanted;
+  const int reclaimable =
+      reclaimable_pays ? Share(options_.reclaimable_share, wanted) : 0;
+  return Spread(rule, domains, steady, reclaimable);
 }
 
 }  // namespace oleander
--- a/src/parts/leases.cc
+++ b/src/parts/leases.cc
@@ -155,6 +155,12 @@
   TryAgain(now);
 }
 
+void LeaseKeeper::LookNow(Time now) {
+  if (wanted_ && phase_ == Phase::kIdle) {
+    next_ = std::max(now, rest_until_);
+  }
+}
+
 void LeaseKeeper::Tick(Time now) {
   if (phase_ == Phase::kHeld && remaining(now) == Duration::zero()) {
     Drop("not renewed in time", now);
