--- a/include/oleander/config_proof.h
+++ b/include/oleander/config_proof.h
@@ -30,6 +30,8 @@
  public:
   explicit ConfigProof(ConfigProofOptions options) : options_(options) {}
 
+  void SetBound(Duration bound) { options_.bound = bound; }
+
   // The configuration in force here was the newest at `asked_at`.
   void Prove(Time asked_at) {
     proven_ = std::max(proven_.value_or(asked_at), asked_at);
--- a/include/oleander/fleet_sizing.h
+++ b/include/oleander/fleet_sizing.h
@@ -29,18 +29,20 @@
   // A server that is overloaded collects calls; beyond this many times the
   // calls above they say how slow it is, not how many servers are missing.
   double most_overload = 1.5;
-  // The highest load of this long counts, since a server takes seconds to boot.
-  Duration load_memory = std::chrono::seconds(8);
+  // The highest load of this long counts: a server takes seconds to boot, and
+  // traffic comes and goes in waves.
+  Duration load_memory = std::chrono::seconds(12);
   // Servers are given back after fewer were needed for this long.
   Duration shrink_after = std::chrono::seconds(6);
-  // Until load has been seen for this long, a share of the servers that are
-  // there is kept.
-  Duration settle = std::chrono::seconds(6);
+  // Who takes up the duty orders nothing for this long, but what the load lacks:
+  // it has to see the load, and the servers have to be listed.
+  Duration settle = std::chrono::seconds(4);
+  // Without any load, a share of the servers that are there is kept.
   double share_at_start = 0.67;
   // Of the servers needed: how many aren't reclaimable at any time, and how
   // many reclaimable ones there are.
-  double steady_share = 0.67;
-  double reclaimable_share = 1.2;
+  double steady_share = 0.6;
+  double reclaimable_share = 1.4;
 };
 
 // How many servers of one market a domain is to have.
@@ -78,7 +80,8 @@
   // What the load asks for, with servers given back late.
   int Settled(Time now, int need);
 
-  std::optional<Time> loaded_since_;
+  std::optional<Time> observed_since_;
+  bool loaded_ = false;  // There was load.
   int wanted_ = 0;  // Servers of both markets, all domains together.
   std::optional<Time> fewer_since_;
 };
--- a/include/oleander/workspace_quotas.h
+++ b/include/oleander/workspace_quotas.h
@@ -1,11 +1,16 @@
 // Keeps each workspace within its quota over all instances together.
 //
-// Every instance keeps a bucket per workspace that fills at the quota's rate. It
-// takes out what it lets through itself at once, and what its peers let through
-// as soon as they tell. Between two tidings an instance spends at most its part
-// of what the bucket holds, by how much of the demand comes to it. A peer that
-// is silent is taken to use an even part of the rate, so that instances that
-// are cut off from each other stay within the whole together.
+// The operators' bound counts what passes in any window of some seconds. A
+// bucket that holds a part of the bound and fills with the rest over a window
+// keeps it, also across a restart of all instances at once, since a fresh one
+// starts empty.
+//
+// Every instance keeps a bucket per workspace. It takes out what it lets
+// through itself at once, and what its peers let through as soon as they tell.
+// Between two tidings an instance spends at most its part of what the bucket
+// holds, by how much of the demand comes to it. A peer that is silent is taken
+// to use an even part of the rate, so that instances that are cut off from each
+// other stay within the whole together.
 //
 // Load it answers: one workspace that sends many times its usual, unevenly over
 // instances, and instances that are cut off or restart meanwhile.
@@ -29,15 +34,18 @@
   Duration demand_memory = std::chrono::seconds(2);
   // An instance with little demand may still use this part of an even share.
   double least_share = 0.5;
-  // What the operators let pass beyond the rate (as a share of it) and beyond
-  // the burst; a part of both is used, the rest covers what instances can't know
-  // of each other in time.
+  // The operators' bound: in any `window` at most (rate x window + burst) x
+  // (1 + overage) + slack passes.
+  Duration window = std::chrono::seconds(8);
   double overage = 0;
   double slack = 0;
+  // The parts of overage and slack that are used; the rest covers what
+  // instances can't know of each other in time, and the last call that takes
+  // out more than the bucket holds.
   double used_overage = 0.5;
-  double used_slack = 0.6;
-  // A fresh process can't know what was used just before.
-  double start_level = 0.5;  // Of the burst.
+  double used_slack = 0.5;
+  // How much of the bound may pass at once.
+  double depth_share = 0.1;
 };
 
 // One workspace's totals since a process's start, in the quota's unit.
@@ -53,8 +61,12 @@
 
   // The quotas in force; a workspace that keeps its quota keeps its bucket.
   void SetQuotas(Time now, const ServingConfig& config);
-  // How many instances serve, this one included.
-  void SetInstances(size_t instances) { instances_ = instances; }
+  // How many instances serve, this one included, and how long a peer may tell
+  // nothing before it counts as silent.
+  void SetInstances(size_t instances, Duration silent_after) {
+    instances_ = instances;
+    options_.silent_after = silent_after;
+  }
 
   // Takes `cost` out, or tells when to come back.
   std::optional<Duration> TryTake(Time now, const WorkspaceId& workspace,
@@ -79,6 +91,7 @@
     double grant = 0;  // What this instance may spend until the next tidings.
     double own_demand = 0;    // Fading with time.
     double peers_demand = 0;  // Fading with time.
+    double promised = 0;  // Of refused calls that were told when to return.
     Time filled_at;
   };
   struct Peer {
@@ -87,6 +100,7 @@
     absl::flat_hash_map<WorkspaceId, QuotaTotals> totals;
   };
 
+  double BoundOf(const WorkspaceQuota& quota) const;
   double RateOf(const WorkspaceQuota& quota) const;
   double DepthOf(const WorkspaceQuota& quota) const;
   void Fill(Time now, Bucket& bucket);
--- a/src/entry/call_handler.cc
+++ b/src/entry/call_handler.cc
@@ -20,6 +20,10 @@
 constexpr Duration kComeBackUnready = std::chrono::milliseconds(300);
 // Another instance can take the request at once.
 constexpr Duration kComeBackElsewhere = std::chrono::milliseconds(20);
+// A fresh process reads the store within some dozens of milliseconds.
+constexpr Duration kLongestParked = std::chrono::milliseconds(700);
+constexpr size_t kMostParked = 400;
+constexpr Duration kLongestQuotaWait = std::chrono::milliseconds(200);
 constexpr int kLeastUrgent = 9;
 
 absl::Status Unready(ResultCode code, std::string_view message) {
@@ -42,19 +46,89 @@
          std::min(timeout, call.intake.time_left.value_or(timeout));
 }
 
+// A short wait costs less than a refusal, as long as the objective can be met.
+Duration LongestQuotaWait(const CallRoute& route) {
+  return std::min(kLongestQuotaWait, route.goal / 3);
+}
+
+absl::Status QuotaError(const AcceptedCall& call, Duration wait) {
+  return MakeError(
+      {.code = ResultCode::kQuotaSpent, .ran = Ran::kNo, .retry_after = wait},
+      fmt::format("Workspace {} has used its quota for now.",
+                  call.workspace.value()));
+}
+
 }  // namespace
 
 void CallHandler::Handle(std::shared_ptr<io::HttpExchange> exchange) {
+  if (!knows_enough() && parked_.size() < kMostParked) {
+    Park(std::move(exchange));
+    return;
+  }
+  Take(std::move(exchange), context_.loop.now());
+}
+
+void CallHandler::Park(std::shared_ptr<io::HttpExchange> exchange) {
+  const Time now = context_.loop.now();
+  if (parked_.empty()) {
+    parked_timer_ = context_.loop.After(kLongestParked, [this] {
+      for (Parked& parked : std::exchange(parked_, {})) {
+        Take(std::move(parked.exchange), parked.arrived);
+      }
+    });
+  }
+  parked_.push_back({.exchange = std::move(exchange), .arrived = now});
+}
+
+void CallHandler::Resume() {
+  if (!knows_enough()) {
+    return;
+  }
+  parked_timer_.Cancel();
+  for (Parked& parked : std::exchange(parked_, {})) {
+    Take(std::move(parked.exchange), parked.arrived);
+  }
+}
+
+void CallHandler::Take(std::shared_ptr<io::HttpExchange> exchange,
+                       Time arrived) {
   AcceptedCall call;
   call.exchange = std::move(exchange);
-  call.arrived = context_.loop.now();
+  call.arrived = arrived;
   if (const absl::Status status = Accept(call); !status.ok()) {
     Refuse(call, status);
     return;
   }
+  const auto wait = TakeQuota(call);
+  if (!wait) {
+    Forward(std::move(call));
+  } else if (*wait <= LongestQuotaWait(*call.route)) {
+    WaitForQuota(std::move(call), *wait);
+  } else {
+    Refuse(call, QuotaError(call, *wait));
+  }
+}
+
+void CallHandler::Forward(AcceptedCall call) {
   std::make_shared<ForwardedCall>(context_, std::move(call))->Start();
 }
 
+void CallHandler::WaitForQuota(AcceptedCall call, Duration wait) {
+  auto timer = std::make_shared<io::Timer>();
+  // The timer lives in its own callback until it has fired.
+  *timer = context_.loop.After(
+      wait, [this, timer, call = std::move(call)]() mutable {
+        if (call.exchange->closed()) {
+          return;
+        }
+        if (const auto still = TakeQuota(call)) {
+          Refuse(call, QuotaError(call, *still));
+        } else {
+          Forward(std::move(call));
+        }
+      });
+}
+
 absl::Status CallHandler::Accept(AcceptedCall& call) const {
   auto intake = context_.codec.Read(call.exchange->request());
   if (!intake.ok()) {
@@ -80,27 +154,21 @@
   }
   call.service = PickTarget(*call.route, DrawFor(call.intake.attempt));
   call.deadline = DeadlineOf(call);
-  return TakeQuota(call);
+  return absl::OkStatus();
 }
 
-absl::Status CallHandler::TakeQuota(const AcceptedCall& call) const {
+std::optional<Duration> CallHandler::TakeQuota(
+    const AcceptedCall& call) const {
   const auto& workspaces = call.config->workspaces();
   const auto found =
       std::ranges::find(workspaces, call.workspace, &Workspace::id);
   if (found == workspaces.end()) {
-    return absl::OkStatus();
+    return std::nullopt;
   }
-  const auto wait = context_.quotas.TryTake(
-      call.arrived, call.workspace,
+  return context_.quotas.TryTake(
+      context_.loop.now(), call.workspace,
       QuotaCost(found->quota, call.intake.prompt_tokens,
                 call.intake.max_output_tokens));
-  if (!wait) {
-    return absl::OkStatus();
-  }
-  return MakeError(
-      {.code = ResultCode::kQuotaSpent, .ran = Ran::kNo, .retry_after = wait},
-      fmt::format("Workspace {} has used its quota for now.",
-                  call.workspace.value()));
 }
 
 absl::Status CallHandler::FindRoute(AcceptedCall& call) const {
--- a/src/entry/call_handler.h
+++ b/src/entry/call_handler.h
@@ -4,6 +4,8 @@
 #define OLEANDER_ENTRY_CALL_HANDLER_H_
 
 #include <memory>
+#include <optional>
+#include <vector>
 
 #include "absl/status/status.h"
 #include "entry/call_context.h"
@@ -17,20 +19,39 @@
   explicit CallHandler(CallContext& context) : context_(context) {}
 
   void Handle(std::shared_ptr<io::HttpExchange> exchange);
+  // The configuration or the servers became known: what came too early for them
+  // is taken up.
+  void Resume();
 
  private:
+  // A request that arrived before anything was known.
+  struct Parked {
+    std::shared_ptr<io::HttpExchange> exchange;
+    Time arrived;
+  };
+
+  bool knows_enough() const {
+    return context_.config != nullptr && context_.listed.known();
+  }
+  void Take(std::shared_ptr<io::HttpExchange> exchange, Time arrived);
+  void Park(std::shared_ptr<io::HttpExchange> exchange);
+  void Forward(AcceptedCall call);
+  // Where the quota has room again soon, the request waits for it here.
+  void WaitForQuota(AcceptedCall call, Duration wait);
   // Fills in `call`, or tells why the request is refused.
   absl::Status Accept(AcceptedCall& call) const;
   absl::Status FindRoute(AcceptedCall& call) const;
   absl::Status FindWorkspace(AcceptedCall& call) const;
-  // Takes the call out of its workspace's quota.
-  absl::Status TakeQuota(const AcceptedCall& call) const;
+  // Takes the call out of its workspace's quota, or tells how long it is spent.
+  std::optional<Duration> TakeQuota(const AcceptedCall& call) const;
   // Whether "unknown" may be said of a route or credential: an instance that
   // may lag behind can't know.
   bool knows_newest() const;
   void Refuse(const AcceptedCall& call, const absl::Status& status) const;
 
   CallContext& context_;
+  std::vector<Parked> parked_;
+  io::Timer parked_timer_;
 };
 
 }  // namespace oleander::entry
--- a/src/entry/entry_node.cc
+++ b/src/entry/entry_node.cc
@@ -1,9 +1,13 @@
 #include "entry/entry_node.h"
 
 #include <fmt/format.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include <algorithm>
+#include <fstream>
+#include <iterator>
+#include <optional>
 #include <random>
 #include <utility>
 
@@ -53,6 +57,7 @@
 constexpr Duration kDutyRenewal = std::chrono::milliseconds(1200);
 constexpr Duration kDutyStopEarly = std::chrono::milliseconds(1200);
 constexpr Duration kDutyLook = std::chrono::milliseconds(6000);
+constexpr Duration kSettingsCheck = std::chrono::seconds(2);
 // Kept of what all instances together may spend on retries.
 constexpr double kRetryMargin = 0.8;
 
@@ -73,11 +78,27 @@
 
 WorkspaceQuotaOptions QuotaOptions(const Bounds& bounds) {
   WorkspaceQuotaOptions options;
+  options.window = bounds.quota_window;
   options.overage = bounds.quota_overage;
   options.slack = bounds.quota_slack;
   return options;
 }
 
+bool SameEndpoints(const EntrySettings& a, const EntrySettings& b) {
+  return a.callers == b.callers && a.readiness == b.readiness &&
+         a.store == b.store && a.duties == b.duties &&
+         a.mesh_port == b.mesh_port && a.metrics_port == b.metrics_port;
+}
+
+absl::StatusOr<std::string> ReadFile(const std::string& file) {
+  std::ifstream stream(file, std::ios::binary);
+  if (!stream) {
+    return MakeError(ResultCode::kSettingsUnreadable,
+                     fmt::format("The file {} can't be read.", file));
+  }
+  return std::string(std::istreambuf_iterator<char>(stream), {});
+}
+
 RetryBudgetOptions RetryOptions(const Bounds& bounds) {
   return {.share = bounds.retry_share * kRetryMargin,
           .burst = std::max(
@@ -107,7 +128,10 @@
                  .quotas = WorkspaceQuotas(QuotaOptions(settings_.bounds))},
         handler_(context_),
         feed_(context_, *ports_.store, *ports_.catalog,
-              [this] { orderer_.OnServers(); }),
+              [this] {
+                orderer_.OnServers();
+                handler_.Resume();
+              }),
         run_(RunNumber()),
         lease_(loop_, *ports_.store, metrics_, DutyOptions(settings_), seed_(),
                [this] {
@@ -143,6 +167,8 @@
                   metrics_.Text());
             }) {
     context_.placement.SetRegions(RegionsOf(settings_));
+    context_.quotas.SetInstances(static_cast<size_t>(kAssumedInstances),
+                                 news_.silent_after());
   }
 
   absl::Status Listen() {
@@ -162,6 +188,7 @@
     loop_.OnReloadSignal([this] { Reload(); });
     io::Log(io::LogLevel::kInfo, "entry.started",
             {{"pid", getpid()}, {"domain", settings_.place.domain.value()}});
+    WatchSettings();
     feed_.Start();
     records_.Start();
     news_.Start();
@@ -180,9 +207,9 @@
 
   void OnRecords() {
     const size_t instances = records_.live_instances();
-    context_.quotas.SetInstances(instances);
     orderer_.SetInstances(instances);
     news_.OnRecords(records_);
+    context_.quotas.SetInstances(instances, news_.silent_after());
     reporter_.OnRecords();
   }
 
@@ -208,9 +235,42 @@
     exchange.Respond(is_ready ? 200 : 503, {}, is_ready ? "ready\n" : "not\n");
   }
 
+  // A file that fails its checks leaves the settings in force as they are.
   void Reload() {
-    io::Log(io::LogLevel::kInfo, "settings.reload",
-            {{"file", settings_file_}});
+    auto text = ReadFile(settings_file_);
+    auto settings = text.ok() ? ParseEntrySettings(*text, settings_file_)
+                              : absl::StatusOr<EntrySettings>(text.status());
+    if (!settings.ok()) {
+      io::Log(io::LogLevel::kError, "settings.refused",
+              {{"file", settings_file_},
+               {"reason", std::string(settings.status().message())}});
+      return;
+    }
+    const bool restart_needed = !SameEndpoints(*settings, settings_);
+    io::SetLogLevel(settings->log_level);
+    context_.proof.SetBound(settings->bounds.revoke);
+    settings_.bounds = settings->bounds;
+    settings_.limits = settings->limits;
+    io::Log(restart_needed ? io::LogLevel::kWarning : io::LogLevel::kInfo,
+            "settings.reload",
+            {{"file", settings_file_}, {"restart_needed", restart_needed}});
+  }
+
+  // The file may change without a signal.
+  void WatchSettings() {
+    struct stat now = {};
+    if (stat(settings_file_.c_str(), &now) == 0) {
+      const FileVersion version{.written_s = now.st_mtim.tv_sec,
+                                .written_ns = now.st_mtim.tv_nsec,
+                                .bytes = now.st_size};
+      const bool changed = file_version_ && *file_version_ != version;
+      file_version_ = version;
+      if (changed) {
+        Reload();
+      }
+    }
+    settings_timer_ =
+        loop_.After(kSettingsCheck, [this] { WatchSettings(); });
   }
 
   // Not ready at once, but new connections are taken until the balancer has
@@ -278,6 +338,15 @@
   io::Timer log_timer_;
   io::Timer drain_timer_;
   io::Timer duty_timer_;
+  struct FileVersion {
+    int64_t written_s = 0;
+    int64_t written_ns = 0;
+    int64_t bytes = 0;
+
+    bool operator==(const FileVersion&) const = default;
+  };
+  std::optional<FileVersion> file_version_;
+  io::Timer settings_timer_;
 };
 
 EntryNode::EntryNode(std::unique_ptr<Impl> impl) : impl_(std::move(impl)) {}
--- a/src/entry/peer_news.cc
+++ b/src/entry/peer_news.cc
@@ -12,8 +12,10 @@
 // sends stays the same.
 constexpr Duration kShortestPeriod = std::chrono::milliseconds(250);
 constexpr Duration kPeriodPerPeer = std::chrono::milliseconds(25);
-// A peer counts as silent after three times this without news.
+// Without news a message goes out this often, to show that its sender lives.
 constexpr Duration kLongestSilence = std::chrono::milliseconds(500);
+// A peer counts as silent after missing this many messages.
+constexpr int kMissedNews = 3;
 // The first rounds of a process tell all that it has used since its start.
 constexpr uint64_t kFirstRounds = 8;
 
@@ -41,6 +43,10 @@
   return std::max<Duration>(kShortestPeriod, kPeriodPerPeer * peers_.size());
 }
 
+Duration PeerNews::silent_after() const {
+  return std::max<Duration>(kLongestSilence, Period()) * kMissedNews;
+}
+
 void PeerNews::Tell() {
   timer_ = context_.loop.After(Period(), [this] { Tell(); });
   double asked = 0;
--- a/src/entry/peer_news.h
+++ b/src/entry/peer_news.h
@@ -23,6 +23,8 @@
   void Start();
   // The peers are those that have a live record.
   void OnRecords(const RecordKeeper& records);
+  // How long a peer may tell nothing before it counts as silent.
+  Duration silent_after() const;
 
  private:
   void Tell();
--- a/src/entry/settings.cc
+++ b/src/entry/settings.cc
@@ -55,6 +55,7 @@
   bounds.drain_grace = ReadSeconds(reader, "drain_grace_s");
   bounds.retry_share = reader.Number("retry_share", {.maximum = 10});
   bounds.retry_slack = reader.Number("retry_slack");
+  bounds.quota_window = ReadSeconds(reader, "quota_window_s");
   bounds.quota_overage = reader.Number("quota_overage", {.maximum = 10});
   bounds.quota_slack = reader.Number("quota_slack");
   bounds.lease = reader.Milliseconds("lease_ms");
--- a/src/entry/settings.h
+++ b/src/entry/settings.h
@@ -21,6 +21,8 @@
 struct Endpoint {
   std::string address;  // An IP number.
   uint16_t port = 0;
+
+  bool operator==(const Endpoint&) const = default;
 };
 
 // What operators promise their callers; each binds all instances together.
@@ -29,6 +31,7 @@
   Duration drain_grace{};  // From the signal to stop until the process is ended.
   double retry_share = 0;  // Further attempts for each call of a service.
   double retry_slack = 0;  // Beyond the share, within a window.
+  Duration quota_window{};   // Over which a quota is counted.
   double quota_overage = 0;  // What may pass beyond a quota's rate, as a share.
   double quota_slack = 0;    // What may pass beyond its burst.
   Duration lease{};        // Least time between two holders' turns of one duty.
--- a/src/entry/store_feed.cc
+++ b/src/entry/store_feed.cc
@@ -88,6 +88,7 @@
            {"revision", entry.mod_revision},
            {"routes", context_.config->routes().size()},
            {"quotas", QuotaText(*context_.config)}});
+  on_change_();
 }
 
 void StoreFeed::ListServers() {
@@ -121,11 +122,17 @@
 }
 
 void StoreFeed::WaitForServers() {
+  waiting_ = true;
+  const uint64_t round = ++wait_round_;
   store_.Wait({.prefix = catalog_.servers_prefix(),
                .after_revision = watched_to_,
                .longest = kServersWait},
-              [this](const absl::StatusOr<ports::StoreChanges>& answer) {
-                OnChanges(answer);
+              [this, round](const absl::StatusOr<ports::StoreChanges>& answer) {
+                // A listing has taken this call's place.
+                if (round == wait_round_) {
+                  waiting_ = false;
+                  OnChanges(answer);
+                }
               });
 }
 
@@ -163,6 +170,8 @@
 }
 
 void StoreFeed::ListAgain(Duration pause) {
+  waiting_ = false;
+  ++wait_round_;
   servers_timer_ = context_.loop.After(pause, [this] { ListServers(); });
 }
 
@@ -186,7 +195,7 @@
           {{"ready", ready.size()},
            {"listed", context_.listed.all().size()},
            {"revision", watched_to_}});
-  on_servers_();
+  on_change_();
 }
 
 void StoreFeed::NoteAnswer(std::string_view call, const absl::Status& status) {
@@ -203,6 +212,10 @@
     context_.listed.OnStoreAway(now);
   } else {
     context_.listed.OnStoreBack(now);
+    // Calls that waited through the outage may wait on a dead connection.
+    if (waiting_) {
+      ListAgain(Duration::zero());
+    }
   }
   io::Log(away_ ? io::LogLevel::kWarning : io::LogLevel::kInfo,
           away_ ? "store.lost" : "store.regained",
--- a/src/entry/store_feed.h
+++ b/src/entry/store_feed.h
@@ -17,14 +17,15 @@
 
 class StoreFeed {
  public:
-  // `on_servers` is called after each change of the servers that may get work.
+  // `on_change` is called after each change of the configuration or of the
+  // servers that may get work.
   StoreFeed(CallContext& context, ports::StorePort& store,
             const ports::CatalogPort& catalog,
-            std::function<void()> on_servers)
+            std::function<void()> on_change)
       : context_(context),
         store_(store),
         catalog_(catalog),
-        on_servers_(std::move(on_servers)) {}
+        on_change_(std::move(on_change)) {}
 
   void Start();
 
@@ -45,10 +46,12 @@
   CallContext& context_;
   ports::StorePort& store_;
   const ports::CatalogPort& catalog_;
-  std::function<void()> on_servers_;
+  std::function<void()> on_change_;
   int64_t watched_to_ = 0;  // The revision up to which servers are known.
   uint64_t published_ = 0;
   bool away_ = false;
+  bool waiting_ = false;     // A call waits for changes of the servers.
+  uint64_t wait_round_ = 0;  // Answers of earlier rounds are ignored.
   io::Timer config_timer_;
   io::Timer servers_timer_;
   io::Timer return_timer_;
--- a/src/io/http_client.cc
+++ b/src/io/http_client.cc
@@ -1,5 +1,9 @@
 #include "io/http_client.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <list>
 #include <map>
@@ -209,6 +213,20 @@
              : BodyEnd::kConnection;
 }
 
+// The kernel's own probes: they cost no call, and show a connection that has
+// gone silent without a reset.
+void ProbeWhenSilent(int fd, Duration after) {
+  const int on = 1;
+  const int seconds = static_cast<int>(
+      std::max<int64_t>(1, std::chrono::ceil<std::chrono::seconds>(after).count()));
+  const int between = 1;
+  const int missing = 1;
+  setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &seconds, sizeof seconds);
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &between, sizeof between);
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &missing, sizeof missing);
+}
+
 // One call. h2o's client object dies with the callback that ends it, so after
 // such a callback `client_` is null; a call that is cancelled inside a callback
 // tells h2o by the callback's result instead of by cancelling.
@@ -382,6 +400,9 @@
     sent_ = true;
     phase_ = Phase::kHead;
     Expect(options_.head_timeout);
+    if (options_.probe_after > Duration::zero()) {
+      ProbeWhenSilent(h2o_socket_get_fd(client->sock), options_.probe_after);
+    }
     CheckHeadFirst();
     iovecs_[0] = {.base = head_.data(), .len = head_.size()};
     iovecs_[1] = {.base = body_.data(), .len = body_.size()};
--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -20,6 +20,9 @@
   // repeat.
   bool fresh_connection = false;
   Duration connect_timeout = std::chrono::milliseconds(500);
+  // Probes a silent connection from this time on, and ends it where one probe
+  // stays without an answer; in whole seconds. Zero: no probes.
+  Duration probe_after = Duration::zero();
   // From the request's last byte to the answer's first.
   Duration head_timeout = std::chrono::seconds(30);
   // Between two pieces of the body.
--- a/src/parts/fleet_sizing.cc
+++ b/src/parts/fleet_sizing.cc
@@ -67,9 +67,8 @@
   const double load = std::accumulate(
       calls.begin(), calls.end(), 0.0,
       [most](double sum, double here) { return sum + std::min(here, most); });
-  if (load > 0 && !loaded_since_) {
-    loaded_since_ = now;
-  }
+  observed_since_ = observed_since_.value_or(now);
+  loaded_ = loaded_ || load > 0;
   samples_.push_back({.at = now, .servers = load / per_server});
   while (samples_.front().at + options_.load_memory < now) {
     samples_.pop_front();
@@ -110,13 +109,18 @@
   if (domains.empty()) {
     return {};
   }
+  const int steady_now = CountReady(servers, Market::kOnDemand);
+  const int present = steady_now + CountReady(servers, Market::kReclaimable);
+  const bool settled =
+      observed_since_ && now - *observed_since_ >= options_.settle;
+  if (!settled && needed() <= present) {
+    return {};
+  }
   if (wanted_ == 0) {
-    wanted_ = std::max(1, Share(options_.share_at_start,
-                                CountReady(servers, Market::kOnDemand)));
+    wanted_ = loaded_ ? std::max(present, needed())
+                      : Share(options_.share_at_start, steady_now);
   }
-  const bool settled = loaded_since_ && now - *loaded_since_ >= options_.settle;
-  const int wanted =
-      settled ? Settled(now, needed()) : std::max(wanted_, needed());
+  const int wanted = loaded_ ? Settled(now, std::max(1, needed())) : wanted_;
   const bool reclaimable_pays = rule.reclaimable_price < 1;
   const int steady =
       reclaimable_pays
--- a/src/parts/workspace_quotas.cc
+++ b/src/parts/workspace_quotas.cc
@@ -29,9 +29,6 @@
       bucket.level = std::min(bucket.level, DepthOf(workspace.quota));
       bucket.grant = std::min(bucket.grant, DepthOf(workspace.quota));
     } else {
-      bucket.level = DepthOf(workspace.quota) * options_.start_level;
-      bucket.grant = bucket.level / static_cast<double>(std::max<size_t>(
-                                        1, instances_));
       bucket.filled_at = now;
     }
     bucket.quota = workspace.quota;
@@ -62,12 +59,15 @@
     totals.used += cost;
     return std::nullopt;
   }
-  const double missing = cost - std::min(bucket.level, bucket.grant / share);
-  const double wait_s = missing / RateOf(bucket.quota);
-  return std::clamp(
-      std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
-          std::min(wait_s, Seconds(kLongestWait)))),
-      kShortestWait, kLongestWait);
+  // Refused callers return one after the other, as the bucket fills for them.
+  const double rate = RateOf(bucket.quota) * share;
+  bucket.promised += cost;
+  const double missing =
+      bucket.promised - std::min({bucket.level, bucket.grant, 0.0});
+  return std::clamp(std::chrono::duration_cast<Duration>(
+                        std::chrono::duration<double>(std::min(
+                            missing / rate, Seconds(kLongestWait)))),
+                    kShortestWait, kLongestWait);
 }
 
 void WorkspaceQuotas::OnPeer(
@@ -108,12 +108,19 @@
   return found == buckets_.end() ? 1 : ShareOf(found->second);
 }
 
+double WorkspaceQuotas::BoundOf(const WorkspaceQuota& quota) const {
+  return (quota.per_s * Seconds(options_.window) + quota.burst) *
+             (1 + options_.overage * options_.used_overage) +
+         options_.slack * options_.used_slack;
+}
+
 double WorkspaceQuotas::RateOf(const WorkspaceQuota& quota) const {
-  return quota.per_s * (1 + options_.overage * options_.used_overage);
+  return BoundOf(quota) * (1 - options_.depth_share) /
+         Seconds(options_.window);
 }
 
 double WorkspaceQuotas::DepthOf(const WorkspaceQuota& quota) const {
-  return quota.burst + options_.slack * options_.used_slack;
+  return BoundOf(quota) * options_.depth_share;
 }
 
 void WorkspaceQuotas::Fill(Time now, Bucket& bucket) {
@@ -127,6 +134,7 @@
   bucket.level = std::min(depth, bucket.level + added);
   // What silent peers are taken to use is not to be divided again.
   bucket.grant = std::min(depth, bucket.grant + added * ShareOf(bucket));
+  bucket.promised = std::max(0.0, bucket.promised - added * ShareOf(bucket));
   const double fade =
       std::exp(-Seconds(passed) / Seconds(options_.demand_memory));
   bucket.own_demand *= fade;
--- /dev/null
+++ b/test/correctness/fleet_sizing_test.cc
@@ -0,0 +1,174 @@
+// How many servers of which market, as load rises, falls and domains go.
+#include "oleander/fleet_sizing.h"
+
+#include <boost/test/unit_test.hpp>
+#include <map>
+
+namespace oleander {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr int kSlots = 96;
+
+ScalingRule Rule(double reclaimable_price = 0.18) {
+  return {.minimum = 1,
+          .maximum = 6,
+          .boot = seconds(4),
+          .reclaimable_price = reclaimable_price,
+          .domain_prices = {{DomainId("a"), 1.0},
+                            {DomainId("b"), 1.25},
+                            {DomainId("c"), 0.8}}};
+}
+
+// Servers that follow the orders at once, and load that is shared evenly.
+class SizedFleet {
+ public:
+  explicit SizedFleet(int steady_per_domain, ScalingRule rule = Rule())
+      : rule_(std::move(rule)) {
+    for (const auto& [domain, price] : rule_.domain_prices) {
+      sizes_[{domain, Market::kOnDemand}] = steady_per_domain;
+    }
+  }
+
+  void Run(Duration length, double calls) {
+    for (const Time end = now_ + length; now_ < end;
+         now_ += std::chrono::milliseconds(500)) {
+      const auto servers = Servers();
+      sizing_.Observe(now_, kSlots,
+                      std::vector<double>(
+                          servers.size(),
+                          calls / static_cast<double>(servers.size())));
+      std::vector<const ListedServer*> listed;
+      for (const ListedServer& server : servers) {
+        listed.push_back(&server);
+      }
+      for (const DomainSize& size : sizing_.Plan(now_, rule_, listed)) {
+        const bool to_be_had =
+            size.market == Market::kOnDemand || reclaimable_to_be_had;
+        int& present = sizes_[{size.domain, size.market}];
+        present = to_be_had ? size.servers : std::min(present, size.servers);
+      }
+    }
+  }
+
+  void Reclaim(const char* domain) {
+    sizes_[{DomainId(domain), Market::kReclaimable}] = 0;
+  }
+
+  int Count(Market market) const {
+    int count = 0;
+    for (const auto& [subject, servers] : sizes_) {
+      count += subject.second == market ? servers : 0;
+    }
+    return count;
+  }
+  int In(const char* domain, Market market) const {
+    return sizes_.at({DomainId(domain), market});
+  }
+
+  bool reclaimable_to_be_had = true;
+
+ private:
+  std::vector<ListedServer> Servers() const {
+    std::vector<ListedServer> servers;
+    for (const auto& [subject, count] : sizes_) {
+      ListedServer server;
+      server.domain = subject.first;
+      server.market = subject.second;
+      servers.insert(servers.end(), static_cast<size_t>(count), server);
+    }
+    return servers;
+  }
+
+  ScalingRule rule_;
+  FleetSizing sizing_;
+  Time now_{};
+  std::map<std::pair<DomainId, Market>, int> sizes_;
+};
+
+BOOST_AUTO_TEST_SUITE(fleet_sizing)
+
+BOOST_AUTO_TEST_CASE(keeps_a_share_of_the_servers_until_there_is_load) {
+  SizedFleet fleet(3);
+  fleet.Run(seconds(10), 0);
+  BOOST_TEST(fleet.Count(Market::kOnDemand) >= 4);
+  BOOST_TEST(fleet.Count(Market::kOnDemand) < 9);
+}
+
+BOOST_AUTO_TEST_CASE(orders_nothing_right_after_it_starts) {
+  SizedFleet fleet(3);
+  fleet.Run(seconds(3), 0);
+  BOOST_TEST(fleet.Count(Market::kOnDemand) == 9);
+  BOOST_TEST(fleet.Count(Market::kReclaimable) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(carries_the_load_by_steady_and_reclaimable_servers) {
+  SizedFleet fleet(3);
+  fleet.Run(seconds(60), 6 * kSlots / 4.0);
+  // Six are needed; fewer than that are steady, more than that in all.
+  BOOST_TEST(fleet.Count(Market::kOnDemand) >= 3);
+  BOOST_TEST(fleet.Count(Market::kOnDemand) <= 5);
+  BOOST_TEST(fleet.Count(Market::kReclaimable) >= 6);
+}
+
+BOOST_AUTO_TEST_CASE(replaces_reclaimable_servers_while_none_are_to_be_had) {
+  SizedFleet fleet(3);
+  fleet.Run(seconds(60), 6 * kSlots / 4.0);
+  const int steady = fleet.Count(Market::kOnDemand);
+  fleet.reclaimable_to_be_had = false;
+  for (const char* domain : {"a", "b", "c"}) {
+    fleet.Reclaim(domain);
+    fleet.Run(seconds(2), 6 * kSlots / 4.0);
+  }
+  BOOST_TEST(fleet.Count(Market::kReclaimable) == 0);
+  BOOST_TEST(fleet.Count(Market::kOnDemand) >= 6);
+  fleet.reclaimable_to_be_had = true;
+  fleet.Run(seconds(60), 6 * kSlots / 4.0);
+  BOOST_TEST(fleet.Count(Market::kOnDemand) == steady);
+}
+
+BOOST_AUTO_TEST_CASE(does_not_chase_a_pile_of_calls_at_slow_servers) {
+  SizedFleet fleet(2);
+  fleet.Run(seconds(30), 6 * kSlots / 4.0);
+  const int before = fleet.Count(Market::kOnDemand);
+  fleet.Run(seconds(1), 100 * kSlots);
+  BOOST_TEST(fleet.Count(Market::kOnDemand) <= 3 * before);
+}
+
+BOOST_AUTO_TEST_CASE(gives_servers_back_slowly) {
+  SizedFleet fleet(3);
+  fleet.Run(seconds(30), 12 * kSlots / 4.0);
+  const int busy = fleet.Count(Market::kOnDemand);
+  fleet.Run(seconds(5), kSlots / 4.0);
+  BOOST_TEST(fleet.Count(Market::kOnDemand) == busy);
+  fleet.Run(seconds(60), kSlots / 4.0);
+  BOOST_TEST(fleet.Count(Market::kOnDemand) < busy);
+}
+
+BOOST_AUTO_TEST_CASE(stays_within_the_operators_numbers) {
+  SizedFleet fleet(6);
+  fleet.Run(seconds(60), 1000 * kSlots);
+  for (const char* domain : {"a", "b", "c"}) {
+    BOOST_TEST(fleet.In(domain, Market::kOnDemand) +
+                   fleet.In(domain, Market::kReclaimable) <=
+               6);
+  }
+  SizedFleet idle(1);
+  idle.Run(seconds(120), 0.1);
+  for (const char* domain : {"a", "b", "c"}) {
+    BOOST_TEST(idle.In(domain, Market::kOnDemand) >= 1);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(orders_no_reclaimable_servers_that_save_nothing) {
+  SizedFleet fleet(3, Rule(1.0));
+  fleet.Run(seconds(60), 6 * kSlots / 4.0);
+  BOOST_TEST(fleet.Count(Market::kReclaimable) == 0);
+  BOOST_TEST(fleet.Count(Market::kOnDemand) == 6);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace oleander
--- /dev/null
+++ b/test/correctness/placement_test.cc
@@ -0,0 +1,142 @@
+// Where calls go: with their subject, away from load, region and failures.
+#include "oleander/placement.h"
+
+#include <boost/test/unit_test.hpp>
+#include <map>
+
+namespace oleander {
+namespace {
+
+constexpr Time kNow = Time(std::chrono::seconds(100));
+const ServiceId kEngines("engines");
+
+std::vector<ListedServer> Fleet(int per_domain) {
+  std::vector<ListedServer> servers;
+  for (const char* domain : {"stgo-a", "stgo-b", "conce-a"}) {
+    for (int i = 0; i < per_domain; ++i) {
+      ListedServer server;
+      server.id = ServerId(std::string(domain) + "-" + std::to_string(i));
+      server.service = kEngines;
+      server.domain = DomainId(domain);
+      server.slots = 64;
+      servers.push_back(server);
+    }
+  }
+  return servers;
+}
+
+Placement PlacementIn(const char* region, const char* domain,
+                      const std::vector<ListedServer>& fleet, uint64_t seed) {
+  Placement placement({}, {.region = RegionId(region),
+                           .domain = DomainId(domain)},
+                      seed);
+  placement.SetRegions({{DomainId("stgo-a"), RegionId("santiago")},
+                        {DomainId("stgo-b"), RegionId("santiago")},
+                        {DomainId("conce-a"), RegionId("concepcion")}});
+  std::vector<const ListedServer*> ready;
+  for (const ListedServer& server : fleet) {
+    ready.push_back(&server);
+  }
+  placement.SetServers(ready);
+  return placement;
+}
+
+PlacementQuestion About(uint64_t subject) {
+  return {.service = kEngines,
+          .subject = subject,
+          .shared_tokens = 5000,
+          .tried = {}};
+}
+
+BOOST_AUTO_TEST_SUITE(placement)
+
+BOOST_AUTO_TEST_CASE(instances_agree_on_a_subject_without_a_message) {
+  const auto fleet = Fleet(3);
+  Placement one = PlacementIn("santiago", "stgo-a", fleet, 1);
+  Placement other = PlacementIn("santiago", "stgo-b", fleet, 2);
+  std::map<ServerId, int> used;
+  for (uint64_t subject = 1; subject <= 200; ++subject) {
+    const auto here = one.Pick(kNow, About(subject));
+    BOOST_TEST_REQUIRE(here.has_value());
+    BOOST_TEST((here == other.Pick(kNow, About(subject))));
+    ++used[*here];
+  }
+  // Subjects spread over the region's servers, none of another region.
+  BOOST_TEST(used.size() == 6U);
+  for (const auto& [server, subjects] : used) {
+    BOOST_TEST(subjects > 15);
+    BOOST_TEST(!server.value().starts_with("conce"));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_subject_leaves_a_server_that_is_much_busier) {
+  const auto fleet = Fleet(3);
+  Placement placement = PlacementIn("santiago", "stgo-a", fleet, 1);
+  const ServerId first = *placement.Pick(kNow, About(7));
+  placement.OnLoad(kNow, first, 60, 0);
+  BOOST_TEST((placement.Pick(kNow, About(7)) != first));
+}
+
+BOOST_AUTO_TEST_CASE(an_old_report_says_nothing) {
+  const auto fleet = Fleet(3);
+  Placement placement = PlacementIn("santiago", "stgo-a", fleet, 1);
+  const ServerId first = *placement.Pick(kNow, About(7));
+  placement.OnLoad(kNow, first, 60, 0);
+  const Time later = kNow + std::chrono::seconds(10);
+  BOOST_TEST((placement.Pick(later, About(7)) == first));
+}
+
+BOOST_AUTO_TEST_CASE(calls_cross_the_region_only_when_it_is_full) {
+  const auto fleet = Fleet(1);
+  Placement placement = PlacementIn("concepcion", "conce-a", fleet, 1);
+  for (int call = 0; call < 15; ++call) {
+    const auto server = placement.Pick(kNow, {.service = kEngines});
+    BOOST_TEST((server == ServerId("conce-a-0")));
+    placement.OnSent(*server);
+  }
+  for (int call = 0; call < 60; ++call) {
+    placement.OnSent(ServerId("conce-a-0"));
+  }
+  BOOST_TEST((placement.Pick(kNow, {.service = kEngines}) !=
+              ServerId("conce-a-0")));
+}
+
+BOOST_AUTO_TEST_CASE(a_server_that_fails_again_and_again_rests) {
+  const auto fleet = Fleet(1);
+  Placement placement = PlacementIn("concepcion", "conce-a", fleet, 1);
+  const ServerId near("conce-a-0");
+  placement.OnFailure(kNow, near);
+  BOOST_TEST((placement.Pick(kNow, {.service = kEngines}) == near));
+  placement.OnFailure(kNow, near);
+  BOOST_TEST((placement.Pick(kNow, {.service = kEngines}) != near));
+  BOOST_TEST((placement.Pick(kNow + std::chrono::seconds(5),
+                             {.service = kEngines}) == near));
+}
+
+BOOST_AUTO_TEST_CASE(a_resting_server_is_better_than_none) {
+  auto fleet = Fleet(1);
+  fleet.erase(fleet.begin(), fleet.begin() + 2);
+  Placement placement = PlacementIn("concepcion", "conce-a", fleet, 1);
+  for (int failure = 0; failure < 5; ++failure) {
+    placement.OnFailure(kNow, ServerId("conce-a-0"));
+  }
+  BOOST_TEST((placement.Pick(kNow, {.service = kEngines}) ==
+              ServerId("conce-a-0")));
+}
+
+BOOST_AUTO_TEST_CASE(a_server_that_was_tried_is_not_taken_again) {
+  const auto fleet = Fleet(1);
+  Placement placement = PlacementIn("santiago", "stgo-a", fleet, 1);
+  PlacementQuestion question{.service = kEngines};
+  for (int attempt = 0; attempt < 3; ++attempt) {
+    const auto server = placement.Pick(kNow, question);
+    BOOST_TEST_REQUIRE(server.has_value());
+    question.tried.push_back(*server);
+  }
+  BOOST_TEST(!placement.Pick(kNow, question).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace oleander
--- /dev/null
+++ b/test/error/forwarded_call_test.cc
@@ -0,0 +1,306 @@
+// A caller's request through an entry instance, while backend servers lose,
+// cut, mix up and refuse answers.
+#include <boost/test/unit_test.hpp>
+
+#include "support/entry_fixture.h"
+
+namespace oleander::entry {
+namespace {
+
+using io::AfterAnswer;
+using io::ScriptedAnswer;
+
+auto Always(ScriptedAnswer answer) {
+  return [answer](const std::string&) { return answer; };
+}
+
+const ScriptedAnswer kGood = {.bytes = SealedAnswer("done"),
+                              .after = AfterAnswer::kKeep};
+const ScriptedAnswer kLost = {.bytes = "", .after = AfterAnswer::kReset};
+
+ScriptedAnswer NotRun(int status) {
+  return {.bytes = "HTTP/1.1 " + std::to_string(status) +
+                   " Status\r\nx-oleanderfield-not-run: "
+                   "1\r\ncontent-length: 0\r\n\r\n",
+          .after = AfterAnswer::kKeep};
+}
+
+BOOST_AUTO_TEST_SUITE(forwarded_call)
+
+BOOST_AUTO_TEST_CASE(passes_request_and_answer_unchanged) {
+  EntryFixture entry;
+  io::ScriptedServer& server = entry.AddServer(Always(
+      {.bytes = SealedAnswer("done", 418), .after = AfterAnswer::kKeep}));
+  const std::string answer =
+      entry.Ask("/once/a%20b?x=1", "key",
+                "x-other: kept\r\nx-oleanderfield-tenant: forged\r\n"
+                "x-oleanderfield-hold: forged\r\nkv-from: forged\r\n");
+  BOOST_TEST(StatusOf(answer) == 418);
+  BOOST_TEST(BodyOf(answer) == "done");
+  BOOST_TEST(Holds(answer, "x-oleanderfield-server-seal: s.1"));
+  BOOST_TEST_REQUIRE(server.requests().size() == 1U);
+  const std::string& request = server.requests().front();
+  BOOST_TEST(request.starts_with("POST /once/a%20b?x=1 HTTP/1.1\r\n"));
+  BOOST_TEST(request.ends_with("\r\n\r\nhi"));
+  BOOST_TEST(Holds(request, "x-other: kept"));
+  BOOST_TEST(Holds(request, "x-oleanderfield-tenant: bakery"));
+  BOOST_TEST(Holds(request, "x-oleanderfield-expect-instance: server-1"));
+  BOOST_TEST(Holds(request, "host: a.example"));
+  BOOST_TEST(!Holds(request, "forged"));
+  BOOST_TEST(!Holds(request, "Token key"));
+}
+
+BOOST_AUTO_TEST_SUITE(who_asks)
+
+BOOST_AUTO_TEST_CASE(decides_before_anything_is_sent) {
+  EntryFixture entry;
+  io::ScriptedServer& server = entry.AddServer(Always(kGood));
+  BOOST_TEST(StatusOf(entry.Ask("/once/a", "other")) == 401);
+  BOOST_TEST(StatusOf(entry.Ask("/once/a", "")) == 401);
+  BOOST_TEST(StatusOf(entry.Ask("/none/a")) == 404);
+  BOOST_TEST(server.requests().empty());
+}
+
+BOOST_AUTO_TEST_CASE(is_not_trusted_without_a_fresh_configuration) {
+  EntryFixture entry;
+  io::ScriptedServer& server = entry.AddServer(Always(kGood));
+  entry.context.proof = ConfigProof({.bound = std::chrono::seconds(5)});
+  entry.context.proof.Prove(entry.loop.now() - std::chrono::seconds(5));
+  const std::string answer = entry.Ask("/once/a");
+  BOOST_TEST(StatusOf(answer) == 503);
+  BOOST_TEST(Holds(answer, "retry-after: 0."));
+  // An instance that may lag behind can't call anything unknown.
+  BOOST_TEST(StatusOf(entry.Ask("/none/a")) == 503);
+  BOOST_TEST(StatusOf(entry.Ask("/once/a", "other")) == 503);
+  BOOST_TEST(server.requests().empty());
+}
+
+BOOST_AUTO_TEST_CASE(is_not_known_without_any_configuration) {
+  EntryFixture entry;
+  entry.context.config = nullptr;
+  BOOST_TEST(StatusOf(entry.Ask("/once/a")) == 503);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(a_call_that_may_run_once)
+
+BOOST_AUTO_TEST_CASE(is_not_sent_again_after_its_answer_was_lost) {
+  EntryFixture entry;
+  io::ScriptedServer& first = entry.AddServer(Always(kLost));
+  io::ScriptedServer& second = entry.AddServer(Always(kLost));
+  BOOST_TEST(StatusOf(entry.Ask("/once/a")) == 502);
+  BOOST_TEST(first.requests().size() + second.requests().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(goes_to_another_server_where_the_first_did_not_run_it) {
+  for (const int status : {503, 429, 421}) {
+    EntryFixture entry;
+    io::ScriptedServer& first = entry.AddServer(Always(NotRun(status)));
+    io::ScriptedServer& second = entry.AddServer(Always(NotRun(status)));
+    const std::string answer = entry.Ask("/once/a");
+    BOOST_TEST(StatusOf(answer) == 503);
+    BOOST_TEST(Holds(answer, "retry-after:"));
+    BOOST_TEST(Holds(answer, "\"ran\":\"no\""));
+    BOOST_TEST(first.requests().size() == 1U);
+    BOOST_TEST(second.requests().size() == 1U);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(gets_the_servers_own_failure_unchanged) {
+  EntryFixture entry;
+  entry.AddServer(Always({.bytes = SealedAnswer("broke", 500),
+                          .after = AfterAnswer::kKeep}));
+  const std::string answer = entry.Ask("/once/a");
+  BOOST_TEST(StatusOf(answer) == 500);
+  BOOST_TEST(BodyOf(answer) == "broke");
+  BOOST_TEST(Holds(answer, "x-oleanderfield-server-seal: s.1"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(a_call_that_may_repeat)
+
+BOOST_AUTO_TEST_CASE(is_tried_at_another_server_after_any_failure) {
+  const ScriptedAnswer failures[] = {
+      kLost,
+      {.bytes = SealedAnswer("broke", 500), .after = AfterAnswer::kKeep},
+      {.bytes = "not HTTP\r\n\r\n", .after = AfterAnswer::kClose},
+      {.bytes = SealedAnswer("foreign", 200, "another-id"),
+       .after = AfterAnswer::kKeep},
+      {.bytes = "HTTP/1.1 200 OK\r\ncontent-length: 8\r\n\r\nunsealed",
+       .after = AfterAnswer::kKeep},
+  };
+  for (const ScriptedAnswer& failure : failures) {
+    EntryFixture entry;
+    int failed = 0;
+    const auto script = [&](const std::string&) {
+      return failed++ == 0 ? failure : kGood;
+    };
+    entry.AddServer(script);
+    entry.AddServer(script);
+    const std::string answer = entry.Ask("/repeat/a");
+    BOOST_TEST(StatusOf(answer) == 200);
+    BOOST_TEST(BodyOf(answer) == "done");
+    BOOST_TEST(failed == 2);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(is_never_answered_by_a_part_of_an_answer) {
+  const std::string whole = SealedAnswer("a body of some length");
+  for (size_t cut = 0; cut < whole.size(); ++cut) {
+    EntryFixture entry;
+    entry.AddServer(Always(
+        {.bytes = whole.substr(0, cut), .after = AfterAnswer::kClose}));
+    BOOST_TEST_REQUIRE(StatusOf(entry.Ask("/repeat/a")) == 502);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(extra_bytes_after_an_answer)
+
+BOOST_AUTO_TEST_CASE(belong_to_no_later_call) {
+  EntryFixture entry;
+  entry.AddServer(Always(
+      {.bytes = SealedAnswer("done") + SealedAnswer("extra", 200, "old-id"),
+       .after = AfterAnswer::kKeep}));
+  for (int call = 0; call < 5; ++call) {
+    const std::string answer = entry.Ask("/once/a");
+    BOOST_TEST(StatusOf(answer) == 200);
+    BOOST_TEST(BodyOf(answer) == "done");
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(a_stream)
+
+BOOST_AUTO_TEST_CASE(passes_its_events_and_its_end) {
+  EntryFixture entry;
+  entry.AddServer(Always({.bytes = StreamHead() + Chunk(Event(1)) +
+                                   Chunk(Event(2)) + kLastChunk,
+                          .after = AfterAnswer::kKeep}));
+  const std::string answer = entry.Ask("/stream/a");
+  BOOST_TEST(StatusOf(answer) == 200);
+  BOOST_TEST(Holds(answer, Event(1)));
+  BOOST_TEST(Holds(answer, Event(2)));
+  BOOST_TEST(answer.ends_with(kLastChunk));
+}
+
+BOOST_AUTO_TEST_CASE(that_breaks_is_passed_on_as_broken) {
+  EntryFixture entry;
+  io::ScriptedServer& server = entry.AddServer(
+      Always({.bytes = StreamHead() + Chunk(Event(1)) + "5\r\nid",
+              .after = AfterAnswer::kClose}));
+  const std::string answer = entry.Ask("/stream/a");
+  BOOST_TEST(StatusOf(answer) == 200);
+  BOOST_TEST(Holds(answer, Event(1)));
+  BOOST_TEST(!Holds(answer, "0\r\n\r\n"));
+  BOOST_TEST(server.requests().size() == 1U);
+}
+
+// The stream breaks after each number of bytes and goes on elsewhere: no event
+// is missing, none comes twice.
+BOOST_AUTO_TEST_CASE(that_may_be_resumed_goes_on_from_its_last_whole_event) {
+  const std::string first_run =
+      Chunk(Event(1)) + Chunk(Event(2)) + Chunk(Event(3));
+  const auto resume_after = [](const std::string& request) {
+    const std::string name = "last-event-id: ";
+    const size_t at = request.find(name);
+    return at == std::string::npos ? 0
+                                   : std::stoi(request.substr(at + name.size()));
+  };
+  for (size_t cut = 0; cut < first_run.size(); cut += 3) {
+    EntryFixture entry;
+    int run = 0;
+    const auto script = [&](const std::string& request) {
+      if (run++ == 0) {
+        return ScriptedAnswer{.bytes = StreamHead() + first_run.substr(0, cut),
+                              .after = AfterAnswer::kReset};
+      }
+      std::string rest;
+      for (int id = resume_after(request) + 1; id <= 4; ++id) {
+        rest += Chunk(Event(id));
+      }
+      return ScriptedAnswer{.bytes = StreamHead() + rest + kLastChunk,
+                            .after = AfterAnswer::kKeep};
+    };
+    entry.AddServer(script);
+    entry.AddServer(script);
+    const std::string answer = entry.Ask("/resume/a");
+    BOOST_TEST_CONTEXT("cut after " << cut << " bytes") {
+      BOOST_TEST_REQUIRE(run == 2);
+      BOOST_TEST_REQUIRE(StatusOf(answer) == 200);
+      BOOST_TEST_REQUIRE(answer.ends_with(kLastChunk));
+      for (int id = 1; id <= 4; ++id) {
+        const size_t at = answer.find(Event(id));
+        BOOST_TEST_REQUIRE(at != std::string::npos);
+        BOOST_TEST_REQUIRE(answer.find(Event(id), at + 1) ==
+                           std::string::npos);
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(time)
+
+BOOST_AUTO_TEST_CASE(ends_with_an_answer_when_the_server_is_silent) {
+  EntryFixture entry;
+  entry.AddServer(Always({.bytes = "", .after = AfterAnswer::kKeep}));
+  const Time asked = entry.loop.now();
+  const std::string answer = entry.Ask("/once/a");
+  BOOST_TEST(StatusOf(answer) == 504);
+  // The route's time-out is two seconds, the caller's deadline three.
+  BOOST_TEST((entry.loop.now() - asked < std::chrono::milliseconds(2500)));
+}
+
+BOOST_AUTO_TEST_CASE(that_is_left_goes_along_with_the_call) {
+  EntryFixture entry;
+  io::ScriptedServer& server = entry.AddServer(Always(kGood));
+  entry.Ask("/once/a");
+  const std::string& request = server.requests().front();
+  const std::string name = "x-oleanderfield-deadline-ms: ";
+  const size_t at = request.find(name);
+  BOOST_TEST_REQUIRE(at != std::string::npos);
+  const int left = std::stoi(request.substr(at + name.size()));
+  BOOST_TEST(left <= 2000);
+  BOOST_TEST(left > 1000);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_CASE(a_leaving_server_gets_no_call) {
+  EntryFixture entry;
+  io::ScriptedServer& server = entry.AddServer(Always(kGood));
+  ListedServer leaving = *entry.context.listed.Find(ServerId("server-1"));
+  leaving.state = ListedState::kLeaving;
+  entry.context.listed.Put(entry.loop.now(), leaving, 100);
+  entry.Publish();
+  const std::string answer = entry.Ask("/once/a");
+  BOOST_TEST(StatusOf(answer) == 503);
+  BOOST_TEST(Holds(answer, "\"ran\":\"no\""));
+  BOOST_TEST(server.requests().empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_run_counts_once_in_its_workspaces_usage) {
+  EntryFixture entry;
+  entry.AddServer(Always(kGood));
+  entry.Ask("/once/a");
+  entry.Ask("/once/b");
+  int64_t counted = 0;
+  for (const auto& [window, counts] : entry.context.usage.windows()) {
+    for (const auto& [workspace, count] : counts) {
+      BOOST_TEST(workspace.value() == "bakery");
+      counted += count;
+    }
+  }
+  BOOST_TEST(counted == 2);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace oleander::entry
--- /dev/null
+++ b/test/support/entry_fixture.h
@@ -0,0 +1,166 @@
+// Callers' side of an entry instance on one loop: its handler and server, with
+// backend servers that answer given bytes.
+#ifndef OLEANDER_TEST_SUPPORT_ENTRY_FIXTURE_H_
+#define OLEANDER_TEST_SUPPORT_ENTRY_FIXTURE_H_
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "entry/call_context.h"
+#include "entry/call_handler.h"
+#include "io/http_server.h"
+#include "platform/call_codec.h"
+#include "support/io_fixture.h"
+#include "support/scripted_server.h"
+
+namespace oleander::entry {
+
+// The id that every test request carries.
+inline constexpr char kAttempt[] = "9c41d07be2a35f68";
+
+// A whole answer of a backend server, with its signature.
+inline std::string SealedAnswer(const std::string& body, int status = 200,
+                                const std::string& attempt = kAttempt) {
+  return "HTTP/1.1 " + std::to_string(status) +
+         " Status\r\nx-oleanderfield-attempt-id: " + attempt +
+         "\r\nx-oleanderfield-server-seal: s.1\r\ncontent-length: " +
+         std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+// The head of a stream of events, and one event as a chunk.
+inline std::string StreamHead() {
+  return std::string("HTTP/1.1 200 OK\r\nx-oleanderfield-attempt-id: ") +
+         kAttempt +
+         "\r\nx-oleanderfield-server-seal: s.1\r\ncontent-type: "
+         "text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
+}
+inline std::string Event(int id) {
+  return "id: " + std::to_string(id) + "\ndata: token " + std::to_string(id) +
+         "\n\n";
+}
+inline std::string Chunk(const std::string& bytes) {
+  std::array<char, 16> size = {};
+  std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
+  return size.data() + bytes + "\r\n";
+}
+inline constexpr char kLastChunk[] = "0\r\n\r\n";
+
+class EntryFixture {
+ public:
+  EntryFixture()
+      : client_(loop, std::chrono::seconds(4)),
+        context{.loop = loop,
+                .servers_client = client_,
+                .codec = codec_,
+                .metrics = metrics_,
+                .proof = ConfigProof({.bound = std::chrono::seconds(5)}),
+                .listed = ListedServers(),
+                .placement = Placement({}, {.region = RegionId("r"),
+                                            .domain = DomainId("d")},
+                                       1),
+                .retries = RetryBudget({.share = 0.2, .burst = 100}),
+                .usage = UsageWindows(std::chrono::seconds(5)),
+                .quotas = WorkspaceQuotas()},
+        handler_(context),
+        server_(loop, {.address = io::kTestAddress},
+                [this](std::shared_ptr<io::HttpExchange> exchange) {
+                  handler_.Handle(std::move(exchange));
+                }) {
+    BOOST_REQUIRE(server_.Listen().ok());
+    context.placement.SetRegions({{DomainId("d"), RegionId("r")}});
+    SetConfig();
+    context.proof.Prove(loop.now());
+  }
+
+  // Routes /once/, /repeat/, /stream/ and /resume/ lead to the one service.
+  void SetConfig() {
+    ServingConfigParts parts;
+    parts.version = 7;
+    parts.revision = 70;
+    parts.routes = {RouteOf("/once/", CallKind::kOnce, false),
+                    RouteOf("/repeat/", CallKind::kRepeatable, false),
+                    RouteOf("/stream/", CallKind::kStream, false),
+                    RouteOf("/resume/", CallKind::kStream, true)};
+    Workspace workspace;
+    workspace.id = WorkspaceId("bakery");
+    workspace.credentials = {"key"};
+    parts.workspaces = {workspace};
+    context.config = ServingConfig::Create(std::move(parts));
+  }
+
+  // A backend server under the id "server-N", from 1 on.
+  io::ScriptedServer& AddServer(io::ScriptedServer::Script script) {
+    backends_.push_back(std::make_unique<io::ScriptedServer>(
+        loop, io::kTestAddress, std::move(script)));
+    ListedServer listed;
+    listed.id = ServerId("server-" + std::to_string(backends_.size()));
+    listed.service = ServiceId("service");
+    listed.domain = DomainId("d");
+    listed.address = io::kTestAddress;
+    listed.port = backends_.back()->port();
+    context.listed.Put(loop.now(), listed, ++revision_);
+    Publish();
+    return *backends_.back();
+  }
+  void Publish() { context.placement.SetServers(context.listed.ready()); }
+
+  // Sends one request and waits until its connection ends.
+  std::string Ask(const std::string& path,
+                  const std::string& key = "key",
+                  const std::string& more = "") {
+    io::RawConnection connection(io::kTestAddress, server_.port());
+    connection.Send("POST " + path + " HTTP/1.1\r\nhost: a.example\r\n" +
+                    "x-oleanderfield-attempt-id: " + kAttempt +
+                    "\r\nx-oleanderfield-deadline-ms: 3000\r\n" + more +
+                    (key.empty() ? "" : "authorization: Token " + key + "\r\n") +
+                    "connection: close\r\ncontent-length: 2\r\n\r\nhi");
+    BOOST_TEST_REQUIRE(io::RunUntil(loop, [&] { return !connection.Poll(); }));
+    return connection.received();
+  }
+
+  io::EventLoop loop;
+
+ private:
+  static CallRoute RouteOf(std::string prefix, CallKind kind, bool resumable) {
+    CallRoute route;
+    route.name = prefix;
+    route.host = "a.example";
+    route.prefix = std::move(prefix);
+    route.kind = kind;
+    route.resumable = resumable;
+    route.timeout = std::chrono::seconds(2);
+    route.max_attempts = 2;
+    route.targets = {{.service = ServiceId("service")}};
+    return route;
+  }
+
+  platform::CallCodec codec_;
+  EntryMetrics metrics_;
+  io::HttpClient client_;
+
+ public:
+  CallContext context;
+
+ private:
+  CallHandler handler_;
+  io::HttpServer server_;
+  std::vector<std::unique_ptr<io::ScriptedServer>> backends_;
+  int64_t revision_ = 0;
+};
+
+// The status of an answer; 0 where there is none.
+inline int StatusOf(const std::string& answer) {
+  return answer.starts_with("HTTP/1.1 ") ? std::stoi(answer.substr(9, 3)) : 0;
+}
+inline std::string BodyOf(const std::string& answer) {
+  const size_t end = answer.find("\r\n\r\n");
+  return end == std::string::npos ? "" : answer.substr(end + 4);
+}
+inline bool Holds(const std::string& text, const std::string& part) {
+  return text.find(part) != std::string::npos;
+}
+
+}  // namespace oleander::entry
+
+#endif  // OLEANDER_TEST_SUPPORT_ENTRY_FIXTURE_H_
--- /dev/null
+++ b/tools/check_wire_names.py
@@ -0,0 +1,57 @@
+#!/usr/bin/env python3
+"""Fails where a name of the platform stands outside platform/ and deploy/, or where the adapter reaches inwards.
+
+The platform's headers, calls and keys are decoded once, in platform/; the product speaks its own words. And platform/
+may include the ports, the io layer, and value types of the library, never a part that decides or src/node.
+"""
+import pathlib
+import re
+import subprocess
+import sys
+
+WIRE = re.compile(
+    r"x-oleanderfield-|/v1/kv-|/v1/readyz|/v1/report\b|op/config|\bservers/\"|"
+    r"\b(path_prefix|at_rev|expect_rev|kv_capacity|api_keys|rate_per_s|route_kind|goal_ms|zone_prices|window_id|"
+    r"lease_id|cold_left_ms)\b",
+    re.IGNORECASE,
+)
+SEARCHED = ("src/", "include/", "apps/")
+PASSED_OVER = ("src/gen/", "apps/standins/")
+MAY_INCLUDE = re.compile(
+    r'"(absl/|platform/|ports/|io/|entry/entry_node\.h|entry/settings\.h|oleander/'
+    r'(types|store|result_code|serving_config|listed_servers)\.h)'
+)
+
+
+def tracked(*prefixes):
+    names = subprocess.run(["git", "ls-files", "-co", "--exclude-standard"], capture_output=True, text=True, check=True)
+    for name in names.stdout.splitlines():
+        if name.startswith(prefixes) and name.endswith((".h", ".cc")) and pathlib.Path(name).exists():
+            yield name
+
+
+def wire_names_outside():
+    for name in tracked(*SEARCHED):
+        if name.startswith(PASSED_OVER):
+            continue
+        for number, line in enumerate(pathlib.Path(name).read_text().splitlines(), 1):
+            if found := WIRE.search(line):
+                yield f"{name}:{number}: \"{found.group(0)}\" is a name of the platform; it belongs into platform/"
+
+
+def includes_inwards():
+    for name in tracked("platform/"):
+        for number, line in enumerate(pathlib.Path(name).read_text().splitlines(), 1):
+            if line.startswith('#include "') and not MAY_INCLUDE.search(line):
+                yield f"{name}:{number}: {line} isn't for an adapter, which decides nothing"
+
+
+def main():
+    faults = [*wire_names_outside(), *includes_inwards()]
+    for fault in faults:
+        print(fault)
+    return 1 if faults else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
