Quotas: large calls pass by chance, the upper half of the bucket is not divided; a floor of steady servers

Change: a call above its grant passes with the chance that takes the grant on average; half of a full bucket may be spent by any instance; half of the servers found at the start stay. Ruled out: depth 0.08 (refuses within the rate), 0.7 of the slack without the chance (1% over under cuts).

--- a/include/oleander/fleet_sizing.h
+++ b/include/oleander/fleet_sizing.h
@@ -39,6 +39,10 @@
   Duration settle = std::chrono::seconds(4);
   // Without any load, a share of the servers that are there is kept.
   double share_at_start = 0.67;
+  // The load shows what is needed only while servers are short, so never fewer
+  // steady servers are kept than this share of those found at the start, which
+  // operators ordered for their usual load.
+  double floor_share = 0.5;
   // Of the servers needed: how many aren't reclaimable at any time, and how
   // many reclaimable ones there are.
   double steady_share = 0.6;
@@ -82,6 +86,7 @@
 
   std::optional<Time> observed_since_;
   bool loaded_ = false;  // There was load.
+  int floor_ = 0;        // Steady servers that are kept in any case.
   int wanted_ = 0;  // Servers of both markets, all domains together.
   std::optional<Time> fewer_since_;
 };
--- a/include/oleander/workspace_quotas.h
+++ b/include/oleander/workspace_quotas.h
@@ -19,6 +19,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <random>
 #include <string>
 
 #include "absl/container/flat_hash_map.h"
@@ -42,10 +43,10 @@
   // The parts of overage and slack that are used; the rest covers what
   // instances can't know of each other in time, and the last call that takes
   // out more than the bucket holds.
-  double used_overage = 0.5;
-  double used_slack = 0.5;
+  double used_overage = 0.7;
+  double used_slack = 0.7;
   // How much of the bound may pass at once.
-  double depth_share = 0.1;
+  double depth_share = 0.12;
 };
 
 // One workspace's totals since a process's start, in the quota's unit.
@@ -56,8 +57,9 @@
 
 class WorkspaceQuotas {
  public:
-  explicit WorkspaceQuotas(WorkspaceQuotaOptions options = {})
-      : options_(options) {}
+  explicit WorkspaceQuotas(WorkspaceQuotaOptions options = {},
+                           uint64_t seed = 1)
+      : options_(options), gen_(seed) {}
 
   // The quotas in force; a workspace that keeps its quota keeps its bucket.
   void SetQuotas(Time now, const ServingConfig& config);
@@ -104,10 +106,15 @@
   double RateOf(const WorkspaceQuota& quota) const;
   double DepthOf(const WorkspaceQuota& quota) const;
   void Fill(Time now, Bucket& bucket);
+  void Divide(Bucket& bucket) const;
   double ShareOf(const Bucket& bucket) const;
   size_t SilentPeers(Time now) const;
 
+  // Whether a call passes that takes more than is granted here.
+  bool PassesByChance(const Bucket& bucket, double cost);
+
   WorkspaceQuotaOptions options_;
+  std::mt19937_64 gen_;
   size_t instances_ = 1;
   absl::flat_hash_map<WorkspaceId, Bucket> buckets_;
   absl::flat_hash_map<WorkspaceId, QuotaTotals> totals_;
--- a/src/entry/entry_node.cc
+++ b/src/entry/entry_node.cc
@@ -125,7 +125,7 @@
                  .placement = Placement({}, settings_.place, seed_()),
                  .retries = RetryBudget(RetryOptions(settings_.bounds)),
                  .usage = UsageWindows(settings_.bounds.usage_window),
-                 .quotas = WorkspaceQuotas(QuotaOptions(settings_.bounds))},
+                 .quotas = WorkspaceQuotas(QuotaOptions(settings_.bounds), seed_())},
         handler_(context_),
         feed_(context_, *ports_.store, *ports_.catalog,
               [this] {
--- a/src/parts/fleet_sizing.cc
+++ b/src/parts/fleet_sizing.cc
@@ -117,6 +117,7 @@
     return {};
   }
   if (wanted_ == 0) {
+    floor_ = Share(options_.floor_share, steady_now);
     wanted_ = loaded_ ? std::max(present, needed())
                       : Share(options_.share_at_start, steady_now);
   }
@@ -129,7 +130,7 @@
           : wanted;
   const int reclaimable =
       reclaimable_pays ? Share(options_.reclaimable_share, wanted) : 0;
-  return Spread(rule, domains, steady, reclaimable);
+  return Spread(rule, domains, std::max(steady, floor_), reclaimable);
 }
 
 }  // namespace oleander
--- a/src/parts/workspace_quotas.cc
+++ b/src/parts/workspace_quotas.cc
@@ -49,10 +49,10 @@
   QuotaTotals& totals = totals_[workspace];
   totals.asked += cost;
   bucket.own_demand += cost;
-  // A call larger than what is there passes while anything is: it is paid back
-  // by those that come after.
   const double share = ShareOf(bucket);
-  const bool passes = bucket.grant > 0 && bucket.level > 0;
+  const bool passes =
+      bucket.grant > 0 && bucket.level > 0 &&
+      (cost <= bucket.grant || PassesByChance(bucket, cost));
   if (passes) {
     bucket.level -= cost;
     bucket.grant -= cost;
@@ -70,6 +70,13 @@
                     kShortestWait, kLongestWait);
 }
 
+// Large calls must pass at times, too, and many instances may find a large one
+// at the same moment; with this chance they take what is granted on average.
+bool WorkspaceQuotas::PassesByChance(const Bucket& bucket, double cost) {
+  return std::bernoulli_distribution(std::clamp(bucket.grant / cost, 0.0, 1.0))(
+      gen_);
+}
+
 void WorkspaceQuotas::OnPeer(
     Time now, const InstanceId& peer, uint64_t run, bool fresh,
     const absl::flat_hash_map<WorkspaceId, QuotaTotals>& totals) {
@@ -93,7 +100,7 @@
   }
   for (auto& [workspace, bucket] : buckets_) {
     Fill(now, bucket);
-    bucket.grant = std::max(0.0, bucket.level) * ShareOf(bucket);
+    Divide(bucket);
   }
 }
 
@@ -141,6 +148,14 @@
   bucket.peers_demand *= fade;
 }
 
+// While the bucket is more than half full a flood is seen before it is empty, so
+// what is above that needn't be divided.
+void WorkspaceQuotas::Divide(Bucket& bucket) const {
+  const double above_half = bucket.level - DepthOf(bucket.quota) / 2;
+  bucket.grant = std::max(
+      {0.0, bucket.level * ShareOf(bucket), above_half});
+}
+
 double WorkspaceQuotas::ShareOf(const Bucket& bucket) const {
   const auto instances = static_cast<double>(std::max<size_t>(1, instances_));
   const double all = bucket.own_demand + bucket.peers_demand;
