Three instances read the store, the others ask them over the mesh

Change: reader_choice picks three by name; a question proves what was true when it left, less the age the reader tells; servers' changes come with the answer; who hears nothing for 1.5 s reads by itself. Ruled out: late mesh messages (answers are matched to their question), the askers' own outages.

--- a/include/oleander/listed_servers.h
+++ b/include/oleander/listed_servers.h
@@ -57,6 +57,9 @@
   // The store did not answer, or answers again.
   void OnStoreAway(Time now);
   void OnStoreBack(Time now);
+  // The store has answered for longer than entries take to return.
+  void OnStoreSteady(Time now);
+  bool steady(Time now) const { return !ReturnsExpected(now); }
   // Drops entries whose time to return has passed.
   void Tick(Time now);
   Time next_due() const;
--- a/src/entry/entry_node.cc
+++ b/src/entry/entry_node.cc
@@ -127,23 +127,26 @@
                  .usage = UsageWindows(settings_.bounds.usage_window),
                  .quotas = WorkspaceQuotas(QuotaOptions(settings_.bounds), seed_())},
         handler_(context_),
-        feed_(context_, *ports_.store, *ports_.catalog,
+        run_(RunNumber()),
+        news_(context_, context_.quotas, settings_, run_),
+        feed_(context_, *ports_.store, *ports_.catalog, news_,
+              settings_.instance,
               [this] {
                 orderer_.OnServers();
                 handler_.Resume();
               }),
-        run_(RunNumber()),
         lease_(loop_, *ports_.store, metrics_, DutyOptions(settings_), seed_(),
                [this] {
                  reporter_.OnTaken();
                  orderer_.OnTaken();
                }),
         records_(context_, *ports_.store, settings_,
-                 fmt::format("{:016x}", run_), [this] { OnRecords(); }),
+                 fmt::format("{:016x}", run_),
+                 [this] { return lease_.FenceFor({}).has_value(); },
+                 [this] { OnRecords(); }),
         reporter_(context_, *ports_.store, *ports_.duties, records_, lease_,
                   settings_.bounds),
         orderer_(context_, *ports_.duties, lease_),
-        news_(context_, context_.quotas, settings_, run_),
         callers_(loop_,
                  {.address = settings_.callers.address,
                   .port = settings_.callers.port,
@@ -166,6 +169,10 @@
                   200, {{.name = "content-type", .value = "text/plain"}},
                   metrics_.Text());
             }) {
+    news_.OnStoreMessage(
+        [this](const InstanceId& from, const mesh::Envelope& message) {
+          feed_.OnMessage(from, message);
+        });
     context_.placement.SetRegions(RegionsOf(settings_));
     context_.quotas.SetInstances(static_cast<size_t>(kAssumedInstances),
                                  news_.silent_after());
@@ -209,6 +216,7 @@
     const size_t instances = records_.live_instances();
     orderer_.SetInstances(instances);
     news_.OnRecords(records_);
+    feed_.OnRecords(records_);
     context_.quotas.SetInstances(instances, news_.silent_after());
     reporter_.OnRecords();
   }
@@ -323,13 +331,13 @@
   Ports ports_;
   CallContext context_;
   CallHandler handler_;
-  StoreFeed feed_;
   uint64_t run_;
+  PeerNews news_;
+  StoreFeed feed_;
   DutyLease lease_;
   RecordKeeper records_;
   UsageReporter reporter_;
   SizeOrderer orderer_;
-  PeerNews news_;
   io::HttpServer callers_;
   io::HttpServer readiness_;
   io::HttpServer metrics_server_;
--- a/src/entry/peer_news.cc
+++ b/src/entry/peer_news.cc
@@ -78,16 +78,15 @@
     (*news.mutable_asked())[workspace.value()] = totals.asked;
     (*news.mutable_used())[workspace.value()] = totals.used;
   }
-  if (context_.config != nullptr) {
-    const Duration age = context_.proof.age(context_.loop.now());
-    news.set_config_revision(context_.config->revision());
-    news.set_proof_age_us(age.count());
-  }
   return envelope;
 }
 
 void PeerNews::OnMessage(const InstanceId& from,
                          const mesh::Envelope& message) {
+  if (message.has_store_ask() || message.has_store_tell()) {
+    receiver_(from, message);
+    return;
+  }
   if (!message.has_news()) {
     io::Log(io::LogLevel::kWarning, "mesh.unexpected",
             {{"peer", from.value()},
--- a/src/entry/record_keeper.cc
+++ b/src/entry/record_keeper.cc
@@ -25,11 +25,14 @@
 constexpr int64_t kKeptWindows = 5;
 // Records that weren't written for this many windows are of ended processes.
 constexpr int64_t kWindowsAlive = 2;
+// Windows between two readings of those who only want to see who serves.
+constexpr uint64_t kWindowsPerRead = 2;
 constexpr int64_t kWindowsKept = 8;
 constexpr size_t kRemovedAtOnce = 16;  // The store takes 32 entries a call.
 
 InstanceRecord Decode(const entrywire::EntryRecord& wire) {
   InstanceRecord record{.instance = InstanceId(wire.instance()),
+                        .domain = DomainId(wire.domain()),
                         .address = wire.address(),
                         .mesh_port = static_cast<uint16_t>(wire.mesh_port()),
                         .closed_window = wire.closed_window(),
@@ -48,11 +51,13 @@
 
 RecordKeeper::RecordKeeper(CallContext& context, ports::StorePort& store,
                            const EntrySettings& settings, std::string run,
+                           std::function<bool()> reads_each_window,
                            std::function<void()> on_records)
     : context_(context),
       store_(store),
       settings_(settings),
       run_(std::move(run)),
+      reads_each_window_(std::move(reads_each_window)),
       on_records_(std::move(on_records)) {}
 
 void RecordKeeper::Start() {
@@ -80,10 +85,18 @@
 
 void RecordKeeper::ScheduleRead() {
   const WallTime now = io::EventLoop::wall_now();
-  const Duration to_end =
-      context_.usage.EndOf(context_.usage.WindowOf(now)) - now;
-  read_timer_ = context_.loop.After(to_end + kReadAfterEnd, [this] {
-    Read();
+  const int64_t window = context_.usage.WindowOf(now);
+  // The holder of the duty reads after each window; for the others it is enough
+  // to see who serves, and that spread over the windows.
+  const uint64_t turn = XXH64(run_.data(), run_.size(), 1);
+  const bool reads =
+      reads_each_window_() ||
+      (static_cast<uint64_t>(window) + turn) % kWindowsPerRead == 0;
+  const Duration to_end = context_.usage.EndOf(window) - now;
+  read_timer_ = context_.loop.After(to_end + kReadAfterEnd, [this, reads] {
+    if (reads) {
+      Read();
+    }
     ScheduleRead();
   });
 }
@@ -124,6 +137,7 @@
   record.set_instance(settings_.instance.value());
   record.set_address(settings_.callers.address);
   record.set_mesh_port(settings_.mesh_port);
+  record.set_domain(settings_.place.domain.value());
   record.set_closed_window(closed_window);
   for (const auto& [window, counts] : context_.usage.windows()) {
     entrywire::UsageWindow& wire = *record.add_windows();
@@ -170,7 +184,7 @@
                             .changed_at = changed_at};
     records.push_back(Decode(wire));
     records.back().alive =
-        now - changed_at < window * kWindowsAlive + window / 2;
+        now - changed_at < window * (kWindowsAlive + 1) + window / 2;
     if (now - changed_at > window * kWindowsKept) {
       stale.push_back(entry.key);
     }
--- a/src/entry/record_keeper.h
+++ b/src/entry/record_keeper.h
@@ -23,6 +23,7 @@
 // One run of an instance, as its record tells.
 struct InstanceRecord {
   InstanceId instance;
+  DomainId domain;
   std::string address;
   uint16_t mesh_port = 0;
   int64_t closed_window = 0;  // Its counts up to this window are final.
@@ -32,9 +33,11 @@
 
 class RecordKeeper {
  public:
+  // `reads_each_window` tells whether the counts are needed here;
   // `on_records` is called after each reading.
   RecordKeeper(CallContext& context, ports::StorePort& store,
                const EntrySettings& settings, std::string run,
+               std::function<bool()> reads_each_window,
                std::function<void()> on_records);
 
   void Start();
@@ -67,6 +70,7 @@
   ports::StorePort& store_;
   const EntrySettings& settings_;
   std::string run_;
+  std::function<bool()> reads_each_window_;
   std::function<void()> on_records_;
   std::vector<InstanceRecord> records_;
   absl::flat_hash_map<std::string, Sighting> sightings_;
--- a/src/entry/store_feed.cc
+++ b/src/entry/store_feed.cc
@@ -8,18 +8,29 @@
 #include <vector>
 
 #include "io/log.h"
+#include "oleander/reader_choice.h"
 #include "oleander/result_code.h"
 
 namespace oleander::entry {
 namespace {
 
-// Operators expect a change in force within two and a half seconds, so a read a
-// second leaves room for one that fails.
-constexpr Duration kConfigPeriod = std::chrono::milliseconds(1000);
+// How many instances read the store for all: one may be down and another cut
+// off.
+constexpr size_t kReaders = 3;
+// Operators expect a change in force within two and a half seconds: a reader's
+// period and an asker's, and room for one that fails.
+constexpr Duration kConfigPeriod = std::chrono::milliseconds(700);
 constexpr Duration kConfigRetry = std::chrono::milliseconds(250);
+constexpr Duration kAskPeriod = std::chrono::milliseconds(400);
+// Without a word this fresh an instance reads by itself.
+constexpr Duration kFreshWord = std::chrono::milliseconds(1500);
+// Questions that may still be answered.
+constexpr size_t kOpenQuestions = 6;
 // Waiting costs one call each; the longest that the store allows is 30 s.
 constexpr Duration kServersWait = std::chrono::seconds(10);
 constexpr Duration kServersRetry = std::chrono::milliseconds(250);
+// Kept for peers that ask; older ones are listed anew.
+constexpr size_t kRememberedChanges = 512;
 
 // Each limited workspace with its rate and burst.
 std::string QuotaText(const ServingConfig& config) {
@@ -37,14 +48,66 @@
 }  // namespace
 
 void StoreFeed::Start() {
-  ReadConfig();
+  servers_fresh_at_ = context_.loop.now();
   ListServers();
+  Turn();
+}
+
+void StoreFeed::OnRecords(const RecordKeeper& records) {
+  std::vector<ReaderCandidate> candidates;
+  for (const InstanceRecord& record : records.records()) {
+    if (record.alive) {
+      candidates.push_back(
+          {.instance = record.instance, .domain = record.domain});
+    }
+  }
+  std::vector<InstanceId> readers =
+      ChooseReaders(std::move(candidates), kReaders);
+  if (readers != readers_) {
+    readers_ = std::move(readers);
+    io::Log(io::LogLevel::kInfo, "store.readers",
+            {{"readers", readers_.size()}, {"reads", ReadsItself()}});
+  }
+}
+
+bool StoreFeed::ReadsItself() const {
+  return readers_.empty() ||
+         std::ranges::find(readers_, self_) != readers_.end();
+}
+
+// One step: a reader reads, another asks one, and reads where that has not
+// helped.
+void StoreFeed::Turn() {
+  const Time now = context_.loop.now();
+  const bool reads = ReadsItself();
+  const bool config_stale =
+      context_.config == nullptr || context_.proof.age(now) > kFreshWord;
+  const bool servers_stale = now - servers_fresh_at_ > kFreshWord;
+  if (!reads) {
+    AskReader();
+  }
+  const bool due = now - config_asked_at_ >=
+                   (config_stale ? kConfigRetry : kConfigPeriod);
+  if ((reads || config_stale) && due && !reading_config_) {
+    ReadConfig();
+  }
+  if ((reads || servers_stale) && !waiting_ && !servers_timer_.active() &&
+      context_.listed.known()) {
+    WaitForServers();
+  }
+  const Duration period = !reads         ? kAskPeriod
+                          : config_stale ? kConfigRetry
+                                         : kConfigPeriod;
+  turn_timer_ = context_.loop.After(period, [this] { Turn(); });
 }
 
 void StoreFeed::ReadConfig() {
   const Time asked_at = context_.loop.now();
+  reading_config_ = true;
+  config_asked_at_ = asked_at;
   store_.Range({.call = 0, .key = catalog_.config_key(), .prefix = false},
                [this, asked_at](const absl::StatusOr<StoreRangeAnswer>& answer) {
+                 reading_config_ = false;
                  OnConfig(asked_at, answer);
                });
 }
@@ -52,19 +115,18 @@
 void StoreFeed::OnConfig(Time asked_at,
                          const absl::StatusOr<StoreRangeAnswer>& answer) {
   NoteAnswer("config", answer.status());
-  const bool found = answer.ok() && !answer->entries.empty();
-  if (found) {
-    ApplyConfig(answer->entries.front());
+  if (!answer.ok() || answer->entries.empty()) {
+    return;
   }
+  read_at_ = asked_at;
+  ApplyConfig(answer->entries.front());
   // A document that can't be read proves nothing: an older one is in force.
   const bool newest =
-      found && context_.config != nullptr &&
+      context_.config != nullptr &&
       context_.config->revision() >= answer->entries.front().mod_revision;
   if (newest) {
     context_.proof.Prove(asked_at);
   }
-  config_timer_ = context_.loop.After(found ? kConfigPeriod : kConfigRetry,
-                                      [this] { ReadConfig(); });
 }
 
 void StoreFeed::ApplyConfig(const StoreEntry& entry) {
@@ -115,10 +177,15 @@
     }
   }
   watched_to_ = answer->revision;
+  changes_.clear();
+  changes_from_ = watched_to_;
+  servers_fresh_at_ = context_.loop.now();
   context_.listed.Replace(context_.loop.now(), std::move(servers),
                           answer->revision);
   Publish();
-  WaitForServers();
+  if (ReadsItself()) {
+    WaitForServers();
+  }
 }
 
 void StoreFeed::WaitForServers() {
@@ -144,12 +211,137 @@
     ListAgain(gap ? Duration::zero() : kServersRetry);
     return;
   }
+  for (const ports::StoreChange& change : answer->changes) {
+    // Peers may have told it meanwhile.
+    if (change.entry.mod_revision > watched_to_) {
+      Remember(change);
+      ApplyChange(change);
+    }
+  }
   watched_to_ = std::max(watched_to_, answer->revision);
-  std::ranges::for_each(
-      answer->changes,
-      [this](const ports::StoreChange& change) { ApplyChange(change); });
+  servers_fresh_at_ = context_.loop.now();
+  Publish();
+  if (ReadsItself()) {
+    WaitForServers();
+  }
+}
+
+void StoreFeed::Remember(const ports::StoreChange& change) {
+  changes_.push_back(change);
+  if (changes_.size() > kRememberedChanges) {
+    changes_from_ = changes_.front().entry.mod_revision;
+    changes_.pop_front();
+  }
+}
+
+void StoreFeed::AskReader() {
+  const InstanceId& reader = readers_[++round_ % readers_.size()];
+  questions_.push_back({.round = round_, .asked_at = context_.loop.now()});
+  if (questions_.size() > kOpenQuestions) {
+    questions_.pop_front();
+  }
+  mesh::Envelope envelope;
+  entrywire::StoreAsk& ask = *envelope.mutable_store_ask();
+  ask.set_round(round_);
+  ask.set_servers_revision(context_.listed.known() ? watched_to_ : 0);
+  peers_.Send(reader, envelope);
+}
+
+void StoreFeed::OnMessage(const InstanceId& from,
+                          const mesh::Envelope& message) {
+  if (message.has_store_ask()) {
+    Answer(from, message.store_ask());
+  } else if (message.has_store_tell()) {
+    OnTell(message.store_tell());
+  }
+}
+
+void StoreFeed::Answer(const InstanceId& peer,
+                       const entrywire::StoreAsk& ask) {
+  mesh::Envelope envelope;
+  entrywire::StoreTell& tell = *envelope.mutable_store_tell();
+  tell.set_round(ask.round());
+  const Time now = context_.loop.now();
+  if (context_.config != nullptr && context_.proof.age(now) < kFreshWord) {
+    tell.set_config_revision(context_.config->revision());
+    tell.set_proof_age_us(context_.proof.age(now).count());
+  }
+  // Only who waits at a store that answers knows that nothing else has changed.
+  const bool knows_servers = waiting_ && !away_ && read_at_ &&
+                             now - *read_at_ < kFreshWord &&
+                             ask.servers_revision() != 0 &&
+                             ask.servers_revision() >= changes_from_;
+  if (knows_servers) {
+    tell.set_servers_revision(watched_to_);
+    tell.set_servers_age_us((now - *read_at_).count());
+    tell.set_store_steady(context_.listed.steady(now));
+    for (const ports::StoreChange& change : changes_) {
+      if (change.entry.mod_revision <= ask.servers_revision()) {
+        continue;
+      }
+      entrywire::ServerChange& wire = *tell.add_changes();
+      wire.set_key(change.entry.key);
+      wire.set_value(change.entry.value);
+      wire.set_revision(change.entry.mod_revision);
+      wire.set_removed(change.removed);
+    }
+  }
+  peers_.Send(peer, envelope);
+}
+
+void StoreFeed::OnTell(const entrywire::StoreTell& tell) {
+  const auto question =
+      std::ranges::find(questions_, tell.round(), &Question::round);
+  if (question == questions_.end()) {
+    return;
+  }
+  const Time asked_at = question->asked_at;
+  questions_.erase(question);
+  if (tell.has_proof_age_us() && context_.config != nullptr) {
+    if (tell.config_revision() <= context_.config->revision()) {
+      // What the reader had proven before it answered was proven that much
+      // before the question left, or later.
+      context_.proof.Prove(asked_at - Duration(tell.proof_age_us()));
+    } else if (!reading_config_) {
+      ReadConfig();
+    }
+  }
+  if (tell.servers_revision() != 0) {
+    SetAway(false, "reader", "as a reader tells");
+    if (tell.store_steady()) {
+      context_.listed.OnStoreSteady(context_.loop.now());
+    }
+    TakeServers(tell, asked_at - Duration(tell.servers_age_us()));
+    return;
+  }
+  // The reader lists them itself, or no longer has the changes since then.
+  const bool stale =
+      context_.loop.now() - servers_fresh_at_ > kFreshWord - kAskPeriod;
+  if (context_.listed.known() && stale && !waiting_ &&
+      !servers_timer_.active()) {
+    ListAgain(Duration::zero());
+  }
+}
+
+void StoreFeed::TakeServers(const entrywire::StoreTell& tell, Time known_at) {
+  if (!context_.listed.known()) {
+    return;
+  }
+  for (const entrywire::ServerChange& wire : tell.changes()) {
+    if (wire.revision() <= watched_to_) {
+      continue;
+    }
+    ports::StoreChange change;
+    change.entry.key = wire.key();
+    change.entry.value = wire.value();
+    change.entry.mod_revision = wire.revision();
+    change.removed = wire.removed();
+    Remember(change);
+    ApplyChange(change);
+  }
+  watched_to_ = std::max(watched_to_, tell.servers_revision());
+  servers_fresh_at_ = std::max(servers_fresh_at_, known_at);
   Publish();
-  WaitForServers();
 }
 
 void StoreFeed::ApplyChange(const ports::StoreChange& change) {
@@ -201,12 +393,23 @@
 void StoreFeed::NoteAnswer(std::string_view call, const absl::Status& status) {
   context_.metrics.CountStoreCall(call, status.ok());
   const ResultCode code = CodeOf(status);
-  const bool answered = status.ok() || code == ResultCode::kStoreRevisionCompacted ||
+  const bool answered = status.ok() ||
+                        code == ResultCode::kStoreRevisionCompacted ||
                         code == ResultCode::kBadAnswer;
-  if (answered == !away_) {
+  // As long as a reader's word is fresh the store is there, if not for us.
+  const bool by_reader =
+      !ReadsItself() && context_.loop.now() - servers_fresh_at_ < kFreshWord;
+  if (answered || !by_reader) {
+    SetAway(!answered, call, std::string(status.message()));
+  }
+}
+
+void StoreFeed::SetAway(bool away, std::string_view call,
+                        std::string_view reason) {
+  if (away == away_) {
     return;
   }
-  away_ = !answered;
+  away_ = away;
   const Time now = context_.loop.now();
   if (away_) {
     context_.listed.OnStoreAway(now);
@@ -219,7 +422,7 @@
   }
   io::Log(away_ ? io::LogLevel::kWarning : io::LogLevel::kInfo,
           away_ ? "store.lost" : "store.regained",
-          {{"call", call}, {"reason", std::string(status.message())}});
+          {{"call", call}, {"reason", reason}});
 }
 
 }  // namespace oleander::entry
--- a/src/entry/store_feed.h
+++ b/src/entry/store_feed.h
@@ -1,15 +1,23 @@
 // Follows what operators and backend servers write into the store.
 //
-// The configuration is read whole about once a second: each read is a proof of
-// which version is the newest, which a waiting call is not. The servers' list
-// is read once and followed by waiting calls; it is read again after a gap.
+// A few instances read it (see reader_choice.h): the configuration whole about
+// once a second, since each reading proves which version was the newest and a
+// waiting call does not; the servers once and then by waiting calls, with a new
+// listing after a gap. The others ask a reader about twice a second. An answer
+// proves no more than was true when the question left, less the age that the
+// reader tells. Who hears nothing fresh reads by itself.
 #ifndef OLEANDER_ENTRY_STORE_FEED_H_
 #define OLEANDER_ENTRY_STORE_FEED_H_
 
 #include <cstdint>
+#include <deque>
 #include <functional>
+#include <optional>
+#include <vector>
 
 #include "entry/call_context.h"
+#include "entry/peer_news.h"
+#include "entry/record_keeper.h"
 #include "ports/catalog_port.h"
 #include "ports/store_port.h"
 
@@ -20,39 +28,79 @@
   // `on_change` is called after each change of the configuration or of the
   // servers that may get work.
   StoreFeed(CallContext& context, ports::StorePort& store,
-            const ports::CatalogPort& catalog,
-            std::function<void()> on_change)
+            const ports::CatalogPort& catalog, PeerNews& peers,
+            InstanceId self, std::function<void()> on_change)
       : context_(context),
         store_(store),
         catalog_(catalog),
+        peers_(peers),
+        self_(std::move(self)),
         on_change_(std::move(on_change)) {}
 
   void Start();
+  // Who serves, and so who reads, may have changed.
+  void OnRecords(const RecordKeeper& records);
+  // A message of a peer about the store.
+  void OnMessage(const InstanceId& from, const mesh::Envelope& message);
 
  private:
+  // The configuration.
+  void Turn();
+  bool ReadsItself() const;
   void ReadConfig();
   void OnConfig(Time asked_at, const absl::StatusOr<StoreRangeAnswer>& answer);
   void ApplyConfig(const StoreEntry& entry);
 
+  // The servers.
   void ListServers();
   void OnListed(const absl::StatusOr<StoreRangeAnswer>& answer);
   void WaitForServers();
   void OnChanges(const absl::StatusOr<ports::StoreChanges>& answer);
   void ApplyChange(const ports::StoreChange& change);
+  void Remember(const ports::StoreChange& change);
   void ListAgain(Duration pause);
   void Publish();
+
+  // The peers.
+  void AskReader();
+  void Answer(const InstanceId& peer, const entrywire::StoreAsk& ask);
+  void OnTell(const entrywire::StoreTell& tell);
+  void TakeServers(const entrywire::StoreTell& tell, Time known_at);
+
   void NoteAnswer(std::string_view call, const absl::Status& status);
+  void SetAway(bool away, std::string_view call, std::string_view reason);
+
+  // A question that went to a reader.
+  struct Question {
+    uint64_t round = 0;
+    Time asked_at;
+  };
 
   CallContext& context_;
   ports::StorePort& store_;
   const ports::CatalogPort& catalog_;
+  PeerNews& peers_;
+  InstanceId self_;
   std::function<void()> on_change_;
+
+  std::vector<InstanceId> readers_;  // Empty: everybody reads.
+  std::deque<Question> questions_;   // The newest last.
+  uint64_t round_ = 0;
+  bool reading_config_ = false;
+  Time config_asked_at_;
+
   int64_t watched_to_ = 0;  // The revision up to which servers are known.
-  uint64_t published_ = 0;
-  bool away_ = false;
+  // The last changes, for peers that ask, and the revision before the first.
+  std::deque<ports::StoreChange> changes_;
+  int64_t changes_from_ = 0;
+  // When the last own reading left that the store answered.
+  std::optional<Time> read_at_;
+  Time servers_fresh_at_;  // When the servers were last known to be up to date.
   bool waiting_ = false;     // A call waits for changes of the servers.
   uint64_t wait_round_ = 0;  // Answers of earlier rounds are ignored.
-  io::Timer config_timer_;
+  uint64_t published_ = 0;
+  bool away_ = false;
+  io::Timer turn_timer_;
   io::Timer servers_timer_;
   io::Timer return_timer_;
 };
--- a/src/io/mesh_codec.cc
+++ b/src/io/mesh_codec.cc
@@ -33,6 +33,10 @@
       return 5;
     case Envelope::kNews:
       return 6;
+    case Envelope::kStoreAsk:
+      return 7;
+    case Envelope::kStoreTell:
+      return 8;
     case Envelope::BODY_NOT_SET:
       break;
   }
--- a/src/node/mesh_port.cc
+++ b/src/node/mesh_port.cc
@@ -203,9 +203,11 @@
     case mesh::Envelope::kLoad:
       ReceiveLoad(from, envelope.load());
       break;
-    // News are of instances on a platform; the two kinds don't share a mesh.
+    // These are of instances on a platform; the two kinds don't share a mesh.
     case mesh::Envelope::kNews:
-      metrics_.CountDroppedEvents("mesh_news", 1);
+    case mesh::Envelope::kStoreAsk:
+    case mesh::Envelope::kStoreTell:
+      metrics_.CountDroppedEvents("mesh_of_platform", 1);
       break;
     case mesh::Envelope::BODY_NOT_SET:
       metrics_.CountDroppedEvents("mesh_empty", 1);
--- a/src/parts/listed_servers.cc
+++ b/src/parts/listed_servers.cc
@@ -75,6 +75,12 @@
   back_at_ = now;
 }
 
+void ListedServers::OnStoreSteady(Time now) {
+  away_ = false;
+  back_at_.reset();
+  Tick(now);
+}
+
 void ListedServers::Tick(Time now) {
   if (ReturnsExpected(now)) {
     return;
