--- /dev/null
+++ b/test/correctness/reader_choice_test.cc
@@ -0,0 +1,66 @@
+// Who reads the store: the same for all, spread over domains.
+#include "oleander/reader_choice.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <set>
+
+namespace oleander {
+namespace {
+
+std::vector<ReaderCandidate> Fleet(int per_domain) {
+  std::vector<ReaderCandidate> fleet;
+  for (const char* domain : {"a", "b", "c", "d"}) {
+    for (int i = 0; i < per_domain; ++i) {
+      fleet.push_back(
+          {.instance = InstanceId(domain + std::to_string(i)),
+           .domain = DomainId(domain)});
+    }
+  }
+  return fleet;
+}
+
+BOOST_AUTO_TEST_SUITE(reader_choice)
+
+BOOST_AUTO_TEST_CASE(is_the_same_for_any_order) {
+  std::vector<ReaderCandidate> fleet = Fleet(5);
+  const auto readers = ChooseReaders(fleet, 3);
+  BOOST_TEST(readers.size() == 3U);
+  std::ranges::reverse(fleet);
+  BOOST_TEST((ChooseReaders(fleet, 3) == readers));
+}
+
+BOOST_AUTO_TEST_CASE(takes_different_domains_first) {
+  std::set<char> domains;
+  for (const InstanceId& reader : ChooseReaders(Fleet(5), 4)) {
+    domains.insert(reader.value().front());
+  }
+  BOOST_TEST(domains.size() == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(replaces_one_that_is_gone_and_keeps_the_rest) {
+  std::vector<ReaderCandidate> fleet = Fleet(5);
+  const auto before = ChooseReaders(fleet, 3);
+  std::erase_if(fleet, [&](const ReaderCandidate& candidate) {
+    return candidate.instance == before.front();
+  });
+  const auto after = ChooseReaders(fleet, 3);
+  BOOST_TEST(after.size() == 3U);
+  const auto kept = std::ranges::count_if(after, [&](const InstanceId& reader) {
+    return std::ranges::find(before, reader) != before.end();
+  });
+  BOOST_TEST(kept >= 1);
+}
+
+BOOST_AUTO_TEST_CASE(is_everybody_where_there_are_few) {
+  BOOST_TEST(ChooseReaders({}, 3).empty());
+  BOOST_TEST(ChooseReaders({{.instance = InstanceId("a"),
+                             .domain = DomainId("d")}},
+                           3)
+                 .size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace oleander
