--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,7 @@
 
 lint:
 	tools/format.sh --check
+	tools/check_wire_names.py
 	BUILD=$(BUILD) tools/lint.sh
 
 format:
--- a/apps/load/main.cc
+++ b/apps/load/main.cc
@@ -130,6 +130,7 @@
 }  // namespace oleander::load
 
 int main(int argc, char** argv) {
+  oleander::io::LogToStandardError();
   gflags::SetUsageMessage("oleander_load --workload=FILE [--seed=N]");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   oleander::io::SetLogInstance("load");
--- a/apps/oleanderctl/main.cc
+++ b/apps/oleanderctl/main.cc
@@ -10,6 +10,7 @@
 
 #include "commands.h"
 #include "node/settings.h"
+#include "io/log.h"
 #include "oleander/result_code.h"
 
 DEFINE_string(address, "127.0.0.1:9090",
@@ -133,6 +134,7 @@
 }  // namespace oleander::ctl
 
 int main(int argc, char** argv) {
+  oleander::io::LogToStandardError();
   gflags::SetUsageMessage(oleander::ctl::UsageText());
   gflags::SetVersionString("0.1.0");
   gflags::ParseCommandLineFlags(&argc, &argv, /*remove_flags=*/true);
--- a/apps/oleanderd/main.cc
+++ b/apps/oleanderd/main.cc
@@ -72,8 +72,8 @@
     return settings.status();
   }
   PrepareLog(settings->log_level, settings->instance);
-  const auto node = entry::EntryNode::Create(*settings, source.file,
-                                             platform::MakePorts);
+  const auto node =
+      entry::EntryNode::Create(*settings, source.file, platform::MakePorts);
   if (!node.ok()) {
     return node.status();
   }
@@ -103,8 +103,8 @@
       document->is_object() && document->contains("deployment")
           ? document->at("deployment")
           : own;
-  const auto* found = std::ranges::find_if(
-      kDeployments, [&name](const Deployment& deployment) {
+  const auto* found =
+      std::ranges::find_if(kDeployments, [&name](const Deployment& deployment) {
         return name == nlohmann::json(deployment.name);
       });
   if (found == kDeployments.end()) {
--- a/include/oleander/event_cutter.h
+++ b/include/oleander/event_cutter.h
@@ -43,7 +43,7 @@
 
   size_t max_event_bytes_;
   std::string part_;
-  size_t scanned_ = 0;     // Up to here part_ holds whole lines that were read.
+  size_t scanned_ = 0;  // Up to here part_ holds whole lines that were read.
   std::string pending_id_;  // Of the event that is being read.
   bool has_lines_ = false;
   std::string last_id_;
--- a/include/oleander/fleet_sizing.h
+++ b/include/oleander/fleet_sizing.h
@@ -34,8 +34,8 @@
   Duration load_memory = std::chrono::seconds(12);
   // Servers are given back after fewer were needed for this long.
   Duration shrink_after = std::chrono::seconds(6);
-  // Who takes up the duty orders nothing for this long, but what the load lacks:
-  // it has to see the load, and the servers have to be listed.
+  // Who takes up the duty orders nothing for this long, but what the load
+  // lacks: it has to see the load, and the servers have to be listed.
   Duration settle = std::chrono::seconds(4);
   // Without any load, a share of the servers that are there is kept.
   double share_at_start = 0.67;
@@ -87,7 +87,7 @@
   std::optional<Time> observed_since_;
   bool loaded_ = false;  // There was load.
   int floor_ = 0;        // Steady servers that are kept in any case.
-  int wanted_ = 0;  // Servers of both markets, all domains together.
+  int wanted_ = 0;       // Servers of both markets, all domains together.
   std::optional<Time> fewer_since_;
 };
 
--- a/include/oleander/placement.h
+++ b/include/oleander/placement.h
@@ -94,8 +94,8 @@
 
   Duration CostOf(Time now, const Server& server, int rank,
                   const PlacementQuestion& question) const;
-  std::vector<const Server*> Candidates(Time now,
-                                        const PlacementQuestion& question) const;
+  std::vector<const Server*> Candidates(
+      Time now, const PlacementQuestion& question) const;
   const RegionId* RegionOf(const DomainId& domain) const;
 
   PlacementOptions options_;
--- a/include/oleander/send_policy.h
+++ b/include/oleander/send_policy.h
@@ -43,8 +43,8 @@
   int most_not_run = 3;
 };
 
-SendVerdict JudgeSend(const SendPolicyOptions& options,
-                            const CallRoute& route, const SendHistory& state);
+SendVerdict JudgeSend(const SendPolicyOptions& options, const CallRoute& route,
+                      const SendHistory& state);
 
 }  // namespace oleander
 
--- a/include/oleander/serving_config.h
+++ b/include/oleander/serving_config.h
@@ -77,21 +77,21 @@
 struct ScalingRule {
   int minimum = 0;
   int maximum = 0;
-  Duration boot{};             // From the order to the first request served.
+  Duration boot{};               // From the order to the first request served.
   double reclaimable_price = 1;  // As a share of the other servers' price.
   std::map<DomainId, double> domain_prices;  // Per server and second.
 };
 
 // What a model engine can do.
 struct EngineRule {
-  int slots = 0;            // Requests in one batch.
+  int slots = 0;             // Requests in one batch.
   int64_t cache_tokens = 0;  // Memory for running requests and cached parts.
 };
 
 struct ServiceRule {
   ServiceId id;
   std::string health_path;
-  int max_connections = 0;  // Per server, from all instances together.
+  int max_connections = 0;           // Per server, from all instances together.
   std::optional<EngineRule> engine;  // Only for model services.
   std::optional<ScalingRule> scaling;
 };
@@ -122,14 +122,13 @@
   int64_t revision() const { return parts_.revision; }
   const std::vector<CallRoute>& routes() const { return parts_.routes; }
   const std::vector<ServiceRule>& services() const { return parts_.services; }
-  const std::vector<Workspace>& workspaces() const {
-    return parts_.workspaces;
-  }
+  const std::vector<Workspace>& workspaces() const { return parts_.workspaces; }
   const CallerLimits& limits() const { return parts_.limits; }
 
   // The route of `host` with the longest prefix that begins `path`; null where
   // there is none.
-  const CallRoute* FindRoute(std::string_view host, std::string_view path) const;
+  const CallRoute* FindRoute(std::string_view host,
+                             std::string_view path) const;
   // The workspace that holds `credential`; null where none does.
   const Workspace* FindWorkspace(std::string_view credential) const;
   const ServiceRule* FindService(const ServiceId& service) const;
@@ -144,8 +143,8 @@
   absl::flat_hash_map<ServiceId, size_t> services_;
 };
 
-// The target for a call of `route`. `draw` is uniform in [0, 1) and the same for
-// each attempt of one call, so that its attempts stay with one service.
+// The target for a call of `route`. `draw` is uniform in [0, 1) and the same
+// for each attempt of one call, so that its attempts stay with one service.
 const ServiceId& PickTarget(const CallRoute& route, double draw);
 
 }  // namespace oleander
--- a/include/oleander/workspace_quotas.h
+++ b/include/oleander/workspace_quotas.h
@@ -93,7 +93,7 @@
     double grant = 0;  // What this instance may spend until the next tidings.
     double own_demand = 0;    // Fading with time.
     double peers_demand = 0;  // Fading with time.
-    double promised = 0;  // Of refused calls that were told when to return.
+    double promised = 0;      // Of refused calls that were told when to return.
     Time filled_at;
   };
   struct Peer {
--- a/src/entry/call_context.h
+++ b/src/entry/call_context.h
@@ -2,6 +2,8 @@
 #ifndef OLEANDER_ENTRY_CALL_CONTEXT_H_
 #define OLEANDER_ENTRY_CALL_CONTEXT_H_
 
+#include <cstddef>
+#include <limits>
 #include <memory>
 
 #include "entry/entry_metrics.h"
@@ -30,6 +32,8 @@
   UsageWindows usage;
   WorkspaceQuotas quotas;
   std::shared_ptr<const ServingConfig> config = nullptr;  // Null: none known.
+  size_t open_calls = 0;  // Accepted, and not done with.
+  size_t max_calls = std::numeric_limits<size_t>::max();
   bool draining = false;
   bool refusing = false;  // Too late to take a request before the end.
 };
--- a/src/entry/call_handler.cc
+++ b/src/entry/call_handler.cc
@@ -116,20 +116,25 @@
 void CallHandler::WaitForQuota(AcceptedCall call, Duration wait) {
   auto timer = std::make_shared<io::Timer>();
   // The timer lives in its own callback until it has fired.
-  *timer = context_.loop.After(
-      wait, [this, timer, call = std::move(call)]() mutable {
-        if (call.exchange->closed()) {
-          return;
-        }
-        if (const auto still = TakeQuota(call)) {
-          Refuse(call, QuotaError(call, *still));
-        } else {
-          Forward(std::move(call));
-        }
-      });
+  *timer = context_.loop.After(wait,
+                               [this, timer, call = std::move(call)]() mutable {
+                                 if (call.exchange->closed()) {
+                                   return;
+                                 }
+                                 if (const auto still = TakeQuota(call)) {
+                                   Refuse(call, QuotaError(call, *still));
+                                 } else {
+                                   Forward(std::move(call));
+                                 }
+                               });
 }
 
 absl::Status CallHandler::Accept(AcceptedCall& call) const {
+  if (context_.open_calls >= context_.max_calls) {
+    return Unready(ResultCode::kMemoryFull,
+                   "This instance holds as many requests as its memory "
+                   "allows.");
+  }
   auto intake = context_.codec.Read(call.exchange->request());
   if (!intake.ok()) {
     return intake.status();
@@ -157,8 +162,7 @@
   return absl::OkStatus();
 }
 
-std::optional<Duration> CallHandler::TakeQuota(
-    const AcceptedCall& call) const {
+std::optional<Duration> CallHandler::TakeQuota(const AcceptedCall& call) const {
   const auto& workspaces = call.config->workspaces();
   const auto found =
       std::ranges::find(workspaces, call.workspace, &Workspace::id);
@@ -218,8 +222,7 @@
                          const absl::Status& status) const {
   const ErrorDetails details = DetailsOf(status);
   const int http_status = InfoOf(details.code).http_status;
-  io::Headers headers = {
-      {.name = "content-type", .value = "application/json"}};
+  io::Headers headers = {{.name = "content-type", .value = "application/json"}};
   if (details.retry_after) {
     const double seconds =
         std::chrono::duration<double>(*details.retry_after).count();
--- a/src/entry/duty_lease.cc
+++ b/src/entry/duty_lease.cc
@@ -20,8 +20,8 @@
 }  // namespace
 
 DutyLease::DutyLease(io::EventLoop& loop, ports::StorePort& store,
-                     EntryMetrics& metrics, LeaseOptions options,
-                     uint64_t seed, std::function<void()> on_taken)
+                     EntryMetrics& metrics, LeaseOptions options, uint64_t seed,
+                     std::function<void()> on_taken)
     : loop_(loop),
       store_(store),
       metrics_(metrics),
@@ -57,8 +57,7 @@
     follow_timer_ = loop_.After(kFollowRetry, [this] { Follow(); });
     return;
   }
-  const bool gone =
-      !answer->changes.empty() && answer->changes.back().removed;
+  const bool gone = !answer->changes.empty() && answer->changes.back().removed;
   followed_to_ = answer->revision;
   if (gone) {
     keeper_.LookNow(loop_.now());
@@ -75,19 +74,18 @@
   keeper_.Tick(loop_.now());
   for (const LeaseAction& action : keeper_.TakeActions()) {
     std::visit(
-        Overloaded{
-            [this](const StoreRequest& request) { Send(request); },
-            [this](const LeaseTaken& taken) {
-              io::Log(io::LogLevel::kInfo, "duty.taken",
-                      {{"key", keeper_.key()}, {"fence", taken.fence}});
-              on_taken_();
-            },
-            [this](const LeaseDropped& dropped) {
-              io::Log(io::LogLevel::kInfo, "duty.dropped",
-                      {{"key", keeper_.key()},
-                       {"fence", dropped.fence},
-                       {"reason", dropped.reason}});
-            }},
+        Overloaded{[this](const StoreRequest& request) { Send(request); },
+                   [this](const LeaseTaken& taken) {
+                     io::Log(io::LogLevel::kInfo, "duty.taken",
+                             {{"key", keeper_.key()}, {"fence", taken.fence}});
+                     on_taken_();
+                   },
+                   [this](const LeaseDropped& dropped) {
+                     io::Log(io::LogLevel::kInfo, "duty.dropped",
+                             {{"key", keeper_.key()},
+                              {"fence", dropped.fence},
+                              {"reason", dropped.reason}});
+                   }},
         action);
   }
   const Time due = keeper_.next_due();
@@ -105,22 +103,21 @@
   std::visit(
       Overloaded{
           [&](const StoreLeaseGrant& grant) {
-            store_.LeaseGrant(grant, [this, counted,
-                                      call = grant.call](const auto& answer) {
-              counted(answer.status());
-              keeper_.OnLease(call, answer, loop_.now());
-              Drive();
-            });
-          },
-          [&](const StoreLeaseKeepAlive& renewal) {
-            store_.LeaseKeepAlive(
-                renewal,
-                [this, counted, call = renewal.call](const auto& answer) {
+            store_.LeaseGrant(
+                grant, [this, counted, call = grant.call](const auto& answer) {
                   counted(answer.status());
                   keeper_.OnLease(call, answer, loop_.now());
                   Drive();
                 });
           },
+          [&](const StoreLeaseKeepAlive& renewal) {
+            store_.LeaseKeepAlive(renewal, [this, counted, call = renewal.call](
+                                               const auto& answer) {
+              counted(answer.status());
+              keeper_.OnLease(call, answer, loop_.now());
+              Drive();
+            });
+          },
           [&](const StoreLeaseRevoke& revoke) {
             store_.LeaseRevoke(revoke, [counted](const auto& answer) {
               counted(answer.status());
--- a/src/entry/duty_lease.h
+++ b/src/entry/duty_lease.h
@@ -15,8 +15,8 @@
 class DutyLease {
  public:
   // `on_taken` is called each time the duty becomes this instance's.
-  DutyLease(io::EventLoop& loop, ports::StorePort& store,
-            EntryMetrics& metrics, LeaseOptions options, uint64_t seed,
+  DutyLease(io::EventLoop& loop, ports::StorePort& store, EntryMetrics& metrics,
+            LeaseOptions options, uint64_t seed,
             std::function<void()> on_taken);
 
   void Want(bool want);
--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -25,8 +25,7 @@
   EntryMetrics();
 
   // A call's final answer, and how long its caller waited for it.
-  void CountAnswer(const ServiceId& service, ResultCode code,
-                   Duration latency);
+  void CountAnswer(const ServiceId& service, ResultCode code, Duration latency);
   void ObserveFirstEvent(const ServiceId& service, Duration latency);
   void CountAttempt(const ServiceId& service);
   void CountResume(const ServiceId& service);
--- a/src/entry/entry_node.cc
+++ b/src/entry/entry_node.cc
@@ -57,6 +57,9 @@
 constexpr Duration kDutyRenewal = std::chrono::milliseconds(1200);
 constexpr Duration kDutyStopEarly = std::chrono::milliseconds(1200);
 constexpr Duration kDutyLook = std::chrono::milliseconds(6000);
+// The most that a call holds at once: its request, and what a slow caller has
+// not taken of its answer, twice.
+constexpr size_t kBytesPerCall = size_t{256} << 10;
 constexpr Duration kSettingsCheck = std::chrono::seconds(2);
 // Kept of what all instances together may spend on retries.
 constexpr double kRetryMargin = 0.8;
@@ -116,16 +119,17 @@
         servers_client_(loop_, kServerIdleBound),
         platform_client_(loop_, kPlatformIdleBound),
         ports_(factory(settings_, platform_client_)),
-        context_{.loop = loop_,
-                 .servers_client = servers_client_,
-                 .codec = *ports_.calls,
-                 .metrics = metrics_,
-                 .proof = ConfigProof({.bound = settings_.bounds.revoke}),
-                 .listed = ListedServers(),
-                 .placement = Placement({}, settings_.place, seed_()),
-                 .retries = RetryBudget(RetryOptions(settings_.bounds)),
-                 .usage = UsageWindows(settings_.bounds.usage_window),
-                 .quotas = WorkspaceQuotas(QuotaOptions(settings_.bounds), seed_())},
+        context_{
+            .loop = loop_,
+            .servers_client = servers_client_,
+            .codec = *ports_.calls,
+            .metrics = metrics_,
+            .proof = ConfigProof({.bound = settings_.bounds.revoke}),
+            .listed = ListedServers(),
+            .placement = Placement({}, settings_.place, seed_()),
+            .retries = RetryBudget(RetryOptions(settings_.bounds)),
+            .usage = UsageWindows(settings_.bounds.usage_window),
+            .quotas = WorkspaceQuotas(QuotaOptions(settings_.bounds), seed_())},
         handler_(context_),
         run_(RunNumber()),
         news_(context_, context_.quotas, settings_, run_),
@@ -140,10 +144,10 @@
                  reporter_.OnTaken();
                  orderer_.OnTaken();
                }),
-        records_(context_, *ports_.store, settings_,
-                 fmt::format("{:016x}", run_),
-                 [this] { return lease_.FenceFor({}).has_value(); },
-                 [this] { OnRecords(); }),
+        records_(
+            context_, *ports_.store, settings_, fmt::format("{:016x}", run_),
+            [this] { return lease_.FenceFor({}).has_value(); },
+            [this] { OnRecords(); }),
         reporter_(context_, *ports_.store, *ports_.duties, records_, lease_,
                   settings_.bounds),
         orderer_(context_, *ports_.duties, lease_),
@@ -169,6 +173,7 @@
                   200, {{.name = "content-type", .value = "text/plain"}},
                   metrics_.Text());
             }) {
+    context_.max_calls = settings_.limits.memory_bytes / kBytesPerCall;
     news_.OnStoreMessage(
         [this](const InstanceId& from, const mesh::Envelope& message) {
           feed_.OnMessage(from, message);
@@ -208,9 +213,7 @@
   }
 
  private:
-  uint64_t RunNumber() {
-    return (uint64_t{seed_()} << 32) | seed_();
-  }
+  uint64_t RunNumber() { return (uint64_t{seed_()} << 32) | seed_(); }
 
   void OnRecords() {
     const size_t instances = records_.live_instances();
@@ -277,8 +280,7 @@
         Reload();
       }
     }
-    settings_timer_ =
-        loop_.After(kSettingsCheck, [this] { WatchSettings(); });
+    settings_timer_ = loop_.After(kSettingsCheck, [this] { WatchSettings(); });
   }
 
   // Not ready at once, but new connections are taken until the balancer has
@@ -311,8 +313,8 @@
   }
 
   void WaitForEnd() {
-    const bool idle = callers_.open_exchanges() == 0 &&
-                      callers_.open_connections() == 0;
+    const bool idle =
+        callers_.open_exchanges() == 0 && callers_.open_connections() == 0;
     if (idle || loop_.now() >= stop_by_) {
       duty_timer_ = loop_.After(kLastWrite, [this] { loop_.Stop(); });
       records_.WriteLast([this] { loop_.Stop(); });
--- a/src/entry/forwarded_call.cc
+++ b/src/entry/forwarded_call.cc
@@ -54,9 +54,12 @@
     : context_(context),
       call_(std::move(call)),
       question_(QuestionFor(call_)),
-      cutter_(kMaxEventBytes) {}
+      cutter_(kMaxEventBytes) {
+  ++context_.open_calls;
+}
 
 ForwardedCall::~ForwardedCall() {
+  --context_.open_calls;
   if (server_) {
     context_.placement.OnEnded(*server_);
   }
@@ -65,13 +68,12 @@
 void ForwardedCall::Start() {
   // The exchange holds the call until the caller's connection is done with it.
   call_.exchange->OnGone([self = shared_from_this()] { self->OnCallerGone(); });
-  deadline_timer_ = context_.loop.After(
-      time_left() - kAnswerBeforeDeadline,
-      [weak = weak_from_this()] {
-        if (const auto self = weak.lock()) {
-          self->OnDeadline();
-        }
-      });
+  deadline_timer_ = context_.loop.After(time_left() - kAnswerBeforeDeadline,
+                                        [weak = weak_from_this()] {
+                                          if (const auto self = weak.lock()) {
+                                            self->OnDeadline();
+                                          }
+                                        });
   context_.retries.OnSuccess(call_.service);
   SendNext();
 }
@@ -84,8 +86,7 @@
     return;
   }
   const std::optional<ServerId> picked = PickServer();
-  const ListedServer* server =
-      picked ? context_.listed.Find(*picked) : nullptr;
+  const ListedServer* server = picked ? context_.listed.Find(*picked) : nullptr;
   if (server == nullptr) {
     attempts_.server_left = false;
     if (attempts_.may_have_run > 0) {
@@ -125,17 +126,16 @@
     };
   };
   io::HttpCallCallbacks callbacks;
-  callbacks.on_head =
-      with_self([](ForwardedCall& self, int status,
-                   const io::Headers& headers) { self.OnHead(status, headers); });
+  callbacks.on_head = with_self(
+      [](ForwardedCall& self, int status, const io::Headers& headers) {
+        self.OnHead(status, headers);
+      });
   callbacks.on_body = with_self(
       [](ForwardedCall& self, std::string_view chunk) { self.OnBody(chunk); });
-  callbacks.on_end =
-      with_self([](ForwardedCall& self, const io::HttpCallEnd& end) {
-        self.OnEnd(end);
-      });
-  sending_ = context_.servers_client.Start(RequestFor(server),
-                                           std::move(callbacks));
+  callbacks.on_end = with_self(
+      [](ForwardedCall& self, const io::HttpCallEnd& end) { self.OnEnd(end); });
+  sending_ =
+      context_.servers_client.Start(RequestFor(server), std::move(callbacks));
 }
 
 ports::SendTerms ForwardedCall::TermsFor(const ServerId& server) const {
@@ -170,8 +170,8 @@
 void ForwardedCall::OnHead(int status, const io::Headers& headers) {
   const ports::AnswerHead head = context_.codec.ReadAnswer(status, headers);
   if (head.load) {
-    context_.placement.OnLoad(context_.loop.now(), *server_,
-                              head.load->running, head.load->waiting);
+    context_.placement.OnLoad(context_.loop.now(), *server_, head.load->running,
+                              head.load->waiting);
   }
   const bool foreign = head.attempt && *head.attempt != call_.intake.attempt;
   if (foreign) {
@@ -302,8 +302,8 @@
 
 void ForwardedCall::SettleAttempt(SendOutcome outcome,
                                   std::string_view reason) {
-  const bool failed = outcome == SendOutcome::kLost ||
-                      outcome == SendOutcome::kNotSent;
+  const bool failed =
+      outcome == SendOutcome::kLost || outcome == SendOutcome::kNotSent;
   const std::string kept(reason);
   EndAttempt(failed);
   Judge(outcome, kept);
@@ -325,8 +325,8 @@
 }
 
 void ForwardedCall::Judge(SendOutcome outcome, std::string_view reason) {
-  const bool known_not_run = outcome == SendOutcome::kNotRun ||
-                             outcome == SendOutcome::kNotSent;
+  const bool known_not_run =
+      outcome == SendOutcome::kNotRun || outcome == SendOutcome::kNotSent;
   (known_not_run ? attempts_.not_run : attempts_.may_have_run) += 1;
   attempts_.last = outcome;
   attempts_.time_left = time_left();
@@ -355,8 +355,8 @@
       SendNext();
       return;
     case SendVerdict::kRefuse:
-      Refuse(ResultCode::kNoServer, fmt::format("No server ran the request: {}.",
-                                                reason));
+      Refuse(ResultCode::kNoServer,
+             fmt::format("No server ran the request: {}.", reason));
       return;
     case SendVerdict::kUnknown:
       Fail(ResultCode::kAnswerLost,
@@ -416,8 +416,8 @@
       status,
       {{.name = "content-type", .value = "application/json"},
        {.name = "retry-after",
-        .value = fmt::format("{:.3f}",
-                             std::chrono::duration<double>(come_back).count())}},
+        .value = fmt::format(
+            "{:.3f}", std::chrono::duration<double>(come_back).count())}},
       ErrorBody(error));
   Finish(code, status, message);
 }
@@ -451,22 +451,22 @@
   deadline_timer_.Cancel();
   const Duration took = context_.loop.now() - call_.arrived;
   context_.metrics.CountAnswer(call_.service, code, took);
-  io::Log(code == ResultCode::kOk ? io::LogLevel::kDebug : io::LogLevel::kInfo,
-          "call.ended",
-          {{"call", call_.intake.attempt},
-           {"route", call_.route->name},
-           {"workspace", call_.workspace.value()},
-           {"config", call_.config->version()},
-           {"proof_age_ms",
-            Milliseconds(context_.proof.age(context_.loop.now()))},
-           {"server",
-            question_.tried.empty() ? "" : question_.tried.back().value()},
-           {"attempts", sends_},
-           {"events", cutter_.events()},
-           {"status", status},
-           {"code", static_cast<int>(code)},
-           {"ms", Milliseconds(took)},
-           {"reason", reason}});
+  io::Log(
+      code == ResultCode::kOk ? io::LogLevel::kDebug : io::LogLevel::kInfo,
+      "call.ended",
+      {{"call", call_.intake.attempt},
+       {"route", call_.route->name},
+       {"workspace", call_.workspace.value()},
+       {"config", call_.config->version()},
+       {"proof_age_ms", Milliseconds(context_.proof.age(context_.loop.now()))},
+       {"server",
+        question_.tried.empty() ? "" : question_.tried.back().value()},
+       {"attempts", sends_},
+       {"events", cutter_.events()},
+       {"status", status},
+       {"code", static_cast<int>(code)},
+       {"ms", Milliseconds(took)},
+       {"reason", reason}});
 }
 
 }  // namespace oleander::entry
--- a/src/entry/forwarded_call.h
+++ b/src/entry/forwarded_call.h
@@ -15,8 +15,8 @@
 
 #include "entry/call_context.h"
 #include "io/http_server.h"
-#include "oleander/send_policy.h"
 #include "oleander/event_cutter.h"
+#include "oleander/send_policy.h"
 
 namespace oleander::entry {
 
--- a/src/entry/peer_news.h
+++ b/src/entry/peer_news.h
@@ -1,6 +1,6 @@
-// The mesh between entry instances on a platform: tells peers what this instance
-// let through of quotas and takes in what they tell, and carries what the feeds
-// of the store ask each other.
+// The mesh between entry instances on a platform: tells peers what this
+// instance let through of quotas and takes in what they tell, and carries what
+// the feeds of the store ask each other.
 #ifndef OLEANDER_ENTRY_PEER_NEWS_H_
 #define OLEANDER_ENTRY_PEER_NEWS_H_
 
@@ -21,8 +21,8 @@
   PeerNews(CallContext& context, WorkspaceQuotas& quotas,
            const EntrySettings& settings, uint64_t run);
 
-  using Receiver =
-      std::function<void(const InstanceId& from, const mesh::Envelope& message)>;
+  using Receiver = std::function<void(const InstanceId& from,
+                                      const mesh::Envelope& message)>;
   // Gets the messages about the store.
   void OnStoreMessage(Receiver receiver) { receiver_ = std::move(receiver); }
   // What can't be sent is asked again or of another peer.
--- a/src/entry/record_keeper.cc
+++ b/src/entry/record_keeper.cc
@@ -62,8 +62,7 @@
 
 void RecordKeeper::Start() {
   // The first record tells peers where this instance is.
-  const int64_t current =
-      context_.usage.WindowOf(io::EventLoop::wall_now());
+  const int64_t current = context_.usage.WindowOf(io::EventLoop::wall_now());
   Write(current - 1, [this] { Read(); });
   ScheduleWrite();
   ScheduleRead();
@@ -150,11 +149,10 @@
 }
 
 void RecordKeeper::Read() {
-  store_.Range(
-      {.call = 0, .key = std::string(kRecordsPrefix), .prefix = true},
-      [this](const absl::StatusOr<StoreRangeAnswer>& answer) {
-        OnRead(answer);
-      });
+  store_.Range({.call = 0, .key = std::string(kRecordsPrefix), .prefix = true},
+               [this](const absl::StatusOr<StoreRangeAnswer>& answer) {
+                 OnRead(answer);
+               });
 }
 
 void RecordKeeper::OnRead(const absl::StatusOr<StoreRangeAnswer>& answer) {
@@ -177,8 +175,8 @@
       continue;
     }
     const auto seen = sightings_.find(entry.key);
-    const bool changed = seen == sightings_.end() ||
-                         seen->second.revision != entry.mod_revision;
+    const bool changed =
+        seen == sightings_.end() || seen->second.revision != entry.mod_revision;
     const Time changed_at = changed ? now : seen->second.changed_at;
     sightings[entry.key] = {.revision = entry.mod_revision,
                             .changed_at = changed_at};
@@ -201,9 +199,9 @@
     return;
   }
   StoreCas cas;
-  std::ranges::copy_n(keys.begin(),
-                      static_cast<int64_t>(std::min(keys.size(), kRemovedAtOnce)),
-                      std::back_inserter(cas.deletes));
+  std::ranges::copy_n(
+      keys.begin(), static_cast<int64_t>(std::min(keys.size(), kRemovedAtOnce)),
+      std::back_inserter(cas.deletes));
   store_.Cas(cas, [this](const absl::StatusOr<StoreCasAnswer>& answer) {
     context_.metrics.CountStoreCall("record_removal", answer.ok());
   });
--- a/src/entry/settings.cc
+++ b/src/entry/settings.cc
@@ -70,13 +70,12 @@
 
 EntryLimits ReadLimits(FieldReader& reader) {
   EntryLimits limits;
-  limits.memory_bytes = static_cast<size_t>(reader.Integer(
-                            "memory_mib", {.minimum = 32,
-                                           .maximum = int64_t{1} << 20})) *
-                        kMebibyte;
+  limits.memory_bytes =
+      static_cast<size_t>(reader.Integer(
+          "memory_mib", {.minimum = 32, .maximum = int64_t{1} << 20})) *
+      kMebibyte;
   limits.cores = reader.Number(
-      "cores",
-      {.fallback = std::nullopt, .minimum = 0.01, .maximum = 1024});
+      "cores", {.fallback = std::nullopt, .minimum = 0.01, .maximum = 1024});
   reader.Finish();
   return limits;
 }
--- a/src/entry/settings.h
+++ b/src/entry/settings.h
@@ -28,13 +28,14 @@
 // What operators promise their callers; each binds all instances together.
 struct Bounds {
   Duration revoke{};  // A withdrawn credential stops working; zero: no bound.
-  Duration drain_grace{};  // From the signal to stop until the process is ended.
-  double retry_share = 0;  // Further attempts for each call of a service.
-  double retry_slack = 0;  // Beyond the share, within a window.
+  Duration
+      drain_grace{};  // From the signal to stop until the process is ended.
+  double retry_share = 0;    // Further attempts for each call of a service.
+  double retry_slack = 0;    // Beyond the share, within a window.
   Duration quota_window{};   // Over which a quota is counted.
   double quota_overage = 0;  // What may pass beyond a quota's rate, as a share.
   double quota_slack = 0;    // What may pass beyond its burst.
-  Duration lease{};        // Least time between two holders' turns of one duty.
+  Duration lease{};  // Least time between two holders' turns of one duty.
   Duration usage_window{};
   Duration usage_late{};  // When a window's report is due, after its end.
 };
--- a/src/entry/size_orderer.cc
+++ b/src/entry/size_orderer.cc
@@ -77,10 +77,10 @@
       servers, std::back_inserter(calls), [&](const ListedServer* server) {
         // A server that this instance heard nothing from of late is known by
         // its own calls only; others send theirs.
-        return std::max(context_.placement.EstimatedCalls(now, server->id),
-                        static_cast<double>(
-                            context_.placement.own_calls(server->id)) *
-                            static_cast<double>(instances_));
+        return std::max(
+            context_.placement.EstimatedCalls(now, server->id),
+            static_cast<double>(context_.placement.own_calls(server->id)) *
+                static_cast<double>(instances_));
       });
   return calls;
 }
@@ -91,8 +91,7 @@
   Ordered& last = ordered_[{service, size.domain, size.market}];
   const Time now = context_.loop.now();
   const bool changed = last.servers != size.servers;
-  const bool stuck =
-      present != size.servers && now - last.at >= kOrderAgain;
+  const bool stuck = present != size.servers && now - last.at >= kOrderAgain;
   if (!fence || last.pending || (!changed && !stuck)) {
     return;
   }
--- a/src/entry/store_feed.cc
+++ b/src/entry/store_feed.cc
@@ -86,8 +86,8 @@
   if (!reads) {
     AskReader();
   }
-  const bool due = now - config_asked_at_ >=
-                   (config_stale ? kConfigRetry : kConfigPeriod);
+  const bool due =
+      now - config_asked_at_ >= (config_stale ? kConfigRetry : kConfigPeriod);
   if ((reads || config_stale) && due && !reading_config_) {
     ReadConfig();
   }
@@ -105,11 +105,12 @@
   const Time asked_at = context_.loop.now();
   reading_config_ = true;
   config_asked_at_ = asked_at;
-  store_.Range({.call = 0, .key = catalog_.config_key(), .prefix = false},
-               [this, asked_at](const absl::StatusOr<StoreRangeAnswer>& answer) {
-                 reading_config_ = false;
-                 OnConfig(asked_at, answer);
-               });
+  store_.Range(
+      {.call = 0, .key = catalog_.config_key(), .prefix = false},
+      [this, asked_at](const absl::StatusOr<StoreRangeAnswer>& answer) {
+        reading_config_ = false;
+        OnConfig(asked_at, answer);
+      });
 }
 
 void StoreFeed::OnConfig(Time asked_at,
@@ -256,8 +257,7 @@
   }
 }
 
-void StoreFeed::Answer(const InstanceId& peer,
-                       const entrywire::StoreAsk& ask) {
+void StoreFeed::Answer(const InstanceId& peer, const entrywire::StoreAsk& ask) {
   mesh::Envelope envelope;
   entrywire::StoreTell& tell = *envelope.mutable_store_tell();
   tell.set_round(ask.round());
@@ -267,10 +267,9 @@
     tell.set_proof_age_us(context_.proof.age(now).count());
   }
   // Only who waits at a store that answers knows that nothing else has changed.
-  const bool knows_servers = waiting_ && !away_ && read_at_ &&
-                             now - *read_at_ < kFreshWord &&
-                             ask.servers_revision() != 0 &&
-                             ask.servers_revision() >= changes_from_;
+  const bool knows_servers =
+      waiting_ && !away_ && read_at_ && now - *read_at_ < kFreshWord &&
+      ask.servers_revision() != 0 && ask.servers_revision() >= changes_from_;
   if (knows_servers) {
     tell.set_servers_revision(watched_to_);
     tell.set_servers_age_us((now - *read_at_).count());
@@ -370,11 +369,10 @@
 void StoreFeed::Publish() {
   const Time due = context_.listed.next_due();
   if (due != Time::max()) {
-    return_timer_ =
-        context_.loop.After(due - context_.loop.now(), [this] { 
-          context_.listed.Tick(context_.loop.now());
-          Publish();
-        });
+    return_timer_ = context_.loop.After(due - context_.loop.now(), [this] {
+      context_.listed.Tick(context_.loop.now());
+      Publish();
+    });
   }
   if (published_ == context_.listed.generation()) {
     return;
--- a/src/entry/store_feed.h
+++ b/src/entry/store_feed.h
@@ -28,8 +28,8 @@
   // `on_change` is called after each change of the configuration or of the
   // servers that may get work.
   StoreFeed(CallContext& context, ports::StorePort& store,
-            const ports::CatalogPort& catalog, PeerNews& peers,
-            InstanceId self, std::function<void()> on_change)
+            const ports::CatalogPort& catalog, PeerNews& peers, InstanceId self,
+            std::function<void()> on_change)
       : context_(context),
         store_(store),
         catalog_(catalog),
@@ -96,7 +96,7 @@
   // When the last own reading left that the store answered.
   std::optional<Time> read_at_;
   Time servers_fresh_at_;  // When the servers were last known to be up to date.
-  bool waiting_ = false;     // A call waits for changes of the servers.
+  bool waiting_ = false;   // A call waits for changes of the servers.
   uint64_t wait_round_ = 0;  // Answers of earlier rounds are ignored.
   uint64_t published_ = 0;
   bool away_ = false;
--- a/src/entry/usage_reporter.cc
+++ b/src/entry/usage_reporter.cc
@@ -67,9 +67,10 @@
   });
   if (open) {
     timer_ = context_.loop.After(kLookAgain, [this] {
-      const bool gathering = std::ranges::any_of(windows_, [](const auto& item) {
-        return item.second.phase == Phase::kGathering;
-      });
+      const bool gathering =
+          std::ranges::any_of(windows_, [](const auto& item) {
+            return item.second.phase == Phase::kGathering;
+          });
       if (gathering && lease_.FenceFor(kOrderTime)) {
         records_.ReadNow();  // Look() follows.
       } else {
@@ -119,15 +120,15 @@
   window.phase = Phase::kFixing;
   window.counts = Sum(number);
   ++calls_;
-  store_.Cas({.call = 0,
-              .compares = {{.key = KeyOf(number), .mod_revision = 0}},
-              .puts = {{.key = KeyOf(number),
-                        .value = Encode(number, window.counts)}},
-              .deletes = {KeyOf(number - kWindowsKept)}},
-             [this, number](const absl::StatusOr<StoreCasAnswer>& answer) {
-               --calls_;
-               OnFixed(number, answer);
-             });
+  store_.Cas(
+      {.call = 0,
+       .compares = {{.key = KeyOf(number), .mod_revision = 0}},
+       .puts = {{.key = KeyOf(number), .value = Encode(number, window.counts)}},
+       .deletes = {KeyOf(number - kWindowsKept)}},
+      [this, number](const absl::StatusOr<StoreCasAnswer>& answer) {
+        --calls_;
+        OnFixed(number, answer);
+      });
 }
 
 void UsageReporter::OnFixed(int64_t number,
--- a/src/io/event_loop.cc
+++ b/src/io/event_loop.cc
@@ -198,17 +198,16 @@
                           [&set](int number) { sigaddset(&set, number); });
     sigprocmask(SIG_BLOCK, &set, nullptr);
     const int fd = signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
-    auto watch =
-        owner.WatchReadable(fd, [fd, callback = std::move(callback)] {
-          signalfd_siginfo info;
-          bool arrived = false;
-          while (read(fd, &info, sizeof info) == sizeof info) {
-            arrived = true;
-          }
-          if (arrived) {
-            callback();
-          }
-        });
+    auto watch = owner.WatchReadable(fd, [fd, callback = std::move(callback)] {
+      signalfd_siginfo info;
+      bool arrived = false;
+      while (read(fd, &info, sizeof info) == sizeof info) {
+        arrived = true;
+      }
+      if (arrived) {
+        callback();
+      }
+    });
     signals.push_back({.fd = fd, .watch = std::move(watch)});
   }
 
--- a/src/io/http_client.cc
+++ b/src/io/http_client.cc
@@ -119,8 +119,7 @@
   if (!FindHeader(request.headers, "host").has_value()) {
     const bool v6 = request.address.find(':') != std::string::npos;
     fmt::format_to(std::back_inserter(head), "host: {}{}{}:{}\r\n",
-                   v6 ? "[" : "", request.address, v6 ? "]" : "",
-                   request.port);
+                   v6 ? "[" : "", request.address, v6 ? "]" : "", request.port);
   }
   const bool has_body = !request.body.empty() || request.method == "POST" ||
                         request.method == "PUT" || request.method == "PATCH";
@@ -142,8 +141,7 @@
 bool IsNumber(std::string_view text) {
   constexpr size_t kMostDigits = 18;
   return !text.empty() && text.size() <= kMostDigits &&
-         std::ranges::all_of(text,
-                             [](char c) { return c >= '0' && c <= '9'; });
+         std::ranges::all_of(text, [](char c) { return c >= '0' && c <= '9'; });
 }
 
 std::string_view Trimmed(std::string_view text) {
@@ -217,8 +215,8 @@
 // gone silent without a reset.
 void ProbeWhenSilent(int fd, Duration after) {
   const int on = 1;
-  const int seconds = static_cast<int>(
-      std::max<int64_t>(1, std::chrono::ceil<std::chrono::seconds>(after).count()));
+  const int seconds = static_cast<int>(std::max<int64_t>(
+      1, std::chrono::ceil<std::chrono::seconds>(after).count()));
   const int between = 1;
   const int missing = 1;
   setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
@@ -343,9 +341,8 @@
   static void OnReadHead(h2o_socket_t* socket, const char* error) {
     Call& call = Of(static_cast<h2o_http1client_t*>(socket->data));
     const std::shared_ptr<Call> keep = call.shared_from_this();
-    const bool sound =
-        error != nullptr ||
-        IsHeadSound({socket->input->bytes, socket->input->size});
+    const bool sound = error != nullptr ||
+                       IsHeadSound({socket->input->bytes, socket->input->size});
     if (sound) {
       call.read_head_(socket, error);
       return;
--- a/src/io/http_server.cc
+++ b/src/io/http_server.cc
@@ -440,9 +440,7 @@
 
 // h2o's own call for this also sets a timer for HTTP/2, which would outlive the
 // server.
-void HttpServer::CloseAfterAnswers() {
-  impl_->context.shutdown_requested = 1;
-}
+void HttpServer::CloseAfterAnswers() { impl_->context.shutdown_requested = 1; }
 
 uint16_t HttpServer::port() const { return impl_->port; }
 
--- a/src/io/log.cc
+++ b/src/io/log.cc
@@ -70,8 +70,7 @@
     scheduled_ = false;
     size_t written = 0;
     while (written < waiting_.size() && MayWrite()) {
-      const size_t size =
-          std::min(kUnblockedWrite, waiting_.size() - written);
+      const size_t size = std::min(kUnblockedWrite, waiting_.size() - written);
       const ssize_t done = write(fd_, waiting_.data() + written, size);
       if (done <= 0) {
         break;
@@ -183,9 +182,8 @@
   const auto now = std::chrono::floor<std::chrono::milliseconds>(
       std::chrono::system_clock::now());
   const auto verdict = EventSampler().Take(
-      event, std::chrono::floor<std::chrono::seconds>(now)
-                 .time_since_epoch()
-                 .count());
+      event,
+      std::chrono::floor<std::chrono::seconds>(now).time_since_epoch().count());
   if (!verdict.write) {
     return;
   }
--- a/src/io/mesh_codec.h
+++ b/src/io/mesh_codec.h
@@ -14,8 +14,8 @@
 // The classes of messages are the names of the envelope's fields; the first is
 // the one without a body.
 inline constexpr std::array<std::string_view, 9> kMeshClasses = {
-    "none",       "request", "ledger", "profile", "membership",
-    "load",       "news",    "store_ask",        "store_tell"};
+    "none", "request", "ledger",    "profile",   "membership",
+    "load", "news",    "store_ask", "store_tell"};
 
 // The index of the message's class in kMeshClasses.
 size_t MeshClassOf(const mesh::Envelope& message);
--- a/src/parts/fleet_sizing.cc
+++ b/src/parts/fleet_sizing.cc
@@ -8,18 +8,17 @@
 namespace oleander {
 namespace {
 
-int CountReady(const std::vector<const ListedServer*>& servers,
-               Market market) {
+int CountReady(const std::vector<const ListedServer*>& servers, Market market) {
   return static_cast<int>(
       std::ranges::count_if(servers, [market](const ListedServer* server) {
-        return server->state == ListedState::kReady &&
-               server->market == market;
+        return server->state == ListedState::kReady && server->market == market;
       }));
 }
 
 std::vector<std::pair<double, DomainId>> CheapestFirst(
     const ScalingRule& rule) {
   std::vector<std::pair<double, DomainId>> domains;
+  domains.reserve(rule.domain_prices.size());
   for (const auto& [domain, price] : rule.domain_prices) {
     domains.emplace_back(price, domain);
   }
@@ -42,15 +41,12 @@
   for (const auto& [price, domain] : domains) {
     const int here = std::clamp((steady + domains_left - 1) / domains_left,
                                 rule.minimum, rule.maximum);
-    const int more =
-        std::min((reclaimable + domains_left - 1) / domains_left,
-                 rule.maximum - here);
-    plan.push_back({.domain = domain,
-                    .market = Market::kOnDemand,
-                    .servers = here});
-    plan.push_back({.domain = domain,
-                    .market = Market::kReclaimable,
-                    .servers = more});
+    const int more = std::min((reclaimable + domains_left - 1) / domains_left,
+                              rule.maximum - here);
+    plan.push_back(
+        {.domain = domain, .market = Market::kOnDemand, .servers = here});
+    plan.push_back(
+        {.domain = domain, .market = Market::kReclaimable, .servers = more});
     steady -= here;
     reclaimable -= more;
     --domains_left;
@@ -82,20 +78,19 @@
   // The highest load that was seen twice, so that one odd report orders no
   // server.
   std::vector<double> loads;
-  std::ranges::transform(samples_, std::back_inserter(loads),
-                         &Sample::servers);
+  std::ranges::transform(samples_, std::back_inserter(loads), &Sample::servers);
   std::ranges::sort(loads, std::greater<>());
   return static_cast<int>(
       std::ceil(loads[std::min<size_t>(1, loads.size() - 1)]));
 }
 
 int FleetSizing::Settled(Time now, int need) {
-  if (need >= wanted_) {
-    wanted_ = need;
-    fewer_since_.reset();
-  } else if (!fewer_since_) {
+  if (need < wanted_ && !fewer_since_) {
     fewer_since_ = now;
-  } else if (now - *fewer_since_ >= options_.shrink_after) {
+  }
+  const bool fewer_for_long =
+      fewer_since_ && now - *fewer_since_ >= options_.shrink_after;
+  if (need >= wanted_ || fewer_for_long) {
     wanted_ = need;
     fewer_since_.reset();
   }
--- a/src/parts/listed_servers.cc
+++ b/src/parts/listed_servers.cc
@@ -49,8 +49,7 @@
   generation_ += same ? 0 : 1;
 }
 
-void ListedServers::Remove(Time now, const ServerId& server,
-                           int64_t revision) {
+void ListedServers::Remove(Time now, const ServerId& server, int64_t revision) {
   const auto found = entries_.find(server);
   if (found == entries_.end() || found->second.revision > revision) {
     return;
@@ -133,8 +132,8 @@
     return;
   }
   // A server that said it was leaving doesn't come back.
-  const bool may_return = ReturnsExpected(now) &&
-                          found->second.server.state == ListedState::kReady;
+  const bool may_return =
+      ReturnsExpected(now) && found->second.server.state == ListedState::kReady;
   if (!may_return) {
     entries_.erase(found);
     ++generation_;
--- a/src/parts/placement.cc
+++ b/src/parts/placement.cc
@@ -61,9 +61,9 @@
                        server);
     rank += own_region ? 1 : 0;
   }
-  const Duration least =
-      std::ranges::min(costs, {}, [](const auto& row) { return row.first; })
-          .first;
+  const Duration least = std::ranges::min(costs, {}, [](const auto& row) {
+                           return row.first;
+                         }).first;
   std::erase_if(costs, [this, least](const auto& row) {
     return row.first > least + options_.near_equal;
   });
@@ -134,8 +134,8 @@
   if (!known.reported_at || now - *known.reported_at > options_.report_age) {
     return known.own;
   }
-  return std::max<double>(
-      known.own, known.running + known.waiting + known.own - known.own_at_report);
+  return std::max<double>(known.own, known.running + known.waiting + known.own -
+                                         known.own_at_report);
 }
 
 int Placement::own_calls(const ServerId& server) const {
--- a/src/parts/send_policy.cc
+++ b/src/parts/send_policy.cc
@@ -11,8 +11,8 @@
   if (!possible) {
     return false;
   }
-  const bool known_not_run = state.last == SendOutcome::kNotSent ||
-                             state.last == SendOutcome::kNotRun;
+  const bool known_not_run =
+      state.last == SendOutcome::kNotSent || state.last == SendOutcome::kNotRun;
   if (known_not_run) {
     return state.may_have_run == 0 || route.may_repeat();
   }
@@ -21,16 +21,15 @@
 
 }  // namespace
 
-SendVerdict JudgeSend(const SendPolicyOptions& options,
-                            const CallRoute& route, const SendHistory& state) {
+SendVerdict JudgeSend(const SendPolicyOptions& options, const CallRoute& route,
+                      const SendHistory& state) {
   if (MayTryNext(options, route, state)) {
     return SendVerdict::kTryNext;
   }
   if (state.last == SendOutcome::kServerFailed) {
     return SendVerdict::kPassFailure;
   }
-  return state.may_have_run == 0 ? SendVerdict::kRefuse
-                                 : SendVerdict::kUnknown;
+  return state.may_have_run == 0 ? SendVerdict::kRefuse : SendVerdict::kUnknown;
 }
 
 }  // namespace oleander
--- a/src/parts/serving_config.cc
+++ b/src/parts/serving_config.cc
@@ -39,7 +39,7 @@
 }
 
 const CallRoute* ServingConfig::FindRoute(std::string_view host,
-                                      std::string_view path) const {
+                                          std::string_view path) const {
   size_t end = path.rfind('/');
   while (end != std::string_view::npos) {
     const auto found = routes_.find(RouteKey(host, path.substr(0, end + 1)));
@@ -68,9 +68,11 @@
 }
 
 const ServiceId& PickTarget(const CallRoute& route, double draw) {
-  const double total = std::accumulate(
-      route.targets.begin(), route.targets.end(), 0.0,
-      [](double sum, const RouteTarget& target) { return sum + target.weight; });
+  const double total =
+      std::accumulate(route.targets.begin(), route.targets.end(), 0.0,
+                      [](double sum, const RouteTarget& target) {
+                        return sum + target.weight;
+                      });
   double left = draw * total;
   const auto picked =
       std::ranges::find_if(route.targets, [&left](const RouteTarget& target) {
--- a/src/parts/workspace_quotas.cc
+++ b/src/parts/workspace_quotas.cc
@@ -50,9 +50,8 @@
   totals.asked += cost;
   bucket.own_demand += cost;
   const double share = ShareOf(bucket);
-  const bool passes =
-      bucket.grant > 0 && bucket.level > 0 &&
-      (cost <= bucket.grant || PassesByChance(bucket, cost));
+  const bool passes = bucket.grant > 0 && bucket.level > 0 &&
+                      (cost <= bucket.grant || PassesByChance(bucket, cost));
   if (passes) {
     bucket.level -= cost;
     bucket.grant -= cost;
@@ -64,10 +63,10 @@
   bucket.promised += cost;
   const double missing =
       bucket.promised - std::min({bucket.level, bucket.grant, 0.0});
-  return std::clamp(std::chrono::duration_cast<Duration>(
-                        std::chrono::duration<double>(std::min(
-                            missing / rate, Seconds(kLongestWait)))),
-                    kShortestWait, kLongestWait);
+  return std::clamp(
+      std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+          std::min(missing / rate, Seconds(kLongestWait)))),
+      kShortestWait, kLongestWait);
 }
 
 // Large calls must pass at times, too, and many instances may find a large one
@@ -122,8 +121,7 @@
 }
 
 double WorkspaceQuotas::RateOf(const WorkspaceQuota& quota) const {
-  return BoundOf(quota) * (1 - options_.depth_share) /
-         Seconds(options_.window);
+  return BoundOf(quota) * (1 - options_.depth_share) / Seconds(options_.window);
 }
 
 double WorkspaceQuotas::DepthOf(const WorkspaceQuota& quota) const {
@@ -134,8 +132,7 @@
   const Duration passed = std::max(now - bucket.filled_at, Duration::zero());
   bucket.filled_at = now;
   const auto instances = static_cast<double>(std::max<size_t>(1, instances_));
-  const double heard =
-      1 - static_cast<double>(SilentPeers(now)) / instances;
+  const double heard = 1 - static_cast<double>(SilentPeers(now)) / instances;
   const double added = RateOf(bucket.quota) * heard * Seconds(passed);
   const double depth = DepthOf(bucket.quota);
   bucket.level = std::min(depth, bucket.level + added);
@@ -148,12 +145,11 @@
   bucket.peers_demand *= fade;
 }
 
-// While the bucket is more than half full a flood is seen before it is empty, so
-// what is above that needn't be divided.
+// While the bucket is more than half full a flood is seen before it is empty,
+// so what is above that needn't be divided.
 void WorkspaceQuotas::Divide(Bucket& bucket) const {
   const double above_half = bucket.level - DepthOf(bucket.quota) / 2;
-  bucket.grant = std::max(
-      {0.0, bucket.level * ShareOf(bucket), above_half});
+  bucket.grant = std::max({0.0, bucket.level * ShareOf(bucket), above_half});
 }
 
 double WorkspaceQuotas::ShareOf(const Bucket& bucket) const {
--- a/src/ports/call_port.h
+++ b/src/ports/call_port.h
@@ -54,8 +54,8 @@
 // What the head of a backend server's answer says.
 struct AnswerHead {
   std::optional<std::string> attempt;  // The try that it belongs to.
-  bool sealed = false;   // It carries the server's own signature.
-  bool not_run = false;  // The server states that it did not run the call.
+  bool sealed = false;                 // It carries the server's own signature.
+  bool not_run = false;       // The server states that it did not run the call.
   bool other_server = false;  // Another server has this address now.
   bool encoded = false;       // The body isn't what the server made.
   std::optional<ServerLoad> load;
--- a/test/correctness/fleet_sizing_test.cc
+++ b/test/correctness/fleet_sizing_test.cc
@@ -12,13 +12,13 @@
 constexpr int kSlots = 96;
 
 ScalingRule Rule(double reclaimable_price = 0.18) {
-  return {.minimum = 1,
-          .maximum = 6,
-          .boot = seconds(4),
-          .reclaimable_price = reclaimable_price,
-          .domain_prices = {{DomainId("a"), 1.0},
-                            {DomainId("b"), 1.25},
-                            {DomainId("c"), 0.8}}};
+  return {
+      .minimum = 1,
+      .maximum = 6,
+      .boot = seconds(4),
+      .reclaimable_price = reclaimable_price,
+      .domain_prices = {
+          {DomainId("a"), 1.0}, {DomainId("b"), 1.25}, {DomainId("c"), 0.8}}};
 }
 
 // Servers that follow the orders at once, and load that is shared evenly.
@@ -35,11 +35,12 @@
     for (const Time end = now_ + length; now_ < end;
          now_ += std::chrono::milliseconds(500)) {
       const auto servers = Servers();
-      sizing_.Observe(now_, kSlots,
-                      std::vector<double>(
-                          servers.size(),
-                          calls / static_cast<double>(servers.size())));
+      sizing_.Observe(
+          now_, kSlots,
+          std::vector<double>(servers.size(),
+                              calls / static_cast<double>(servers.size())));
       std::vector<const ListedServer*> listed;
+      listed.reserve(servers.size());
       for (const ListedServer& server : servers) {
         listed.push_back(&server);
       }
--- a/test/correctness/placement_test.cc
+++ b/test/correctness/placement_test.cc
@@ -27,13 +27,13 @@
 
 Placement PlacementIn(const char* region, const char* domain,
                       const std::vector<ListedServer>& fleet, uint64_t seed) {
-  Placement placement({}, {.region = RegionId(region),
-                           .domain = DomainId(domain)},
-                      seed);
+  Placement placement(
+      {}, {.region = RegionId(region), .domain = DomainId(domain)}, seed);
   placement.SetRegions({{DomainId("stgo-a"), RegionId("santiago")},
                         {DomainId("stgo-b"), RegionId("santiago")},
                         {DomainId("conce-a"), RegionId("concepcion")}});
   std::vector<const ListedServer*> ready;
+  ready.reserve(fleet.size());
   for (const ListedServer& server : fleet) {
     ready.push_back(&server);
   }
@@ -97,8 +97,8 @@
   for (int call = 0; call < 60; ++call) {
     placement.OnSent(ServerId("conce-a-0"));
   }
-  BOOST_TEST((placement.Pick(kNow, {.service = kEngines}) !=
-              ServerId("conce-a-0")));
+  BOOST_TEST(
+      (placement.Pick(kNow, {.service = kEngines}) != ServerId("conce-a-0")));
 }
 
 BOOST_AUTO_TEST_CASE(a_server_that_fails_again_and_again_rests) {
@@ -120,8 +120,8 @@
   for (int failure = 0; failure < 5; ++failure) {
     placement.OnFailure(kNow, ServerId("conce-a-0"));
   }
-  BOOST_TEST((placement.Pick(kNow, {.service = kEngines}) ==
-              ServerId("conce-a-0")));
+  BOOST_TEST(
+      (placement.Pick(kNow, {.service = kEngines}) == ServerId("conce-a-0")));
 }
 
 BOOST_AUTO_TEST_CASE(a_server_that_was_tried_is_not_taken_again) {
--- a/test/correctness/reader_choice_test.cc
+++ b/test/correctness/reader_choice_test.cc
@@ -12,9 +12,8 @@
   std::vector<ReaderCandidate> fleet;
   for (const char* domain : {"a", "b", "c", "d"}) {
     for (int i = 0; i < per_domain; ++i) {
-      fleet.push_back(
-          {.instance = InstanceId(domain + std::to_string(i)),
-           .domain = DomainId(domain)});
+      fleet.push_back({.instance = InstanceId(domain + std::to_string(i)),
+                       .domain = DomainId(domain)});
     }
   }
   return fleet;
@@ -54,10 +53,9 @@
 
 BOOST_AUTO_TEST_CASE(is_everybody_where_there_are_few) {
   BOOST_TEST(ChooseReaders({}, 3).empty());
-  BOOST_TEST(ChooseReaders({{.instance = InstanceId("a"),
-                             .domain = DomainId("d")}},
-                           3)
-                 .size() == 1U);
+  BOOST_TEST(
+      ChooseReaders({{.instance = InstanceId("a"), .domain = DomainId("d")}}, 3)
+          .size() == 1U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/correctness/send_policy_test.cc
+++ b/test/correctness/send_policy_test.cc
@@ -47,8 +47,8 @@
 
 BOOST_AUTO_TEST_CASE(is_never_called_not_run_after_it_may_have) {
   SendHistory history = After(SendOutcome::kNotRun, 1, 1);
-  BOOST_TEST((Judge(RouteOf(CallKind::kOnce), history) ==
-              SendVerdict::kUnknown));
+  BOOST_TEST(
+      (Judge(RouteOf(CallKind::kOnce), history) == SendVerdict::kUnknown));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
@@ -56,8 +56,8 @@
 BOOST_AUTO_TEST_SUITE(a_call_that_may_repeat)
 
 BOOST_AUTO_TEST_CASE(runs_on_as_many_servers_as_its_route_allows) {
-  for (const CallRoute& route : {RouteOf(CallKind::kRepeatable),
-                                 RouteOf(CallKind::kStream, true)}) {
+  for (const CallRoute& route :
+       {RouteOf(CallKind::kRepeatable), RouteOf(CallKind::kStream, true)}) {
     BOOST_TEST((Judge(route, After(SendOutcome::kLost, 1, 0)) ==
                 SendVerdict::kTryNext));
     BOOST_TEST((Judge(route, After(SendOutcome::kServerFailed, 1, 0)) ==
--- a/test/correctness/serving_config_test.cc
+++ b/test/correctness/serving_config_test.cc
@@ -41,8 +41,7 @@
   BOOST_TEST(config->FindRoute("a.example", "/orders/7/x")->name == "orders");
   BOOST_TEST(config->FindRoute("a.example", "/orders/old/7")->name ==
              "old-orders");
-  BOOST_TEST(config->FindRoute("b.example", "/orders/7")->name ==
-             "other-host");
+  BOOST_TEST(config->FindRoute("b.example", "/orders/7")->name == "other-host");
 }
 
 BOOST_AUTO_TEST_CASE(is_missing_for_other_hosts_and_paths) {
--- a/test/correctness/store_feed_test.cc
+++ b/test/correctness/store_feed_test.cc
@@ -1,8 +1,9 @@
 // How instances come to know the configuration and the servers: from the store,
 // from a reader, and through the store's silence.
+#include "entry/store_feed.h"
+
 #include <boost/test/unit_test.hpp>
 
-#include "entry/store_feed.h"
 #include "oleander/result_code.h"
 #include "platform/catalog_codec.h"
 #include "support/entry_fixture.h"
@@ -76,9 +77,8 @@
       });
       return;
     }
-    loop_.Post([done = std::move(done), answer = std::move(answer)] {
-      done(answer);
-    });
+    loop_.Post(
+        [done = std::move(done), answer = std::move(answer)] { done(answer); });
   }
 
   void Poll(const ports::StoreWait& request, Done<ports::StoreChanges> done,
@@ -105,10 +105,9 @@
       done(changes);
       return;
     }
-    timers_.push_back(loop_.After(
-        milliseconds(10), [this, request, done = std::move(done), until] {
-          Poll(request, done, until);
-        }));
+    timers_.push_back(
+        loop_.After(milliseconds(10), [this, request, done = std::move(done),
+                                       until] { Poll(request, done, until); }));
   }
 
   io::EventLoop& loop_;
--- a/test/error/forwarded_call_test.cc
+++ b/test/error/forwarded_call_test.cc
@@ -10,7 +10,7 @@
 using io::AfterAnswer;
 using io::ScriptedAnswer;
 
-auto Always(ScriptedAnswer answer) {
+auto Always(const ScriptedAnswer& answer) {
   return [answer](const std::string&) { return answer; };
 }
 
@@ -109,8 +109,8 @@
 
 BOOST_AUTO_TEST_CASE(gets_the_servers_own_failure_unchanged) {
   EntryFixture entry;
-  entry.AddServer(Always({.bytes = SealedAnswer("broke", 500),
-                          .after = AfterAnswer::kKeep}));
+  entry.AddServer(Always(
+      {.bytes = SealedAnswer("broke", 500), .after = AfterAnswer::kKeep}));
   const std::string answer = entry.Ask("/once/a");
   BOOST_TEST(StatusOf(answer) == 500);
   BOOST_TEST(BodyOf(answer) == "broke");
@@ -150,8 +150,8 @@
   const std::string whole = SealedAnswer("a body of some length");
   for (size_t cut = 0; cut < whole.size(); ++cut) {
     EntryFixture entry;
-    entry.AddServer(Always(
-        {.bytes = whole.substr(0, cut), .after = AfterAnswer::kClose}));
+    entry.AddServer(
+        Always({.bytes = whole.substr(0, cut), .after = AfterAnswer::kClose}));
     BOOST_TEST_REQUIRE(StatusOf(entry.Ask("/repeat/a")) == 502);
   }
 }
@@ -178,9 +178,9 @@
 
 BOOST_AUTO_TEST_CASE(passes_its_events_and_its_end) {
   EntryFixture entry;
-  entry.AddServer(Always({.bytes = StreamHead() + Chunk(Event(1)) +
-                                   Chunk(Event(2)) + kLastChunk,
-                          .after = AfterAnswer::kKeep}));
+  entry.AddServer(Always(
+      {.bytes = StreamHead() + Chunk(Event(1)) + Chunk(Event(2)) + kLastChunk,
+       .after = AfterAnswer::kKeep}));
   const std::string answer = entry.Ask("/stream/a");
   BOOST_TEST(StatusOf(answer) == 200);
   BOOST_TEST(Holds(answer, Event(1)));
@@ -208,8 +208,9 @@
   const auto resume_after = [](const std::string& request) {
     const std::string name = "last-event-id: ";
     const size_t at = request.find(name);
-    return at == std::string::npos ? 0
-                                   : std::stoi(request.substr(at + name.size()));
+    return at == std::string::npos
+               ? 0
+               : std::stoi(request.substr(at + name.size()));
   };
   for (size_t cut = 0; cut < first_run.size(); cut += 3) {
     EntryFixture entry;
@@ -236,8 +237,7 @@
       for (int id = 1; id <= 4; ++id) {
         const size_t at = answer.find(Event(id));
         BOOST_TEST_REQUIRE(at != std::string::npos);
-        BOOST_TEST_REQUIRE(answer.find(Event(id), at + 1) ==
-                           std::string::npos);
+        BOOST_TEST_REQUIRE(answer.find(Event(id), at + 1) == std::string::npos);
       }
     }
   }
@@ -272,6 +272,20 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_CASE(more_calls_than_memory_holds_are_refused_at_once) {
+  EntryFixture entry;
+  io::ScriptedServer& server = entry.AddServer(Always(kGood));
+  entry.context.max_calls = 0;
+  const std::string answer = entry.Ask("/once/a");
+  BOOST_TEST(StatusOf(answer) == 503);
+  BOOST_TEST(Holds(answer, "retry-after:"));
+  BOOST_TEST(server.requests().empty());
+  entry.context.max_calls = 1;
+  BOOST_TEST(StatusOf(entry.Ask("/once/a")) == 200);
+  BOOST_TEST(StatusOf(entry.Ask("/once/a")) == 200);
+  BOOST_TEST(entry.context.open_calls == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(a_leaving_server_gets_no_call) {
   EntryFixture entry;
   io::ScriptedServer& server = entry.AddServer(Always(kGood));
--- a/test/error/http_bad_answer_test.cc
+++ b/test/error/http_bad_answer_test.cc
@@ -94,11 +94,11 @@
   EventLoop loop;
   int answers = 0;
   ScriptedServer server(loop, kTestAddress, [&](const std::string&) {
-    const std::string own =
-        "HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n" +
-        std::to_string(++answers);
-    return ScriptedAnswer{.bytes = own + "HTTP/1.1 200 OK\r\n"
-                                         "content-length: 5\r\n\r\nextra"};
+    const std::string own = "HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n" +
+                            std::to_string(++answers);
+    return ScriptedAnswer{.bytes = own +
+                                   "HTTP/1.1 200 OK\r\n"
+                                   "content-length: 5\r\n\r\nextra"};
   });
   HttpClient client(loop, std::chrono::seconds(5));
   for (int round = 1; round <= 3; ++round) {
--- a/test/error/platform_codecs_test.cc
+++ b/test/error/platform_codecs_test.cc
@@ -124,9 +124,9 @@
 }
 
 BOOST_AUTO_TEST_CASE(survives_fields_of_other_types) {
-  const auto parts = CatalogCodec().ReadConfig(Entry(
-      "op/config",
-      R"({"version":"x","routes":[7,{"host":[],"timeout_ms":1e300,
+  const auto parts = CatalogCodec().ReadConfig(
+      Entry("op/config",
+            R"({"version":"x","routes":[7,{"host":[],"timeout_ms":1e300,
       "split":{}}],"services":{},"tenants":[{"api_keys":"k"}],"limits":3})"));
   BOOST_TEST_REQUIRE(parts.ok());
   BOOST_TEST(parts->routes.size() == 1U);
@@ -146,15 +146,15 @@
 }
 
 BOOST_AUTO_TEST_CASE(tells_who_asks_for_what) {
-  const auto intake = CallCodec().Read(RequestWith(
-      {{"host", "a.example"},
-       {"x-oleanderfield-attempt-id", "id-1"},
-       {"x-oleanderfield-deadline-ms", "15000"},
-       {"x-oleanderfield-token-counts", "1460,80"},
-       {"x-oleanderfield-prompt-prefix", "5c:800,91:410,e4:250"},
-       {"x-oleanderfield-length-hint", "77"},
-       {"last-event-id", "12"},
-       {"authorization", "Token key-1"}}));
+  const auto intake = CallCodec().Read(
+      RequestWith({{"host", "a.example"},
+                   {"x-oleanderfield-attempt-id", "id-1"},
+                   {"x-oleanderfield-deadline-ms", "15000"},
+                   {"x-oleanderfield-token-counts", "1460,80"},
+                   {"x-oleanderfield-prompt-prefix", "5c:800,91:410,e4:250"},
+                   {"x-oleanderfield-length-hint", "77"},
+                   {"last-event-id", "12"},
+                   {"authorization", "Token key-1"}}));
   BOOST_TEST_REQUIRE(intake.ok());
   BOOST_TEST(intake->host == "a.example");
   BOOST_TEST(intake->attempt == "id-1");
@@ -184,31 +184,29 @@
     BOOST_TEST_CONTEXT(header.name << ": " << header.value) {
       const auto intake = CallCodec().Read(RequestWith({header}));
       BOOST_TEST_REQUIRE(!intake.ok());
-      BOOST_TEST(
-          (CodeOf(intake.status()) == ResultCode::kMalformedRequest));
+      BOOST_TEST((CodeOf(intake.status()) == ResultCode::kMalformedRequest));
     }
   }
 }
 
 BOOST_AUTO_TEST_CASE(keeps_headers_of_one_connection_to_itself) {
-  const io::Headers headers = CallCodec().ForServer(
-      RequestWith({{"connection", "close, X-Private"},
-                   {"x-private", "1"},
-                   {"keep-alive", "timeout=5"},
-                   {"transfer-encoding", "chunked"},
-                   {"x-public", "1"}}),
-      {.server = ServerId("i-1"),
-       .workspace = WorkspaceId("t"),
-       .time_left = std::chrono::milliseconds(1500),
-       .urgency = 3,
-       .resume_after = std::nullopt});
+  const io::Headers headers =
+      CallCodec().ForServer(RequestWith({{"connection", "close, X-Private"},
+                                         {"x-private", "1"},
+                                         {"keep-alive", "timeout=5"},
+                                         {"transfer-encoding", "chunked"},
+                                         {"x-public", "1"}}),
+                            {.server = ServerId("i-1"),
+                             .workspace = WorkspaceId("t"),
+                             .time_left = std::chrono::milliseconds(1500),
+                             .urgency = 3,
+                             .resume_after = std::nullopt});
   BOOST_TEST(!io::FindHeader(headers, "x-private").has_value());
   BOOST_TEST(!io::FindHeader(headers, "connection").has_value());
   BOOST_TEST(!io::FindHeader(headers, "keep-alive").has_value());
   BOOST_TEST(!io::FindHeader(headers, "transfer-encoding").has_value());
   BOOST_TEST(io::FindHeader(headers, "x-public").has_value());
-  BOOST_TEST(*io::FindHeader(headers, "x-oleanderfield-deadline-ms") ==
-             "1500");
+  BOOST_TEST(*io::FindHeader(headers, "x-oleanderfield-deadline-ms") == "1500");
   BOOST_TEST(*io::FindHeader(headers, "x-oleanderfield-request-urgency") ==
              "3");
 }
--- a/test/random/workspace_quotas_test.cc
+++ b/test/random/workspace_quotas_test.cc
@@ -87,9 +87,8 @@
   }
 
   void Arrivals(const Load& load) {
-    const double mean =
-        load.tokens_per_s / load.mean_cost *
-        std::chrono::duration<double>(kStep).count();
+    const double mean = load.tokens_per_s / load.mean_cost *
+                        std::chrono::duration<double>(kStep).count();
     std::poisson_distribution<int> calls(mean);
     std::discrete_distribution<size_t> where(load.weights.begin(),
                                              load.weights.end());
@@ -150,9 +149,8 @@
 BOOST_AUTO_TEST_CASE(a_workspace_within_its_rate_is_not_refused) {
   for (uint64_t seed = 1; seed <= 5; ++seed) {
     QuotaFleet fleet(8, kQuota, seed);
-    fleet.Run(seconds(10), {.tokens_per_s = 1,
-                            .mean_cost = 1,
-                            .weights = kUneven});
+    fleet.Run(seconds(10),
+              {.tokens_per_s = 1, .mean_cost = 1, .weights = kUneven});
     fleet.Run(seconds(60), {.tokens_per_s = kQuota.per_s * 0.6,
                             .mean_cost = 5'000,
                             .weights = kUneven});
@@ -207,9 +205,8 @@
   for (uint64_t seed = 1; seed <= 5; ++seed) {
     QuotaFleet fleet(8, kQuota, seed);
     // Quiet first, so that as much as possible passes right before.
-    fleet.Run(seconds(12), {.tokens_per_s = 1,
-                            .mean_cost = 1,
-                            .weights = kUneven});
+    fleet.Run(seconds(12),
+              {.tokens_per_s = 1, .mean_cost = 1, .weights = kUneven});
     fleet.Run(milliseconds(2500), kFlood);
     fleet.RestartAll();
     fleet.Run(seconds(12), kFlood);
@@ -224,10 +221,8 @@
   ServingConfigParts parts;
   Workspace workspace;
   workspace.id = kBakery;
-  workspace.quota = {.per_s = 1000,
-                     .burst = 1000,
-                     .in_tokens = true,
-                     .plain_tokens = 1};
+  workspace.quota = {
+      .per_s = 1000, .burst = 1000, .in_tokens = true, .plain_tokens = 1};
   parts.workspaces = {workspace};
   quotas.SetQuotas(Time(), *ServingConfig::Create(std::move(parts)));
   std::vector<Duration> waits;
--- a/test/support/entry_fixture.h
+++ b/test/support/entry_fixture.h
@@ -56,9 +56,8 @@
                 .metrics = metrics_,
                 .proof = ConfigProof({.bound = std::chrono::seconds(5)}),
                 .listed = ListedServers(),
-                .placement = Placement({}, {.region = RegionId("r"),
-                                            .domain = DomainId("d")},
-                                       1),
+                .placement = Placement(
+                    {}, {.region = RegionId("r"), .domain = DomainId("d")}, 1),
                 .retries = RetryBudget({.share = 0.2, .burst = 100}),
                 .usage = UsageWindows(std::chrono::seconds(5)),
                 .quotas = WorkspaceQuotas()},
@@ -70,6 +69,7 @@
     BOOST_REQUIRE(server_.Listen().ok());
     context.placement.SetRegions({{DomainId("d"), RegionId("r")}});
     SetConfig();
+    context.listed.Replace(loop.now(), {}, 0);
     context.proof.Prove(loop.now());
   }
 
@@ -106,15 +106,15 @@
   void Publish() { context.placement.SetServers(context.listed.ready()); }
 
   // Sends one request and waits until its connection ends.
-  std::string Ask(const std::string& path,
-                  const std::string& key = "key",
+  std::string Ask(const std::string& path, const std::string& key = "key",
                   const std::string& more = "") {
     io::RawConnection connection(io::kTestAddress, server_.port());
-    connection.Send("POST " + path + " HTTP/1.1\r\nhost: a.example\r\n" +
-                    "x-oleanderfield-attempt-id: " + kAttempt +
-                    "\r\nx-oleanderfield-deadline-ms: 3000\r\n" + more +
-                    (key.empty() ? "" : "authorization: Token " + key + "\r\n") +
-                    "connection: close\r\ncontent-length: 2\r\n\r\nhi");
+    connection.Send(
+        "POST " + path + " HTTP/1.1\r\nhost: a.example\r\n" +
+        "x-oleanderfield-attempt-id: " + kAttempt +
+        "\r\nx-oleanderfield-deadline-ms: 3000\r\n" + more +
+        (key.empty() ? "" : "authorization: Token " + key + "\r\n") +
+        "connection: close\r\ncontent-length: 2\r\n\r\nhi");
     BOOST_TEST_REQUIRE(io::RunUntil(loop, [&] { return !connection.Poll(); }));
     return connection.received();
   }
--- a/test/support/scripted_server.h
+++ b/test/support/scripted_server.h
@@ -1,5 +1,6 @@
 // A server that answers each request on a connection with given bytes, and then
-// keeps, closes or resets the connection: for answers that no HTTP server makes.
+// keeps, closes or resets the connection: for answers that no HTTP server
+// makes.
 #ifndef OLEANDER_TEST_SUPPORT_SCRIPTED_SERVER_H_
 #define OLEANDER_TEST_SUPPORT_SCRIPTED_SERVER_H_
 
@@ -104,9 +105,8 @@
     }
     if (answer.after != AfterAnswer::kKeep) {
       // The bytes go out before the end does.
-      end_timers_.push_back(loop_.After(
-          std::chrono::milliseconds(20),
-          [&connection] { connection.Close(); }));
+      end_timers_.push_back(loop_.After(std::chrono::milliseconds(20),
+                                        [&connection] { connection.Close(); }));
     }
   }
 
