--- a/apps/oleanderctl/main.cc
+++ b/apps/oleanderctl/main.cc
@@ -9,8 +9,8 @@
 #include <optional>
 
 #include "commands.h"
-#include "node/settings.h"
 #include "io/log.h"
+#include "node/settings.h"
 #include "oleander/result_code.h"
 
 DEFINE_string(address, "127.0.0.1:9090",
