A request's state as a far reader sees it follows what that reader may have

Cause: an instance that answered another instance's question for a request told the state of its own record (done) with the events that the replica had confirmed by then. Change: one function gives the state for what is visible; the local view, which was right, uses it, too. Test: a_request/counts_as_done_elsewhere_only_with_its_whole_answer failed before (state done, text xyz of xyzw), passes now.

--- a/src/parts/request_followers.cc
+++ b/src/parts/request_followers.cc
@@ -203,7 +203,7 @@
     FollowEvents events{.follower = follower.follower,
                         .first_index = first,
                         .events = EventsBetween(request, first, last),
-                        .state = StateOf(request),
+                        .state = StateOf(request, last),
                         .end = ends ? request.end : std::nullopt};
     follower.next = std::max(follower.next, last);
     follower.answer_due = false;
@@ -312,7 +312,7 @@
          FollowEvents{.follower = follow.follower,
                       .first_index = first,
                       .events = EventsBetween(request, first, visible),
-                      .state = StateOf(request),
+                      .state = StateOf(request, visible),
                       .end = whole ? request.end : std::nullopt});
     Settle(now, request);
     return;
--- a/src/parts/request_record.cc
+++ b/src/parts/request_record.cc
@@ -109,8 +109,8 @@
                          });
 }
 
-RequestState StateOf(const HeldRequest& request) {
-  if (!request.ended()) {
+RequestState StateOf(const HeldRequest& request, uint64_t visible) {
+  if (!request.ended() || visible < request.size()) {
     return request.events.empty() ? RequestState::kQueued
                                   : RequestState::kRunning;
   }
@@ -124,13 +124,11 @@
 
 RequestView ViewOf(const HeldRequest& request, uint64_t visible) {
   RequestView view;
-  view.state = StateOf(request);
+  view.state = StateOf(request, visible);
   view.events = visible;
   view.text = JoinEvents(EventsBetween(request, 0, visible));
   if (visible == request.size()) {
     view.end = request.end;
-  } else {
-    view.state = RequestState::kRunning;
   }
   return view;
 }
--- a/src/parts/request_record.h
+++ b/src/parts/request_record.h
@@ -119,7 +119,9 @@
                                        uint64_t first, uint64_t last);
 std::string JoinEvents(const std::vector<std::string>& events);
 
-RequestState StateOf(const HeldRequest& request);
+// The state as a reader sees it who may have `visible` events: a request whose
+// answer isn't wholly visible still runs for that reader.
+RequestState StateOf(const HeldRequest& request, uint64_t visible);
 RequestView ViewOf(const HeldRequest& request, uint64_t visible);
 // Bytes held and reserved for the request.
 int64_t BytesOf(const HeldRequest& request, const RequestLimits& limits);
--- a/test/correctness/requests_test.cc
+++ b/test/correctness/requests_test.cc
@@ -309,6 +309,37 @@
   One<CancelAttempt>("a");
 }
 
+BOOST_AUTO_TEST_CASE(counts_as_done_elsewhere_only_with_its_whole_answer) {
+  const RequestId id = *At("a").Accept(now, Spec());
+  Pass();
+  const std::string replica = One<RequestAccepted>("a").replica.value();
+  const std::string reader = replica == "b" ? "c" : "b";
+  const AttemptKey key = One<DispatchAttempt>("a").key;
+  now += milliseconds(50);
+  At("a").OnTokens(now, key, 0, Strings{"x", "y", "z"});
+  Pass();
+  // The replica has not confirmed the last event when the attempt ends.
+  At("a").OnTokens(now, key, 3, Strings{"w"});
+  At("a").OnAttemptEnded(now, key,
+                         {.status = absl::OkStatus(),
+                          .finish_reason = "length",
+                          .total_events = 4,
+                          .retryable = false});
+  Pass({replica});
+  At(reader).Follow(now, id, 0, FollowMode::kSnapshot);
+  Pass({replica});
+  const RequestView early = *One<SnapshotReady>(reader).view;
+  BOOST_TEST(early.text == "xyz");
+  BOOST_TEST((early.state == RequestState::kRunning));
+  BOOST_TEST(!early.end.has_value());
+  Wait(milliseconds(200), {replica});
+  At(reader).Follow(now, id, 0, FollowMode::kSnapshot);
+  Pass({replica});
+  const RequestView late = *One<SnapshotReady>(reader).view;
+  BOOST_TEST(late.text == "xyzw");
+  BOOST_TEST((late.state == RequestState::kDone));
+}
+
 BOOST_AUTO_TEST_CASE(that_nobody_knows_is_an_error) {
   At("a").Follow(now, RequestId("x~y~0123456789abcdef"), 0,
                  FollowMode::kStream);
