Retry budgets share the operators' bound by how many instances serve

A restart also began with a full burst. Ruled out: the share that is earned by calls (0.16 of the calls of a service, with the bound at 0.2). Change: PartOf() gives one instance's part of the bound; the records' count of live instances sets it, at first as for 400; nothing to start with. The same assumption holds for quotas until the records are read. Test: retries/of_many_instances_stay_within_the_bound_of_all plays 1, 8 and 75 instances with restarts (with the burst for eight it would be 1,425 and more retries at 75, bound 790).

--- a/include/oleander/retries.h
+++ b/include/oleander/retries.h
@@ -10,6 +10,7 @@
 #ifndef OLEANDER_RETRIES_H_
 #define OLEANDER_RETRIES_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <random>
@@ -21,15 +22,31 @@
 
 struct RetryBudgetOptions {
   double share = 0.1;  // Retries earned by each success.
-  double burst = 10;   // The most a service can save up; also its start.
+  double burst = 10;   // The most a service can save up.
+  double start = 10;   // What a service has at first, up to the burst.
 };
 
+// The operators' bound on retries of a service, over all instances together: in
+// some seconds at most `share` times the calls, and `slack` more.
+struct SharedRetryBound {
+  double share = 0;
+  double slack = 0;
+};
+
+// The part of one instance where `instances` serve: each earns by its own
+// calls, and all that they have saved up together stays within the slack.
+// Nothing to start with, or each restart of all would spend the slack anew.
+RetryBudgetOptions PartOf(const SharedRetryBound& bound, size_t instances);
+
 // Bounds the extra load of retries to a share of the successes, per service, so
 // that an overload can't feed itself.
 class RetryBudget {
  public:
   explicit RetryBudget(RetryBudgetOptions options);
 
+  // Replaces shares and bursts of all services; what is saved up beyond the
+  // burst goes.
+  void SetOptions(RetryBudgetOptions options);
   // Replaces the share of one service (its profile's `budget_share`).
   void SetShare(const ServiceId& service, double share);
   void OnSuccess(const ServiceId& service);
--- a/src/entry/entry_node.cc
+++ b/src/entry/entry_node.cc
@@ -46,9 +46,10 @@
 // Callers reuse connections that were idle for up to four fifths of the limit
 // that the configuration names; none of the pages' limits is longer.
 constexpr Duration kCallerIdleTimeout = std::chrono::seconds(60);
-// Until the number of instances is known, a retry budget that stays within the
-// whole even if as many as this spend theirs.
-constexpr double kAssumedInstances = 8;
+// Until the records tell how many instances serve: more than the largest
+// deployment of the letters has, so that parts of a whole are too small rather
+// than too large.
+constexpr size_t kAssumedInstances = 400;
 // The one duty: reports of usage and orders of servers.
 constexpr const char* kDuty = "platform";
 // Renewals cost a tenth of a read. A dead holder's duty is taken up within the
@@ -61,8 +62,6 @@
 // not taken of its answer, twice.
 constexpr size_t kBytesPerCall = size_t{256} << 10;
 constexpr Duration kSettingsCheck = std::chrono::seconds(2);
-// Kept of what all instances together may spend on retries.
-constexpr double kRetryMargin = 0.8;
 
 absl::flat_hash_map<DomainId, RegionId> RegionsOf(
     const EntrySettings& settings) {
@@ -102,10 +101,8 @@
   return std::string(std::istreambuf_iterator<char>(stream), {});
 }
 
-RetryBudgetOptions RetryOptions(const Bounds& bounds) {
-  return {.share = bounds.retry_share * kRetryMargin,
-          .burst = std::max(
-              1.0, bounds.retry_slack * kRetryMargin / kAssumedInstances)};
+SharedRetryBound RetryBoundOf(const Bounds& bounds) {
+  return {.share = bounds.retry_share, .slack = bounds.retry_slack};
 }
 
 }  // namespace
@@ -127,7 +124,8 @@
             .proof = ConfigProof({.bound = settings_.bounds.revoke}),
             .listed = ListedServers(),
             .placement = Placement({}, settings_.place, seed_()),
-            .retries = RetryBudget(RetryOptions(settings_.bounds)),
+            .retries = RetryBudget(
+                PartOf(RetryBoundOf(settings_.bounds), kAssumedInstances)),
             .usage = UsageWindows(settings_.bounds.usage_window),
             .quotas = WorkspaceQuotas(QuotaOptions(settings_.bounds), seed_())},
         handler_(context_),
@@ -150,7 +148,7 @@
             [this] { OnRecords(); }),
         reporter_(context_, *ports_.store, *ports_.duties, records_, lease_,
                   settings_.bounds),
-        orderer_(context_, *ports_.duties, lease_),
+        orderer_(context_, *ports_.duties, lease_, settings_.domains),
         callers_(loop_,
                  {.address = settings_.callers.address,
                   .port = settings_.callers.port,
@@ -179,8 +177,7 @@
           feed_.OnMessage(from, message);
         });
     context_.placement.SetRegions(RegionsOf(settings_));
-    context_.quotas.SetInstances(static_cast<size_t>(kAssumedInstances),
-                                 news_.silent_after());
+    context_.quotas.SetInstances(kAssumedInstances, news_.silent_after());
   }
 
   absl::Status Listen() {
@@ -217,10 +214,11 @@
 
   void OnRecords() {
     const size_t instances = records_.live_instances();
-    orderer_.SetInstances(instances);
     news_.OnRecords(records_);
     feed_.OnRecords(records_);
     context_.quotas.SetInstances(instances, news_.silent_after());
+    context_.retries.SetOptions(
+        PartOf(RetryBoundOf(settings_.bounds), instances));
     reporter_.OnRecords();
   }
 
--- a/src/parts/retries.cc
+++ b/src/parts/retries.cc
@@ -6,9 +6,31 @@
 #include "oleander/invariant.h"
 
 namespace oleander {
+namespace {
+
+// Kept of a shared bound: calls are counted where they arrive, a little later.
+constexpr double kUsedOfBound = 0.8;
+
+}  // namespace
+
+RetryBudgetOptions PartOf(const SharedRetryBound& bound, size_t instances) {
+  const auto parts = static_cast<double>(std::max<size_t>(1, instances));
+  // Below one an instance could never try again.
+  return {.share = bound.share * kUsedOfBound,
+          .burst = std::max(1.0, bound.slack * kUsedOfBound / parts),
+          .start = 0};
+}
 
 RetryBudget::RetryBudget(RetryBudgetOptions options) : options_(options) {}
 
+void RetryBudget::SetOptions(RetryBudgetOptions options) {
+  options_ = options;
+  for (auto& [service, account] : accounts_) {
+    account.share = options.share;
+    account.tokens = std::min(account.tokens, options.burst);
+  }
+}
+
 void RetryBudget::SetShare(const ServiceId& service, double share) {
   AccountOf(service).share = share;
 }
@@ -29,12 +51,14 @@
 
 double RetryBudget::remaining(const ServiceId& service) const {
   const auto found = accounts_.find(service);
-  return found == accounts_.end() ? options_.burst : found->second.tokens;
+  return found == accounts_.end() ? std::min(options_.start, options_.burst)
+                                  : found->second.tokens;
 }
 
 RetryBudget::Account& RetryBudget::AccountOf(const ServiceId& service) {
   const auto [entry, added] = accounts_.try_emplace(
-      service, Account{.tokens = options_.burst, .share = options_.share});
+      service, Account{.tokens = std::min(options_.start, options_.burst),
+                       .share = options_.share});
   return entry->second;
 }
 
--- a/test/correctness/retries_test.cc
+++ b/test/correctness/retries_test.cc
@@ -2,6 +2,7 @@
 #include "oleander/retries.h"
 
 #include <boost/test/unit_test.hpp>
+#include <vector>
 
 namespace oleander {
 namespace {
@@ -38,6 +39,53 @@
   BOOST_TEST(budget.remaining(service) == 3);
 }
 
+BOOST_AUTO_TEST_CASE(of_many_instances_stay_within_the_bound_of_all) {
+  // The operators of a fleet count its retries over ten seconds.
+  const SharedRetryBound bound{.share = 0.2, .slack = 190};
+  const ServiceId service("model");
+  for (const size_t instances : {size_t{1}, size_t{8}, size_t{75}}) {
+    std::vector<RetryBudget> fleet(instances,
+                                   RetryBudget(PartOf(bound, instances)));
+    int calls = 0;
+    // A minute of calm, in which each saves up what it can.
+    for (RetryBudget& budget : fleet) {
+      for (int i = 0; i < 1'000; ++i) {
+        budget.OnSuccess(service);
+      }
+    }
+    // Then every attempt of every call fails, and some instances restart.
+    int retries = 0;
+    for (int call = 0; call < 3'000; ++call) {
+      const size_t at = static_cast<size_t>(call) % instances;
+      if (call % 900 == 899) {
+        fleet[at] = RetryBudget(PartOf(bound, instances));
+      }
+      fleet[at].OnSuccess(service);
+      ++calls;
+      for (int attempt = 0; attempt < 3; ++attempt) {
+        retries += fleet[at].TryTake(service) ? 1 : 0;
+      }
+    }
+    BOOST_TEST_CONTEXT(instances << " instances") {
+      BOOST_TEST(retries <= bound.share * calls + bound.slack);
+      // And most of the bound can be used.
+      BOOST_TEST(retries >= 0.7 * bound.share * calls);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(learn_how_many_instances_share_the_bound) {
+  const SharedRetryBound bound{.share = 0.2, .slack = 100};
+  const ServiceId service("model");
+  RetryBudget budget(PartOf(bound, 1));
+  for (int i = 0; i < 10'000; ++i) {
+    budget.OnSuccess(service);
+  }
+  BOOST_TEST(budget.remaining(service) > 50);
+  budget.SetOptions(PartOf(bound, 50));
+  BOOST_TEST(budget.remaining(service) <= 2);
+}
+
 BOOST_AUTO_TEST_CASE(wait_longer_each_time_up_to_a_bound) {
   Backoff backoff({.initial = milliseconds(10),
                    .maximum = milliseconds(100),
