--- /dev/null
+++ b/test/correctness/record_keeper_test.cc
@@ -0,0 +1,117 @@
+// Records of instances in the store: who serves, and what each has counted.
+#include "entry/record_keeper.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "entry.pb.h"
+#include "support/duty_fixture.h"
+
+namespace oleander::entry {
+namespace {
+
+using std::chrono::milliseconds;
+
+const WorkspaceId kBakery("bakery");
+constexpr char kOwnKey[] = "/oleander/instances/one/run";
+constexpr char kOtherKey[] = "/oleander/instances/two/run";
+
+std::string RecordOf(const std::string& instance, int64_t closed_window) {
+  entrywire::EntryRecord record;
+  record.set_instance(instance);
+  record.set_address(io::kTestAddress);
+  record.set_mesh_port(7);
+  record.set_domain("d");
+  record.set_closed_window(closed_window);
+  return record.SerializeAsString();
+}
+
+struct Keeping : DutyFixture {
+  Keeping()
+      : records(
+            entry.context, store, settings, "run", [] { return true; },
+            [this] { ++readings; }) {}
+
+  int64_t OwnCount() const {
+    const StoreEntry* stored = store.Find(kOwnKey);
+    entrywire::EntryRecord record;
+    if (stored == nullptr || !record.ParseFromString(stored->value)) {
+      return -1;
+    }
+    int64_t sum = 0;
+    for (const entrywire::UsageWindow& window : record.windows()) {
+      for (const auto& [workspace, count] : window.counts()) {
+        sum += count;
+      }
+    }
+    return sum;
+  }
+
+  int readings = 0;
+  RecordKeeper records;
+};
+
+BOOST_FIXTURE_TEST_SUITE(record_keeper, Keeping)
+
+BOOST_AUTO_TEST_CASE(tells_who_serves_and_where) {
+  store.Write(kOtherKey, RecordOf("two", 1));
+  records.Start();
+  BOOST_TEST(Until([this] { return records.live_instances() == 2; }));
+  const auto other = std::ranges::find(records.records(), InstanceId("two"),
+                                       &InstanceRecord::instance);
+  BOOST_REQUIRE((other != records.records().end()));
+  BOOST_TEST(other->alive);
+  BOOST_TEST(other->mesh_port == 7);
+}
+
+BOOST_AUTO_TEST_CASE(counts_an_instance_once_whatever_runs_it_left) {
+  store.Write(kOtherKey, RecordOf("two", 1));
+  store.Write("/oleander/instances/two/earlier-run", RecordOf("two", 1));
+  records.Start();
+  BOOST_TEST(Until([this] { return readings > 0; }));
+  BOOST_TEST(records.live_instances() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(no_longer_counts_who_stopped_writing) {
+  store.Write(kOtherKey, RecordOf("two", 1));
+  records.Start();
+  BOOST_TEST(Until([this] { return records.live_instances() == 2; }));
+  BOOST_TEST(Until([this] { return records.live_instances() == 1; }));
+  // What it counted stays for the reports that are still due.
+  BOOST_TEST(records.records().size() == 2U);
+  BOOST_TEST(Until([this] { return store.Find(kOtherKey) == nullptr; }));
+}
+
+BOOST_AUTO_TEST_CASE(passes_over_a_record_that_cannot_be_read) {
+  store.Write("/oleander/instances/bad/run", "\xff\xff\xff");
+  records.Start();
+  BOOST_TEST(Until([this] { return readings > 0; }));
+  BOOST_TEST(records.live_instances() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(brings_counts_later_where_the_store_was_away) {
+  records.Start();
+  BOOST_TEST(Until([this] { return store.Find(kOwnKey) != nullptr; }));
+  store.SetDown(true);
+  for (int i = 0; i < 6; ++i) {
+    entry.context.usage.CountBegun(io::EventLoop::wall_now(), kBakery);
+  }
+  io::RunFor(entry.loop, milliseconds(1500));
+  BOOST_TEST(OwnCount() == 0);
+  store.SetDown(false);
+  BOOST_TEST(Until([this] { return OwnCount() == 6; }));
+}
+
+BOOST_AUTO_TEST_CASE(holds_the_last_counts_before_the_process_ends) {
+  records.Start();
+  BOOST_TEST(Until([this] { return store.Find(kOwnKey) != nullptr; }));
+  entry.context.usage.CountBegun(io::EventLoop::wall_now(), kBakery);
+  bool written = false;
+  records.WriteLast([&written] { written = true; });
+  BOOST_TEST(Until([&written] { return written; }));
+  BOOST_TEST(OwnCount() == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace oleander::entry
--- a/test/correctness/store_feed_test.cc
+++ b/test/correctness/store_feed_test.cc
@@ -7,117 +7,13 @@
 #include "oleander/result_code.h"
 #include "platform/catalog_codec.h"
 #include "support/entry_fixture.h"
+#include "support/memory_store.h"
 
 namespace oleander::entry {
 namespace {
 
 using std::chrono::milliseconds;
 
-// A store in memory that can stay silent.
-class MemoryStore : public ports::StorePort {
- public:
-  explicit MemoryStore(io::EventLoop& loop) : loop_(loop) {}
-
-  void Write(const std::string& key, const std::string& value) {
-    entries_[key] = {.key = key,
-                     .value = value,
-                     .create_revision = 1,
-                     .mod_revision = ++revision_,
-                     .version = 1,
-                     .lease = 0};
-  }
-  void Remove(const std::string& key) {
-    entries_.erase(key);
-    ++revision_;
-    removed_.push_back({key, revision_});
-  }
-  // Calls from now on fail, and those that wait stay without an answer.
-  void SetDown(bool down) { down_ = down; }
-
-  void Range(const StoreRange& request, Done<StoreRangeAnswer> done) override {
-    ++reads;
-    StoreRangeAnswer answer{.revision = revision_, .entries = {}};
-    for (const auto& [key, entry] : entries_) {
-      if (request.prefix ? key.starts_with(request.key) : key == request.key) {
-        answer.entries.push_back(entry);
-      }
-    }
-    Reply(std::move(done), std::move(answer));
-  }
-  void Wait(const ports::StoreWait& request,
-            Done<ports::StoreChanges> done) override {
-    ++waits;
-    Poll(request, std::move(done), loop_.now() + request.longest);
-  }
-  void Cas(const StoreCas&, Done<StoreCasAnswer> done) override {
-    Reply(std::move(done), StoreCasAnswer{});
-  }
-  void LeaseGrant(const StoreLeaseGrant&,
-                  Done<StoreLeaseAnswer> done) override {
-    Reply(std::move(done), StoreLeaseAnswer{});
-  }
-  void LeaseKeepAlive(const StoreLeaseKeepAlive&,
-                      Done<StoreLeaseAnswer> done) override {
-    Reply(std::move(done), StoreLeaseAnswer{});
-  }
-  void LeaseRevoke(const StoreLeaseRevoke&,
-                   Done<StoreLeaseAnswer> done) override {
-    Reply(std::move(done), StoreLeaseAnswer{});
-  }
-
-  int reads = 0;
-  int waits = 0;
-
- private:
-  template <typename Answer>
-  void Reply(Done<Answer> done, Answer answer) {
-    if (down_) {
-      loop_.Post([done = std::move(done)] {
-        done(MakeError(ResultCode::kStoreUnavailable, "The store is down."));
-      });
-      return;
-    }
-    loop_.Post(
-        [done = std::move(done), answer = std::move(answer)] { done(answer); });
-  }
-
-  void Poll(const ports::StoreWait& request, Done<ports::StoreChanges> done,
-            Time until) {
-    ports::StoreChanges changes{.revision = revision_, .changes = {}};
-    for (const auto& [key, entry] : entries_) {
-      if (key.starts_with(request.prefix) &&
-          entry.mod_revision > request.after_revision) {
-        changes.changes.push_back({.entry = entry, .removed = false});
-      }
-    }
-    for (const auto& [key, revision] : removed_) {
-      if (key.starts_with(request.prefix) &&
-          revision > request.after_revision) {
-        StoreEntry entry;
-        entry.key = key;
-        entry.mod_revision = revision;
-        changes.changes.push_back({.entry = entry, .removed = true});
-      }
-    }
-    const bool answers =
-        !down_ && (!changes.changes.empty() || loop_.now() >= until);
-    if (answers) {
-      done(changes);
-      return;
-    }
-    timers_.push_back(
-        loop_.After(milliseconds(10), [this, request, done = std::move(done),
-                                       until] { Poll(request, done, until); }));
-  }
-
-  io::EventLoop& loop_;
-  bool down_ = false;
-  int64_t revision_ = 10;
-  std::map<std::string, StoreEntry> entries_;
-  std::vector<std::pair<std::string, int64_t>> removed_;
-  std::vector<io::Timer> timers_;
-};
-
 std::string ServerIn(const char* state) {
   return std::string(R"({"service":"service","address":"127.0.0.1:9",)") +
          R"("zone":"d","state":")" + state + "\"}";
@@ -225,6 +121,38 @@
   BOOST_TEST(instance.ready() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(lists_the_servers_anew_after_a_gap) {
+  FeedFixture instance("one");
+  instance.feed.Start();
+  BOOST_TEST(instance.Until(
+      [&] { return instance.version() == 1 && instance.ready() == 1; }));
+  // What changes here is told by no waiting call, since the store forgets it.
+  instance.store.SetDown(true);
+  io::RunFor(instance.entry.loop, milliseconds(100));
+  instance.store.Remove("servers/one");
+  instance.store.Write("servers/two", ServerIn("ready"));
+  instance.store.Write("servers/three", ServerIn("ready"));
+  instance.store.Compact();
+  instance.store.SetDown(false);
+  BOOST_TEST(instance.Until([&] {
+    return instance.ready() == 2 &&
+           instance.entry.context.listed.Find(ServerId("one")) == nullptr;
+  }));
+}
+
+BOOST_AUTO_TEST_CASE(asks_a_store_that_refuses_calls_a_few_times_a_second) {
+  FeedFixture instance("one");
+  instance.store.SetDown(true);
+  instance.feed.Start();
+  io::RunFor(instance.entry.loop, milliseconds(1000));
+  // Each of the two kinds of calls at most every quarter second, and the first.
+  BOOST_TEST(instance.store.reads <= 10);
+  BOOST_TEST(instance.version() == 0);
+  instance.store.SetDown(false);
+  BOOST_TEST(instance.Until(
+      [&] { return instance.version() == 1 && instance.ready() == 1; }));
+}
+
 BOOST_AUTO_TEST_SUITE(a_readers_word)
 
 mesh::Envelope Ask(uint64_t round, int64_t revision) {
--- /dev/null
+++ b/test/support/duty_fixture.h
@@ -0,0 +1,108 @@
+// One instance that holds a duty or waits for it, with a store in memory and a
+// platform that keeps what it is told.
+#ifndef OLEANDER_TEST_SUPPORT_DUTY_FIXTURE_H_
+#define OLEANDER_TEST_SUPPORT_DUTY_FIXTURE_H_
+
+#include <deque>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "entry/duty_lease.h"
+#include "entry/settings.h"
+#include "oleander/result_code.h"
+#include "ports/duty_port.h"
+#include "support/entry_fixture.h"
+#include "support/memory_store.h"
+
+namespace oleander::entry {
+
+// Keeps every call; answers with the next outcome, else OK.
+class ToldPlatform : public ports::DutyPort {
+ public:
+  explicit ToldPlatform(io::EventLoop& loop) : loop_(loop) {}
+
+  void AnswerNext(absl::Status outcome) {
+    outcomes_.push_back(std::move(outcome));
+  }
+
+  void SendUsage(const ports::UsageReport& report, int64_t fence,
+                 Done done) override {
+    reports.push_back(report);
+    fences.push_back(fence);
+    Answer(std::move(done));
+  }
+  void OrderServers(const ports::ServerOrder& order, int64_t fence,
+                    Done done) override {
+    orders.push_back(order);
+    fences.push_back(fence);
+    Answer(std::move(done));
+  }
+
+  std::vector<ports::UsageReport> reports;
+  std::vector<ports::ServerOrder> orders;
+  std::vector<int64_t> fences;
+
+ private:
+  void Answer(Done done) {
+    absl::Status outcome = absl::OkStatus();
+    if (!outcomes_.empty()) {
+      outcome = std::move(outcomes_.front());
+      outcomes_.pop_front();
+    }
+    loop_.Post([done = std::move(done), outcome] { done(outcome); });
+  }
+
+  io::EventLoop& loop_;
+  std::deque<absl::Status> outcomes_;
+};
+
+// Lapses soon, so that tests needn't wait long for another holder.
+inline LeaseOptions ShortLease(const std::string& self) {
+  return {.duty = "test",
+          .self = InstanceId(self),
+          .ttl = std::chrono::milliseconds(3000),
+          .renew_every = std::chrono::milliseconds(200),
+          .stop_early = std::chrono::milliseconds(300),
+          .retry = std::chrono::milliseconds(100),
+          .rest = std::chrono::milliseconds(50)};
+}
+
+inline EntrySettings DutySettings(const std::string& name) {
+  EntrySettings settings;
+  settings.instance = InstanceId(name);
+  settings.place = {.region = RegionId("r"), .domain = DomainId("d")};
+  settings.callers.address = io::kTestAddress;
+  settings.bounds.usage_window = std::chrono::seconds(1);
+  settings.bounds.usage_late = std::chrono::seconds(10);
+  return settings;
+}
+
+struct DutyFixture {
+  DutyFixture()
+      : store(entry.loop),
+        platform(entry.loop),
+        settings(DutySettings("one")),
+        lease(entry.loop, store, entry.metrics(), ShortLease("one"), 1,
+              [this] { on_taken(); }) {
+    entry.context.usage = UsageWindows(settings.bounds.usage_window);
+  }
+
+  bool Until(const std::function<bool()>& holds) {
+    return io::RunUntil(entry.loop, holds);
+  }
+  bool holds_duty() const {
+    return lease.FenceFor(std::chrono::milliseconds(100)).has_value();
+  }
+
+  std::function<void()> on_taken = [] {};
+  EntryFixture entry;
+  MemoryStore store;
+  ToldPlatform platform;
+  EntrySettings settings;
+  DutyLease lease;
+};
+
+}  // namespace oleander::entry
+
+#endif  // OLEANDER_TEST_SUPPORT_DUTY_FIXTURE_H_
--- a/test/support/entry_fixture.h
+++ b/test/support/entry_fixture.h
@@ -119,6 +119,8 @@
     return connection.received();
   }
 
+  EntryMetrics& metrics() { return metrics_; }
+
   io::EventLoop loop;
 
  private:
--- /dev/null
+++ b/test/support/memory_store.h
@@ -0,0 +1,247 @@
+// A store in memory behind the store's port, on a real loop: revisions, waiting
+// calls, leases that lapse, and the ways in which the platform's store fails.
+#ifndef OLEANDER_TEST_SUPPORT_MEMORY_STORE_H_
+#define OLEANDER_TEST_SUPPORT_MEMORY_STORE_H_
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "io/event_loop.h"
+#include "oleander/result_code.h"
+#include "ports/store_port.h"
+
+namespace oleander::entry {
+
+class MemoryStore : public ports::StorePort {
+ public:
+  explicit MemoryStore(io::EventLoop& loop) : loop_(loop) {}
+
+  void Write(const std::string& key, const std::string& value,
+             StoreLeaseId lease = 0) {
+    const auto known = entries_.find(key);
+    ++revision_;
+    entries_[key] = {.key = key,
+                     .value = value,
+                     .create_revision = known == entries_.end()
+                                            ? revision_
+                                            : known->second.create_revision,
+                     .mod_revision = revision_,
+                     .version = 1,
+                     .lease = lease};
+  }
+  void Remove(const std::string& key) {
+    if (entries_.erase(key) > 0) {
+      removed_.emplace_back(key, ++revision_);
+    }
+  }
+  const StoreEntry* Find(const std::string& key) const {
+    const auto found = entries_.find(key);
+    return found == entries_.end() ? nullptr : &found->second;
+  }
+
+  // Calls from now on fail, and those that wait stay without an answer.
+  void SetDown(bool down) { down_ = down; }
+  // The next writes take effect, but their answers are lost.
+  void LoseWriteAnswers(int count) { lost_writes_ = count; }
+  // Waiting calls for changes before now are told that they are gone.
+  void Compact() { compacted_ = revision_; }
+
+  void Range(const StoreRange& request, Done<StoreRangeAnswer> done) override {
+    ++reads;
+    StoreRangeAnswer answer{.revision = revision_, .entries = {}};
+    for (const auto& [key, entry] : entries_) {
+      if (request.prefix ? key.starts_with(request.key) : key == request.key) {
+        answer.entries.push_back(entry);
+      }
+    }
+    Reply(std::move(done), std::move(answer));
+  }
+
+  void Wait(const ports::StoreWait& request,
+            Done<ports::StoreChanges> done) override {
+    ++waits;
+    Poll(request, std::move(done), loop_.now() + request.longest);
+  }
+
+  void Cas(const StoreCas& request, Done<StoreCasAnswer> done) override {
+    ++writes;
+    if (down_) {
+      Reply(std::move(done), StoreCasAnswer{});
+      return;
+    }
+    StoreCasAnswer answer = Apply(request);
+    if (lost_writes_ > 0) {
+      --lost_writes_;
+      loop_.Post([done = std::move(done)] {
+        done(MakeError(ResultCode::kStoreAnswerLost, "The answer is lost."));
+      });
+      return;
+    }
+    Reply(std::move(done), std::move(answer));
+  }
+
+  void LeaseGrant(const StoreLeaseGrant& request,
+                  Done<StoreLeaseAnswer> done) override {
+    if (!down_) {
+      leases_[++last_lease_] = {.ttl = request.ttl,
+                                .ends = loop_.now() + request.ttl};
+    }
+    Reply(std::move(done),
+          StoreLeaseAnswer{.lease = last_lease_, .ttl = request.ttl});
+  }
+
+  void LeaseKeepAlive(const StoreLeaseKeepAlive& request,
+                      Done<StoreLeaseAnswer> done) override {
+    ++renewals;
+    EndLapsedLeases();
+    StoreLeaseAnswer answer{.lease = request.lease, .ttl = Duration::zero()};
+    const auto lease = leases_.find(request.lease);
+    if (!down_ && lease != leases_.end()) {
+      lease->second.ends = loop_.now() + lease->second.ttl;
+      answer.ttl = lease->second.ttl;
+    }
+    Reply(std::move(done), answer);
+  }
+
+  void LeaseRevoke(const StoreLeaseRevoke& request,
+                   Done<StoreLeaseAnswer> done) override {
+    if (!down_) {
+      EndLease(request.lease);
+    }
+    Reply(std::move(done), StoreLeaseAnswer{});
+  }
+
+  int reads = 0;
+  int waits = 0;
+  int writes = 0;
+  int renewals = 0;
+
+ private:
+  struct Lease {
+    Duration ttl{};
+    Time ends;
+  };
+
+  template <typename Answer>
+  void Reply(Done<Answer> done, Answer answer) {
+    if (down_) {
+      loop_.Post([done = std::move(done)] {
+        done(MakeError(ResultCode::kStoreUnavailable, "The store is down."));
+      });
+      return;
+    }
+    loop_.Post(
+        [done = std::move(done), answer = std::move(answer)] { done(answer); });
+  }
+
+  StoreCasAnswer Apply(const StoreCas& request) {
+    EndLapsedLeases();
+    StoreCasAnswer answer;
+    answer.succeeded =
+        std::ranges::all_of(request.compares, [this](const StoreCompare& row) {
+          const StoreEntry* entry = Find(row.key);
+          return (entry == nullptr ? 0 : entry->mod_revision) ==
+                 row.mod_revision;
+        });
+    if (answer.succeeded) {
+      for (const StorePut& put : request.puts) {
+        Write(put.key, put.value, put.lease);
+      }
+      for (const std::string& key : request.deletes) {
+        Remove(key);
+      }
+    } else {
+      for (const StoreCompare& row : request.compares) {
+        if (const StoreEntry* entry = Find(row.key); entry != nullptr) {
+          answer.current.push_back(*entry);
+        }
+      }
+    }
+    answer.revision = revision_;
+    return answer;
+  }
+
+  void EndLapsedLeases() {
+    std::vector<StoreLeaseId> lapsed;
+    for (const auto& [id, lease] : leases_) {
+      if (lease.ends <= loop_.now()) {
+        lapsed.push_back(id);
+      }
+    }
+    std::ranges::for_each(lapsed, [this](StoreLeaseId id) { EndLease(id); });
+  }
+
+  void EndLease(StoreLeaseId id) {
+    leases_.erase(id);
+    std::vector<std::string> keys;
+    for (const auto& [key, entry] : entries_) {
+      if (entry.lease == id) {
+        keys.push_back(key);
+      }
+    }
+    std::ranges::for_each(keys, [this](const auto& key) { Remove(key); });
+  }
+
+  void Poll(const ports::StoreWait& request, Done<ports::StoreChanges> done,
+            Time until) {
+    EndLapsedLeases();
+    if (!down_ && request.after_revision < compacted_) {
+      loop_.Post([done = std::move(done)] {
+        done(MakeError(ResultCode::kStoreRevisionCompacted,
+                       "The changes asked for are gone."));
+      });
+      return;
+    }
+    ports::StoreChanges changes = ChangesSince(request);
+    const bool answers =
+        !down_ && (!changes.changes.empty() || loop_.now() >= until);
+    if (answers) {
+      done(changes);
+      return;
+    }
+    timers_.push_back(loop_.After(std::chrono::milliseconds(10),
+                                  [this, request, done = std::move(done),
+                                   until] { Poll(request, done, until); }));
+  }
+
+  ports::StoreChanges ChangesSince(const ports::StoreWait& request) const {
+    ports::StoreChanges changes{.revision = revision_, .changes = {}};
+    for (const auto& [key, entry] : entries_) {
+      if (key.starts_with(request.prefix) &&
+          entry.mod_revision > request.after_revision) {
+        changes.changes.push_back({.entry = entry, .removed = false});
+      }
+    }
+    for (const auto& [key, revision] : removed_) {
+      if (key.starts_with(request.prefix) &&
+          revision > request.after_revision) {
+        StoreEntry entry;
+        entry.key = key;
+        entry.mod_revision = revision;
+        changes.changes.push_back({.entry = entry, .removed = true});
+      }
+    }
+    std::ranges::sort(changes.changes, {}, [](const auto& change) {
+      return change.entry.mod_revision;
+    });
+    return changes;
+  }
+
+  io::EventLoop& loop_;
+  bool down_ = false;
+  int lost_writes_ = 0;
+  int64_t revision_ = 10;
+  int64_t compacted_ = 0;
+  StoreLeaseId last_lease_ = 0;
+  std::map<StoreLeaseId, Lease> leases_;
+  std::map<std::string, StoreEntry> entries_;
+  std::vector<std::pair<std::string, int64_t>> removed_;
+  std::vector<io::Timer> timers_;
+};
+
+}  // namespace oleander::entry
+
+#endif  // OLEANDER_TEST_SUPPORT_MEMORY_STORE_H_
