A soak of the real programs under faults from outside

Change: test/soak: a stand-in of the platform's store and calls, backend servers that fail in eight ways, a loopback proxy (delay, reset, silence, one way), callers on kept connections, a timeline that the seed decides, and fifteen promises judged from outside. make soak-processes SEED= MINUTES=.

--- a/Makefile
+++ b/Makefile
@@ -3,9 +3,10 @@
 SEED ?= 1
 STEPS ?= 1000000
 NAME ?= whole-path
+MINUTES ?= 5
 JOBS ?= $(shell nproc)
 
-.PHONY: all deps build test lint format demo experiment bench capacity soak fuzz clean
+.PHONY: all deps build test lint format demo experiment bench capacity soak soak-processes fuzz clean
 
 all: build
 
@@ -46,6 +47,10 @@
 soak: build
 	OLEANDER_SOAK_SEED=$(SEED) OLEANDER_SOAK_STEPS=$(STEPS) $(BUILD)/test_random --log_level=message
 
+# The real programs under faults from outside, MINUTES of them by the series that SEED decides.
+soak-processes: build
+	test/soak/run_seeds.py --build=$(BUILD) --first=$(SEED) --minutes=$(MINUTES)
+
 fuzz: deps
 	tools/run_fuzz.sh
 
--- /dev/null
+++ b/test/soak/callers.py
@@ -0,0 +1,99 @@
+"""Callers that keep connections open, send calls of every kind, and sometimes leave before the answer."""
+import http.client
+import random
+import threading
+import time
+
+from ledger import Call
+
+PREFIX = "X-Oleanderfield-"
+TIMEOUT_SECONDS = 3.0  # Of every route, and of a caller's patience.
+KINDS = ("once", "repeat", "stream", "resume")
+LEAVING_SHARE = 0.04
+KEEPING_SHARE = 0.9
+
+
+class Caller(threading.Thread):
+    """One caller; it picks an instance, keeps its connection, and goes elsewhere when that ends."""
+
+    def __init__(self, number, topology, ledger, keys, seed):
+        super().__init__(daemon=True)
+        self.random = random.Random(seed * 1000 + number)
+        self.topology = topology
+        self.ledger = ledger
+        self.keys = keys  # Shared: the credentials that callers use now.
+        self.connection = None
+        self.instance = None
+        self.stopped = threading.Event()
+
+    def run(self):
+        while not self.stopped.is_set():
+            self.call()
+            self.stopped.wait(self.random.uniform(0.01, 0.12))
+        self.hang_up()
+
+    def hang_up(self):
+        if self.connection is not None:
+            self.connection.close()
+            self.connection = None
+
+    def connect(self):
+        self.instance = self.random.choice(self.topology.instances)
+        address, port = self.instance.callers
+        self.connection = http.client.HTTPConnection(address, port, timeout=TIMEOUT_SECONDS + 2)
+        self.connection.connect()
+
+    def call(self):
+        kept = self.connection is not None
+        try:
+            if not kept:
+                self.connect()
+        except OSError:
+            self.hang_up()
+            time.sleep(0.05)
+            return
+        kind = self.random.choice(KINDS)
+        key = self.random.choice(self.keys)
+        call = Call(f"{self.random.getrandbits(64):016x}", kind, key, self.instance.name, time.monotonic(), kept=kept)
+        leaves = self.random.random() < LEAVING_SHARE
+        try:
+            self.send(call)
+            self.ledger.add(self.ledger.calls, call)
+            if leaves:
+                time.sleep(self.random.uniform(0.005, 0.2))
+                self.connection.sock.close()
+                call.left_at = time.monotonic()
+                self.hang_up()
+                return
+            self.receive(call)
+        except (OSError, http.client.HTTPException):
+            self.hang_up()  # Recorded as a call without a whole answer.
+        call.ended_at = time.monotonic()
+        if self.connection is not None and self.random.random() > KEEPING_SHARE:
+            self.hang_up()
+
+    def send(self, call):
+        self.connection.request("POST", f"/{call.kind}/{call.attempt}", body=b"ask", headers={
+            "Host": self.topology.HOST,
+            "Authorization": f"Token {call.key}",
+            PREFIX + "Attempt-Id": call.attempt,
+            PREFIX + "Deadline-Ms": str(int(TIMEOUT_SECONDS * 1000)),
+            # Callers may not set what the system sets.
+            PREFIX + "Tenant": "forged"})
+
+    def receive(self, call):
+        answer = self.connection.getresponse()
+        call.status = answer.status
+        call.sealed = answer.getheader(PREFIX + "Server-Seal") is not None
+        pieces = []
+        while True:
+            piece = answer.read1(65536)
+            if not piece:
+                break
+            pieces.append(piece)
+            call.body = b"".join(pieces)
+        call.body = b"".join(pieces)
+        call.whole = True
+        answer.close()  # Or the connection takes no further call.
+        if answer.will_close:
+            self.hang_up()
--- /dev/null
+++ b/test/soak/link.py
@@ -0,0 +1,96 @@
+"""A loopback proxy between two programs whose connections can be delayed, reset, silenced or cut one way."""
+import select
+import socket
+import struct
+import threading
+import time
+
+CHUNK = 65536
+POLL_SECONDS = 0.05
+
+
+def reset(connection):
+    """Closes a connection so that its other side sees a reset."""
+    try:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        connection.close()
+    except OSError:
+        pass  # Closed already: there is nothing left to reset.
+
+
+class Link:
+    """Forwards connections to `target`; `mode` holds for what passes from now on.
+
+    open: as it is; delay: each piece waits `delay` seconds; silent: nothing passes; one_way: only towards the target;
+    reset: connections are reset, new ones, too.
+    """
+
+    def __init__(self, address, target):
+        self.target = target
+        self.mode = "open"
+        self.delay = 0.0
+        self.stopped = False
+        self.listener = socket.create_server(address, backlog=256)
+        self.address = self.listener.getsockname()
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def stop(self):
+        self.stopped = True
+        self.listener.close()
+
+    def _accept(self):
+        while not self.stopped:
+            try:
+                near, _ = self.listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self._serve, args=(near,), daemon=True).start()
+
+    def _serve(self, near):
+        if self.mode == "reset":
+            reset(near)
+            return
+        try:
+            far = socket.create_connection(self.target, timeout=2)
+            far.settimeout(None)
+        except OSError:
+            reset(near)
+            return
+        for source, sink, outward in ((near, far, True), (far, near, False)):
+            threading.Thread(target=self._carry, args=(source, sink, outward), daemon=True).start()
+
+    def _passes(self, outward):
+        return self.mode in ("open", "delay") or (self.mode == "one_way" and outward)
+
+    def _carry(self, source, sink, outward):
+        held = b""
+        while not self.stopped:
+            if self.mode == "reset":
+                reset(source)
+                reset(sink)
+                return
+            if held and self._passes(outward):
+                if self.mode == "delay":
+                    time.sleep(self.delay)
+                try:
+                    sink.sendall(held)
+                except OSError:
+                    reset(source)
+                    return
+                held = b""
+            if held:
+                time.sleep(POLL_SECONDS)
+                continue
+            try:
+                if not select.select([source], [], [], POLL_SECONDS)[0]:
+                    continue
+                held = source.recv(CHUNK)
+            except (OSError, ValueError):  # The other direction may have closed it.
+                reset(sink)
+                return
+            if not held:
+                try:
+                    sink.shutdown(socket.SHUT_WR)
+                except OSError:
+                    pass  # The other direction has ended, too.
+                return
