A process that stops with open calls ends them before it takes itself apart

Cause: calls that outlast the time to stop were dropped with the loop, the last member, and their destructor used the placement, which was gone by then: memory read after it was freed. Ruled out: zero-delay timers (the stack stood in the destructor), timers that hold themselves (they share a flag only), posted callbacks that post again. Change: after the loop has stopped, the callers' server is closed first and the loop runs once, so that each open call hears that its caller is gone while all that it uses is there. The soak has a sixteenth promise: a process that is told to stop ends in its time.

--- a/src/entry/entry_node.cc
+++ b/src/entry/entry_node.cc
@@ -149,10 +149,10 @@
         reporter_(context_, *ports_.store, *ports_.duties, records_, lease_,
                   settings_.bounds),
         orderer_(context_, *ports_.duties, lease_, settings_.domains),
-        callers_(loop_,
-                 {.address = settings_.callers.address,
-                  .port = settings_.callers.port,
-                  .idle_timeout = kCallerIdleTimeout},
+        callers_(std::in_place, loop_,
+                 io::HttpServerOptions{.address = settings_.callers.address,
+                                       .port = settings_.callers.port,
+                                       .idle_timeout = kCallerIdleTimeout},
                  [this](std::shared_ptr<io::HttpExchange> exchange) {
                    handler_.Handle(std::move(exchange));
                  }),
@@ -181,7 +181,7 @@
   }
 
   absl::Status Listen() {
-    for (io::HttpServer* server : {&callers_, &readiness_, &metrics_server_}) {
+    for (io::HttpServer* server : {&*callers_, &readiness_, &metrics_server_}) {
       if (absl::Status status = server->Listen(); !status.ok()) {
         return status;
       }
@@ -204,7 +204,8 @@
     lease_.Want(!settings_.duty_names.empty());
     loop_.Run();
     io::Log(io::LogLevel::kInfo, "entry.stopped",
-            {{"open", callers_.open_exchanges()}});
+            {{"open", callers_->open_exchanges()}});
+    EndOpenCalls();
     io::SetLogFlusher(nullptr);
     io::FlushLog();
   }
@@ -290,16 +291,24 @@
     context_.draining = true;
     stop_by_ = loop_.now() + settings_.bounds.drain_grace - kStopMargin;
     io::Log(io::LogLevel::kInfo, "entry.draining",
-            {{"open", callers_.open_exchanges()}});
-    callers_.CloseAfterAnswers();
+            {{"open", callers_->open_exchanges()}});
+    callers_->CloseAfterAnswers();
     GiveUpDuty();
     drain_timer_ = loop_.After(kBalancerTurnsAway, [this] {
       context_.refusing = true;
-      callers_.StopAccepting();
+      callers_->StopAccepting();
       WaitForEnd();
     });
   }
 
+  // Calls that outlasted the time to stop are ended here, while all that they
+  // use is still there: their connections go, and the loop tells them.
+  void EndOpenCalls() {
+    callers_.reset();
+    loop_.Post([this] { loop_.Stop(); });
+    loop_.Run();
+  }
+
   // Not before the calls under way have their answers, so that none arrives
   // after the next holder's.
   void GiveUpDuty() {
@@ -312,7 +321,7 @@
 
   void WaitForEnd() {
     const bool idle =
-        callers_.open_exchanges() == 0 && callers_.open_connections() == 0;
+        callers_->open_exchanges() == 0 && callers_->open_connections() == 0;
     if (idle || loop_.now() >= stop_by_) {
       duty_timer_ = loop_.After(kLastWrite, [this] { loop_.Stop(); });
       records_.WriteLast([this] { loop_.Stop(); });
@@ -338,7 +347,7 @@
   RecordKeeper records_;
   UsageReporter reporter_;
   SizeOrderer orderer_;
-  io::HttpServer callers_;
+  std::optional<io::HttpServer> callers_;
   io::HttpServer readiness_;
   io::HttpServer metrics_server_;
   bool was_ready_ = false;
--- a/test/soak/ledger.py
+++ b/test/soak/ledger.py
@@ -59,6 +59,7 @@
         self.usage: dict[int, list[dict]] = {}  # Accepted reports of each window.
         self.orders: list[tuple[float, str, int]] = []  # Time, holder, fence.
         self.ended_by_itself: list[str] = []
+        self.did_not_end: list[str] = []  # Processes that were still there after their time to stop.
         self.answers: dict[str, list[bytes]] = {}  # Whole bodies that servers made, by attempt.
 
     def add(self, collection, item):
--- a/test/soak/promises.py
+++ b/test/soak/promises.py
@@ -149,11 +149,14 @@
     def ended_by_itself(self):
         return self.ledger.ended_by_itself
 
+    def did_not_end(self):
+        return self.ledger.did_not_end
+
     def broken(self):
         checks = (self.refused_but_ran, self.ran_twice, self.too_many_servers, self.mixed_answers, self.broken_streams,
                   self.ran_after_revocation, self.wrong_workspace, self.sent_to_leaving_server, self.usage_changed,
                   self.fences_out_of_order, self.holders_by_turns, self.lost_around_planned_work, self.late_answers,
-                  self.worked_for_nobody, self.ended_by_itself)
+                  self.worked_for_nobody, self.ended_by_itself, self.did_not_end)
         return {check.__name__: cases for check in checks if (cases := check())}
 
     def served_share(self, begin, end):
--- a/test/soak/topology.py
+++ b/test/soak/topology.py
@@ -68,6 +68,8 @@
         try:
             self.process.wait(seconds)
         except subprocess.TimeoutExpired:
+            ledger = self.topology.ledger
+            ledger.add(ledger.did_not_end, f"{self.name} after {seconds} s")
             self.process.kill()
             self.process.wait()
 
