Servers are ordered by region, by the loads that all instances heard

The load was guessed from the holder's own calls, times the number of instances. Change: each region has a size of its own; ServerLoads passes on what servers told any instance, with the questions to the readers of the store; a server needs 0.6 of its slots busy, at most 24 calls; steady servers leave a place for reclaimable ones, which could never come back otherwise; two fifths of what is needed is steady, a third of those at the start stay.

--- a/include/oleander/fleet_sizing.h
+++ b/include/oleander/fleet_sizing.h
@@ -23,9 +23,11 @@
 namespace oleander {
 
 struct FleetSizingOptions {
-  // Calls under way per server that keep first tokens within their objective,
-  // as a share of the server's slots.
-  double calls_per_slot = 0.25;
+  // Calls under way per server that keep first tokens within their objective:
+  // this share of the server's slots, since a call waits where none is free ...
+  double busy_share = 0.6;
+  // ... and no more than this, since prompts that are read hold up each other.
+  double most_calls = 24;
   // A server that is overloaded collects calls; beyond this many times the
   // calls above they say how slow it is, not how many servers are missing.
   double most_overload = 1.5;
@@ -42,10 +44,10 @@
   // The load shows what is needed only while servers are short, so never fewer
   // steady servers are kept than this share of those found at the start, which
   // operators ordered for their usual load.
-  double floor_share = 0.5;
+  double floor_share = 0.33;
   // Of the servers needed: how many aren't reclaimable at any time, and how
   // many reclaimable ones there are.
-  double steady_share = 0.6;
+  double steady_share = 0.4;
   double reclaimable_share = 1.4;
 };
 
--- /dev/null
+++ b/include/oleander/server_loads.h
@@ -0,0 +1,65 @@
+// How many calls each backend server has, from what servers told any instance.
+//
+// A server tells its load with each answer, so an instance hears of a server as
+// often as it sends to it: with many instances, rarely. Who decides on the size
+// of a fleet needs all of it, so instances pass on what they heard: each tells
+// its news to one that reads the store, and hears what that one knows (see
+// store_feed.h). Placement doesn't use this: what is some tenths of a second
+// old would send all instances to the same servers.
+//
+// Load it answers: many instances, of which each sees a small part of the
+// calls.
+#ifndef OLEANDER_SERVER_LOADS_H_
+#define OLEANDER_SERVER_LOADS_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <vector>
+
+#include "oleander/types.h"
+
+namespace oleander {
+
+// How many calls a server had a moment ago.
+struct LoadNote {
+  uint32_t server = 0;  // A hash of its id, see ServerLoads::NoteId().
+  int calls = 0;
+  Duration age{};
+};
+
+class ServerLoads {
+ public:
+  // A server told this instance how many calls run and wait there.
+  void OnReport(Time now, const ServerId& server, int calls);
+  // A peer told what a server had told somebody.
+  void OnNote(Time now, const LoadNote& note);
+
+  // What servers told this instance itself since the last call of this.
+  std::vector<LoadNote> TakeNews(Time now);
+  // At most `most` of the loads that are known, in turn.
+  std::vector<LoadNote> Notes(Time now, size_t most);
+
+  // Calls at the server by its freshest word; zero where there is none of late,
+  // since a server that is sent to answers.
+  int CallsAt(Time now, const ServerId& server) const;
+
+  static uint32_t NoteId(const ServerId& server);
+
+ private:
+  struct Load {
+    int calls = 0;
+    Time at;
+    bool news = false;  // Peers don't know it yet.
+  };
+
+  void DropOld(Time now);
+  static LoadNote NoteOf(Time now, uint32_t server, const Load& load);
+
+  std::map<uint32_t, Load> loads_;
+  uint32_t told_last_ = 0;  // Where the next Notes() goes on.
+};
+
+}  // namespace oleander
+
+#endif  // OLEANDER_SERVER_LOADS_H_
--- a/src/entry/call_context.h
+++ b/src/entry/call_context.h
@@ -13,6 +13,7 @@
 #include "oleander/listed_servers.h"
 #include "oleander/placement.h"
 #include "oleander/retries.h"
+#include "oleander/server_loads.h"
 #include "oleander/serving_config.h"
 #include "oleander/usage_windows.h"
 #include "oleander/workspace_quotas.h"
@@ -28,6 +29,7 @@
   ConfigProof proof;
   ListedServers listed;
   Placement placement;
+  ServerLoads loads = {};  // Of all instances' calls together.
   RetryBudget retries;
   UsageWindows usage;
   WorkspaceQuotas quotas;
--- a/src/entry/forwarded_call.cc
+++ b/src/entry/forwarded_call.cc
@@ -172,6 +172,8 @@
   if (head.load) {
     context_.placement.OnLoad(context_.loop.now(), *server_, head.load->running,
                               head.load->waiting);
+    context_.loads.OnReport(context_.loop.now(), *server_,
+                            head.load->running + head.load->waiting);
   }
   const bool foreign = head.attempt && *head.attempt != call_.intake.attempt;
   if (foreign) {
--- a/src/entry/size_orderer.cc
+++ b/src/entry/size_orderer.cc
@@ -54,11 +54,26 @@
   if (servers.empty()) {
     return;  // Nothing runs there: the service is no subject of orders.
   }
+  for (const auto& [region, rule] : ByRegion(*service.scaling)) {
+    LookAtRegion(service, rule, region, servers);
+  }
+}
+
+void SizeOrderer::LookAtRegion(const ServiceRule& service,
+                               const ScalingRule& rule, const RegionId& region,
+                               std::vector<const ListedServer*> servers) {
+  std::erase_if(servers, [&rule](const ListedServer* server) {
+    return !rule.domain_prices.contains(server->domain);
+  });
+  const auto known = sizings_.find({service.id, region});
+  if (servers.empty() && known == sizings_.end()) {
+    return;  // The service doesn't run in this region.
+  }
   const Time now = context_.loop.now();
-  FleetSizing& sizing = sizings_[service.id];
+  FleetSizing& sizing = sizings_[{service.id, region}];
   sizing.Observe(now, service.engine ? service.engine->slots : 1,
                  CallsAt(servers));
-  for (const DomainSize& size : sizing.Plan(now, *service.scaling, servers)) {
+  for (const DomainSize& size : sizing.Plan(now, rule, servers)) {
     const auto present = static_cast<int>(
         std::ranges::count_if(servers, [&size](const ListedServer* server) {
           return server->domain == size.domain &&
@@ -69,18 +84,32 @@
   }
 }
 
+std::map<RegionId, ScalingRule> SizeOrderer::ByRegion(
+    const ScalingRule& rule) const {
+  ScalingRule without_domains = rule;
+  without_domains.domain_prices.clear();
+  std::map<RegionId, ScalingRule> regions;
+  for (const auto& [domain, price] : rule.domain_prices) {
+    const auto region = domains_.find(domain);
+    if (region == domains_.end()) {
+      io::Log(io::LogLevel::kWarning, "servers.unknown_domain",
+              {{"domain", domain.value()},
+               {"reason", "The settings name no region of it."}});
+      continue;
+    }
+    regions.try_emplace(region->second, without_domains)
+        .first->second.domain_prices.emplace(domain, price);
+  }
+  return regions;
+}
+
 std::vector<double> SizeOrderer::CallsAt(
     const std::vector<const ListedServer*>& servers) const {
   const Time now = context_.loop.now();
   std::vector<double> calls;
   std::ranges::transform(
       servers, std::back_inserter(calls), [&](const ListedServer* server) {
-        // A server that this instance heard nothing from of late is known by
-        // its own calls only; others send theirs.
-        return std::max(
-            context_.placement.EstimatedCalls(now, server->id),
-            static_cast<double>(context_.placement.own_calls(server->id)) *
-                static_cast<double>(instances_));
+        return static_cast<double>(context_.loads.CallsAt(now, server->id));
       });
   return calls;
 }
--- a/src/entry/size_orderer.h
+++ b/src/entry/size_orderer.h
@@ -4,6 +4,8 @@
 
 #include <map>
 #include <tuple>
+#include <utility>
+#include <vector>
 
 #include "entry/call_context.h"
 #include "entry/duty_lease.h"
@@ -15,16 +17,15 @@
 class SizeOrderer {
  public:
   SizeOrderer(CallContext& context, ports::DutyPort& duties,
-              const DutyLease& lease)
-      : context_(context), duties_(duties), lease_(lease) {}
+              const DutyLease& lease,
+              const std::map<DomainId, RegionId>& domains)
+      : context_(context), duties_(duties), lease_(lease), domains_(domains) {}
 
   // The duty became this instance's.
   void OnTaken();
   // The servers changed.
   void OnServers();
   bool busy() const { return calls_ > 0; }
-  // How many instances share the load; what this one sees is a part.
-  void SetInstances(size_t instances) { instances_ = instances; }
 
  private:
   using Subject = std::tuple<ServiceId, DomainId, Market>;
@@ -36,6 +37,13 @@
 
   void Look();
   void LookAt(const ServiceRule& service);
+  // Calls stay in their region as long as they can, so each region has a size
+  // of its own.
+  void LookAtRegion(const ServiceRule& service, const ScalingRule& rule,
+                    const RegionId& region,
+                    std::vector<const ListedServer*> servers);
+  // The rule for each region's domains.
+  std::map<RegionId, ScalingRule> ByRegion(const ScalingRule& rule) const;
   // Calls at each of the servers, from all instances.
   std::vector<double> CallsAt(
       const std::vector<const ListedServer*>& servers) const;
@@ -44,8 +52,8 @@
   CallContext& context_;
   ports::DutyPort& duties_;
   const DutyLease& lease_;
-  size_t instances_ = 1;
-  std::map<ServiceId, FleetSizing> sizings_;
+  const std::map<DomainId, RegionId>& domains_;
+  std::map<std::pair<ServiceId, RegionId>, FleetSizing> sizings_;
   std::map<Subject, Ordered> ordered_;
   int calls_ = 0;
   io::Timer timer_;
--- a/src/entry/store_feed.cc
+++ b/src/entry/store_feed.cc
@@ -32,6 +32,35 @@
 // Kept for peers that ask; older ones are listed anew.
 constexpr size_t kRememberedChanges = 512;
 
+// No server has as many calls; a larger number isn't believed.
+constexpr uint32_t kMostCalls = 100'000;
+// Loads of backend servers in one answer to a peer; more are told in turn.
+constexpr size_t kLoadsTold = 160;
+
+void WriteLoads(const std::vector<LoadNote>& notes,
+                entrywire::ServerLoads& wire) {
+  for (const LoadNote& note : notes) {
+    wire.add_servers(note.server);
+    wire.add_calls(static_cast<uint32_t>(note.calls));
+    wire.add_ages_ms(static_cast<uint32_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(note.age)
+            .count()));
+  }
+}
+
+// Lists of unequal lengths end with the shortest.
+void ReadLoads(Time now, const entrywire::ServerLoads& wire,
+               ServerLoads& loads) {
+  const int count =
+      std::min({wire.servers_size(), wire.calls_size(), wire.ages_ms_size()});
+  for (int i = 0; i < count; ++i) {
+    loads.OnNote(
+        now, {.server = wire.servers(i),
+              .calls = static_cast<int>(std::min(wire.calls(i), kMostCalls)),
+              .age = std::chrono::milliseconds(wire.ages_ms(i))});
+  }
+}
+
 // Each limited workspace with its rate and burst.
 std::string QuotaText(const ServingConfig& config) {
   std::string text;
@@ -245,6 +274,8 @@
   entrywire::StoreAsk& ask = *envelope.mutable_store_ask();
   ask.set_round(round_);
   ask.set_servers_revision(context_.listed.known() ? watched_to_ : 0);
+  WriteLoads(context_.loads.TakeNews(context_.loop.now()),
+             *ask.mutable_loads());
   peers_.Send(reader, envelope);
 }
 
@@ -262,6 +293,8 @@
   entrywire::StoreTell& tell = *envelope.mutable_store_tell();
   tell.set_round(ask.round());
   const Time now = context_.loop.now();
+  ReadLoads(now, ask.loads(), context_.loads);
+  WriteLoads(context_.loads.Notes(now, kLoadsTold), *tell.mutable_loads());
   if (context_.config != nullptr && context_.proof.age(now) < kFreshWord) {
     tell.set_config_revision(context_.config->revision());
     tell.set_proof_age_us(context_.proof.age(now).count());
@@ -296,6 +329,7 @@
   }
   const Time asked_at = question->asked_at;
   questions_.erase(question);
+  ReadLoads(context_.loop.now(), tell.loads(), context_.loads);
   if (tell.has_proof_age_us() && context_.config != nullptr) {
     if (tell.config_revision() <= context_.config->revision()) {
       // What the reader had proven before it answered was proven that much
--- a/src/parts/fleet_sizing.cc
+++ b/src/parts/fleet_sizing.cc
@@ -8,6 +8,9 @@
 namespace oleander {
 namespace {
 
+// A sum of shares that is a whole number but for this is that number.
+constexpr double kRoundingError = 1e-6;
+
 int CountReady(const std::vector<const ListedServer*>& servers, Market market) {
   return static_cast<int>(
       std::ranges::count_if(servers, [market](const ListedServer* server) {
@@ -27,20 +30,23 @@
 }
 
 int Share(double share, int servers) {
-  return static_cast<int>(std::ceil(share * servers));
+  return static_cast<int>(std::ceil(share * servers - kRoundingError));
 }
 
 // Even parts, so that a domain's loss or cut takes a part only; the cheapest
-// domains take what can't be divided.
+// domains take what can't be divided. Steady servers that stand in for
+// reclaimable ones leave a place for one, or none could ever take it back.
 std::vector<DomainSize> Spread(
     const ScalingRule& rule,
     const std::vector<std::pair<double, DomainId>>& domains, int steady,
     int reclaimable) {
   std::vector<DomainSize> plan;
+  const int most_steady =
+      reclaimable > 0 ? std::max(rule.minimum, rule.maximum - 1) : rule.maximum;
   auto domains_left = static_cast<int>(domains.size());
   for (const auto& [price, domain] : domains) {
     const int here = std::clamp((steady + domains_left - 1) / domains_left,
-                                rule.minimum, rule.maximum);
+                                rule.minimum, most_steady);
     const int more = std::min((reclaimable + domains_left - 1) / domains_left,
                               rule.maximum - here);
     plan.push_back(
@@ -58,7 +64,8 @@
 
 void FleetSizing::Observe(Time now, int slots,
                           const std::vector<double>& calls) {
-  const double per_server = std::max(1.0, slots * options_.calls_per_slot);
+  const double per_server =
+      std::clamp(slots * options_.busy_share, 1.0, options_.most_calls);
   const double most = per_server * options_.most_overload;
   const double load = std::accumulate(
       calls.begin(), calls.end(), 0.0,
@@ -81,7 +88,7 @@
   std::ranges::transform(samples_, std::back_inserter(loads), &Sample::servers);
   std::ranges::sort(loads, std::greater<>());
   return static_cast<int>(
-      std::ceil(loads[std::min<size_t>(1, loads.size() - 1)]));
+      std::ceil(loads[std::min<size_t>(1, loads.size() - 1)] - kRoundingError));
 }
 
 int FleetSizing::Settled(Time now, int need) {
