--- a/src/io/http_server.cc
+++ b/src/io/http_server.cc
@@ -399,6 +399,11 @@
     : impl_(std::make_unique<Impl>(loop, std::move(options),
                                    std::move(handler))) {}
 
+void HttpServer::EndAll() {
+  impl_->CloseListener();
+  impl_->CloseAll();
+}
+
 HttpServer::~HttpServer() {
   impl_->CloseListener();
   impl_->CloseAll();
--- a/src/io/http_server.h
+++ b/src/io/http_server.h
@@ -103,6 +103,10 @@
   // Each answer from now on ends its connection; new ones are still taken.
   void CloseAfterAnswers();
 
+  // Ends every connection; the handlers of open requests are told that their
+  // callers are gone in the loop's next round.
+  void EndAll();
+
   uint16_t port() const;          // The port listened on.
   size_t open_exchanges() const;  // Requests without a finished answer.
   size_t open_connections() const;
