Small calls of a workspace over its quota pass before large ones; fuller buckets

Ruled out: which instance refuses (all alike), the amount passed (equal rates), cut-off instances (only the flooding workspace was refused). Buckets use 0.9 of the overage and 0.8 of the slack. An instance that lost all allocators probes each second; what it passes unheard is bounded.

--- a/include/oleander/quota_allocator.h
+++ b/include/oleander/quota_allocator.h
@@ -27,6 +27,7 @@
 #include <array>
 #include <cstdint>
 #include <optional>
+#include <random>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
@@ -47,6 +48,15 @@
   // A bucket that was scarce stays so for this long, so that one that comes and
   // goes costs each instance at most a notice in that time.
   Duration scarce_for = std::chrono::seconds(5);
+  // A call passes surely that takes at most this part of what is left; of
+  // larger ones the fewer pass the more they take, so that small calls of a
+  // workspace that sends too much don't wait behind large ones, and no size is
+  // left out.
+  double sure_part = 0.125;
+  // This part of a full bucket is left to calls that pass surely.
+  double kept_for_small = 0.05;
+  // Above this part of a full bucket nothing is rationed.
+  double ration_below = 0.35;
   // Between two counts of who is heard.
   Duration recount = std::chrono::milliseconds(100);
 };
@@ -59,8 +69,8 @@
 
 class QuotaAllocator {
  public:
-  explicit QuotaAllocator(QuotaAllocatorOptions options = {})
-      : options_(options) {}
+  explicit QuotaAllocator(QuotaAllocatorOptions options = {}, uint64_t seed = 1)
+      : options_(options), gen_(seed) {}
 
   // The quotas in force; a workspace that keeps its quota keeps its bucket.
   void SetQuotas(Time now, const ServingConfig& config);
@@ -92,19 +102,18 @@
     std::array<std::optional<Time>, kQuotaGroups> heard_at;
   };
 
-  double BoundOf(const WorkspaceQuota& quota) const;
-  double RateOf(const WorkspaceQuota& quota) const;
-  double DepthOf(const WorkspaceQuota& quota) const;
   // The part of the fleet that is heard for the bucket's group.
   double PartHeard(const Bucket& bucket) const;
   void CountHeard(Time now);
   void Fill(Time now, Bucket& bucket);
   void Judge(Time now, Bucket& bucket);
   bool IsHeard(Time now, const Sender& sender, size_t group) const;
+  bool Passes(const Bucket& bucket, double cost);
   QuotaGrantItem Give(Bucket& bucket, const QuotaAskItem& item);
   Duration WaitFor(const Bucket& bucket) const;
 
   QuotaAllocatorOptions options_;
+  std::mt19937_64 gen_;
   size_t instances_ = 1;
   absl::flat_hash_map<WorkspaceId, Bucket> buckets_;
   absl::flat_hash_map<InstanceId, Sender> senders_;
@@ -112,11 +121,6 @@
   Time counted_at_;
 };
 
-// What a call takes out of a quota.
-double QuotaCost(const WorkspaceQuota& quota,
-                 std::optional<int64_t> prompt_tokens,
-                 int64_t max_output_tokens);
-
 }  // namespace oleander
 
 #endif  // OLEANDER_QUOTA_ALLOCATOR_H_
--- a/include/oleander/quota_messages.h
+++ b/include/oleander/quota_messages.h
@@ -8,8 +8,10 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
+#include "oleander/serving_config.h"
 #include "oleander/types.h"
 
 namespace oleander {
@@ -37,9 +39,8 @@
 
 struct QuotaGrantItem {
   WorkspaceId workspace;
-  size_t granted = 0;  // So many of the calls that wait, from the first.
-  std::vector<Duration> waits =
-      {};  // When to come back, for each of the others.
+  // For each call that waits when to come back; zero: it passes.
+  std::vector<Duration> waits = {};
 };
 
 struct QuotaGrant {
@@ -62,15 +63,26 @@
   // The parts of overage and slack that are used; the rest covers calls that
   // pass before they are told, and the last call, which may take out more than
   // is left.
-  double used_overage = 0.7;
-  double used_slack = 0.7;
+  double used_overage = 0.9;
+  double used_slack = 0.8;
   // How much of the bound may pass at once.
   double depth_share = 0.12;
   // A call reaches its server at most so long after it was granted: the wait
   // for a connection, and what a second server takes.
-  Duration hold = std::chrono::milliseconds(500);
+  Duration hold = std::chrono::milliseconds(250);
+
+  // What a bucket fills with a second, and what it holds, for a quota.
+  double RateOf(const WorkspaceQuota& quota) const;
+  double DepthOf(const WorkspaceQuota& quota) const;
+  // What may pass in a window, as far as it is used.
+  double UsedOf(const WorkspaceQuota& quota) const;
 };
 
+// What a call takes out of a quota.
+double QuotaCost(const WorkspaceQuota& quota,
+                 std::optional<int64_t> prompt_tokens,
+                 int64_t max_output_tokens);
+
 }  // namespace oleander
 
 #endif  // OLEANDER_QUOTA_MESSAGES_H_
--- a/include/oleander/workspace_quotas.h
+++ b/include/oleander/workspace_quotas.h
@@ -39,19 +39,23 @@
   QuotaBound bound;
   // An allocator that owes an answer for this long is passed over; a question
   // across regions takes some dozens of milliseconds.
-  Duration answer_within = std::chrono::milliseconds(300);
+  Duration answer_within = std::chrono::milliseconds(250);
   // No call passes before it is asked for while an answer is out so long.
   Duration trust_within = std::chrono::milliseconds(150);
   // An allocator that gave no answer is passed over until it answers a probe;
-  // the first is sent after this time, the later ones at doubled times.
-  Duration pass_over = std::chrono::seconds(2);
+  // the first is sent after this time, the later ones at doubled times as long
+  // as another one answers.
+  Duration pass_over = std::chrono::seconds(1);
   Duration longest_pass_over = std::chrono::seconds(4);
+  // The part of a full bucket that an instance lets through before the
+  // allocator has heard of it.
+  double first_part = 0.05;
   // Without other news an allocator hears this often that its askers live.
   Duration heartbeat = std::chrono::milliseconds(700);
   // What passed is gathered for so long before it is told.
   Duration gather = std::chrono::milliseconds(30);
-  // Without an allocator, this part of an even share passes until all that
-  // heard this instance have stopped counting it, and all of the share then.
+  // Without an allocator, this part of an even share of the bucket passes until
+  // all that heard this instance have stopped counting it, and all of it then.
   double early_share = 0.5;
   Duration counted_for = std::chrono::milliseconds(2500);
 };
@@ -160,7 +164,7 @@
     bool probed = false;
   };
 
-  bool PassesFirst(Time now, const Bucket& bucket) const;
+  bool PassesFirst(Time now, const Bucket& bucket, double cost) const;
   double ShareRate(Time now, const Bucket& bucket) const;
   bool TakeShare(Time now, Bucket& bucket, double cost);
   // Whom to ask; the one before hears that it isn't asked any more.
--- a/src/entry/quota_codec.cc
+++ b/src/entry/quota_codec.cc
@@ -48,7 +48,6 @@
   for (const QuotaGrantItem& item : grant.items) {
     entrywire::QuotaGrantItem& written = *wire.add_items();
     written.set_workspace(item.workspace.value());
-    written.set_granted(static_cast<uint32_t>(item.granted));
     for (const Duration wait : item.waits) {
       written.add_waits_us(wait.count());
     }
@@ -66,7 +65,6 @@
                    .scarce = {}};
   for (const entrywire::QuotaGrantItem& item : wire.items()) {
     QuotaGrantItem read{.workspace = WorkspaceId(item.workspace()),
-                        .granted = item.granted(),
                         .waits = {}};
     std::ranges::transform(item.waits_us(), std::back_inserter(read.waits),
                            [](int64_t wait) { return Duration(wait); });
--- a/src/entry/quota_gate.cc
+++ b/src/entry/quota_gate.cc
@@ -13,7 +13,7 @@
       clock_(clock),
       self_(std::move(self)),
       quotas_({.bound = bound}, seed),
-      allocator_({.bound = bound}) {}
+      allocator_({.bound = bound}, seed) {}
 
 void QuotaGate::SetQuotas(const ServingConfig& config) {
   quotas_.SetQuotas(loop_.now(), config);
@@ -29,12 +29,12 @@
 }
 
 void QuotaGate::Take(const WorkspaceId& workspace, double cost,
-                     Duration patience, Done done) {
+                     Duration patience, const Done& done) {
   const auto ticket = quotas_.TryTake(loop_.now(), workspace, cost, patience);
   if (!ticket) {
     done(std::nullopt);
   } else {
-    waiting_.emplace(*ticket, std::move(done));
+    waiting_.emplace(*ticket, done);
   }
   Pump();
 }
--- a/src/entry/quota_gate.h
+++ b/src/entry/quota_gate.h
@@ -42,7 +42,7 @@
   // `done` is called once: at once where the quota is known to have room, else
   // within `patience` and about one round of the loop.
   void Take(const WorkspaceId& workspace, double cost, Duration patience,
-            Done done);
+            const Done& done);
   // A call was let through and isn't sent after all.
   void Refund(const WorkspaceId& workspace, double cost);
   void OnMessage(const InstanceId& from, const mesh::Envelope& message);
--- a/src/parts/quota_allocator.cc
+++ b/src/parts/quota_allocator.cc
@@ -1,7 +1,5 @@
 #include "oleander/quota_allocator.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <utility>
 
@@ -17,11 +15,6 @@
 
 }  // namespace
 
-size_t QuotaGroupOf(const WorkspaceId& workspace) {
-  const std::string& name = workspace.value();
-  return XXH64(name.data(), name.size(), 0) % kQuotaGroups;
-}
-
 void QuotaAllocator::SetQuotas(Time now, const ServingConfig& config) {
   absl::flat_hash_map<WorkspaceId, Bucket> kept;
   for (const Workspace& workspace : config.workspaces()) {
@@ -32,7 +25,8 @@
     Bucket bucket;
     if (known != buckets_.end()) {
       bucket = known->second;
-      bucket.level = std::min(bucket.level, DepthOf(workspace.quota));
+      bucket.level =
+          std::min(bucket.level, options_.bound.DepthOf(workspace.quota));
     } else {
       bucket.filled_at = now;
     }
@@ -60,9 +54,9 @@
   for (const QuotaAskItem& item : ask.items) {
     const auto found = buckets_.find(item.workspace);
     if (found == buckets_.end()) {
-      grant.items.push_back({.workspace = item.workspace,
-                             .granted = item.wanted.size(),
-                             .waits = {}});
+      grant.items.push_back(
+          {.workspace = item.workspace,
+           .waits = std::vector<Duration>(item.wanted.size())});
       continue;
     }
     Fill(now, found->second);
@@ -109,23 +103,6 @@
   return found == buckets_.end() ? 0 : found->second.level;
 }
 
-double QuotaAllocator::BoundOf(const WorkspaceQuota& quota) const {
-  const QuotaBound& bound = options_.bound;
-  return (quota.per_s * Seconds(bound.window) + quota.burst) *
-             (1 + bound.overage * bound.used_overage) +
-         bound.slack * bound.used_slack;
-}
-
-double QuotaAllocator::RateOf(const WorkspaceQuota& quota) const {
-  const QuotaBound& bound = options_.bound;
-  return BoundOf(quota) * (1 - bound.depth_share) /
-         Seconds(bound.window + bound.hold);
-}
-
-double QuotaAllocator::DepthOf(const WorkspaceQuota& quota) const {
-  return BoundOf(quota) * options_.bound.depth_share;
-}
-
 double QuotaAllocator::PartHeard(const Bucket& bucket) const {
   const auto heard = static_cast<double>(heard_.at(bucket.group));
   const auto all = static_cast<double>(std::max<size_t>(1, instances_));
@@ -156,8 +133,10 @@
   const Duration passed = std::max(now - bucket.filled_at, Duration::zero());
   bucket.filled_at = now;
   const double part = PartHeard(bucket);
-  const double added = RateOf(bucket.quota) * part * Seconds(passed);
-  bucket.level = std::min(DepthOf(bucket.quota) * part, bucket.level + added);
+  const double added =
+      options_.bound.RateOf(bucket.quota) * part * Seconds(passed);
+  bucket.level = std::min(options_.bound.DepthOf(bucket.quota) * part,
+                          bucket.level + added);
   bucket.promised = std::max(0.0, bucket.promised - added);
 }
 
@@ -168,7 +147,7 @@
 }
 
 void QuotaAllocator::Judge(Time now, Bucket& bucket) {
-  const double full = DepthOf(bucket.quota) * PartHeard(bucket);
+  const double full = options_.bound.DepthOf(bucket.quota) * PartHeard(bucket);
   if (!bucket.scarce && bucket.level < full * options_.scarce_below) {
     bucket.scarce = true;
     bucket.news = true;
@@ -180,25 +159,38 @@
   }
 }
 
+bool QuotaAllocator::Passes(const Bucket& bucket, double cost) {
+  if (cost <= bucket.level * options_.sure_part) {
+    return true;
+  }
+  const double full = options_.bound.DepthOf(bucket.quota) * PartHeard(bucket);
+  const double room = bucket.level - full * options_.kept_for_small;
+  if (room <= 0) {
+    return false;
+  }
+  const double sure = std::max(room * options_.sure_part,
+                               bucket.level - full * options_.ration_below);
+  return cost <= sure || std::bernoulli_distribution(sure / cost)(gen_);
+}
+
 QuotaGrantItem QuotaAllocator::Give(Bucket& bucket, const QuotaAskItem& item) {
   QuotaGrantItem given{.workspace = item.workspace};
   bucket.level -= item.spent;
   for (const double cost : item.wanted) {
-    // A call passes while anything is left, so that large ones pass, too.
-    if (given.waits.empty() && bucket.level > 0) {
+    if (Passes(bucket, cost)) {
       bucket.level -= cost;
-      ++given.granted;
-      continue;
+      given.waits.push_back(Duration::zero());
+    } else {
+      bucket.promised += cost;
+      given.waits.push_back(WaitFor(bucket));
     }
-    bucket.promised += cost;
-    given.waits.push_back(WaitFor(bucket));
   }
   return given;
 }
 
 // Refused callers return one after the other, as the bucket fills for them.
 Duration QuotaAllocator::WaitFor(const Bucket& bucket) const {
-  const double rate = RateOf(bucket.quota) * PartHeard(bucket);
+  const double rate = options_.bound.RateOf(bucket.quota) * PartHeard(bucket);
   const double missing = bucket.promised - std::min(bucket.level, 0.0);
   const double wait = rate > 0 ? std::min(missing / rate, Seconds(kLongestWait))
                                : Seconds(kLongestWait);
@@ -207,14 +199,4 @@
       kShortestWait, kLongestWait);
 }
 
-double QuotaCost(const WorkspaceQuota& quota,
-                 std::optional<int64_t> prompt_tokens,
-                 int64_t max_output_tokens) {
-  if (!quota.in_tokens) {
-    return 1;
-  }
-  return prompt_tokens ? static_cast<double>(*prompt_tokens + max_output_tokens)
-                       : quota.plain_tokens;
-}
-
 }  // namespace oleander
--- a/src/parts/workspace_quotas.cc
+++ b/src/parts/workspace_quotas.cc
@@ -16,8 +16,6 @@
 constexpr Duration kUnansweredWait = std::chrono::milliseconds(200);
 constexpr Duration kShortestWait = std::chrono::milliseconds(100);
 constexpr Duration kLongestWait = std::chrono::seconds(5);
-// The even share is kept for so long where no call takes it.
-constexpr Duration kShareKept = std::chrono::seconds(1);
 
 double Seconds(Duration duration) {
   return std::chrono::duration<double>(duration).count();
@@ -150,7 +148,7 @@
                std::min(Seconds(kLongestWait), cost / ShareRate(now, bucket))));
     return refused.ticket;
   }
-  if (PassesFirst(now, bucket)) {
+  if (PassesFirst(now, bucket, cost)) {
     bucket.untold += cost;
     group.due = std::min(group.due, now + options_.gather);
     return std::nullopt;
@@ -279,33 +277,37 @@
 
 // The word that much is left must be fresh, and the allocator must answer, so
 // that a flood is seen after some dozens of milliseconds.
-bool WorkspaceQuotas::PassesFirst(Time now, const Bucket& bucket) const {
+bool WorkspaceQuotas::PassesFirst(Time now, const Bucket& bucket,
+                                  double cost) const {
   const Group& group = groups_.at(bucket.group);
   const bool fresh =
       group.heard_at && now - *group.heard_at < options_.heartbeat * 2;
   const bool overdue =
       group.asked_at && now - *group.asked_at > options_.trust_within;
-  return !bucket.scarce && fresh && !overdue;
+  const bool little =
+      bucket.untold + bucket.told + cost <=
+      options_.bound.DepthOf(bucket.quota) * options_.first_part;
+  return !bucket.scarce && fresh && !overdue && little;
 }
 
 double WorkspaceQuotas::ShareRate(Time now, const Bucket& bucket) const {
-  const QuotaBound& bound = options_.bound;
   const auto instances = static_cast<double>(std::max<size_t>(1, instances_));
   const std::optional<Time>& lost_at = groups_.at(bucket.group).lost_at;
   const bool counted_elsewhere =
       lost_at && now - *lost_at < options_.counted_for;
-  return bucket.quota.per_s / instances * (1 - bound.depth_share) *
+  return options_.bound.RateOf(bucket.quota) / instances *
          (counted_elsewhere ? options_.early_share : 1);
 }
 
 // A call may cost more than the share of a second; it passes with the chance
 // that makes up for it.
 bool WorkspaceQuotas::TakeShare(Time now, Bucket& bucket, double cost) {
-  const Time since = std::max(
-      {bucket.shared_at, *groups_.at(bucket.group).lost_at, now - kShareKept});
-  bucket.share =
-      std::min(bucket.share + ShareRate(now, bucket) * Seconds(now - since),
-               ShareRate(now, bucket) * Seconds(kShareKept));
+  const Time since =
+      std::max(bucket.shared_at, *groups_.at(bucket.group).lost_at);
+  const double most = options_.bound.DepthOf(bucket.quota) /
+                      static_cast<double>(std::max<size_t>(1, instances_));
+  bucket.share = std::min(
+      most, bucket.share + ShareRate(now, bucket) * Seconds(now - since));
   bucket.shared_at = now;
   const double chance =
       cost > 0 ? std::clamp(bucket.share / cost, 0.0, 1.0) : 1.0;
@@ -318,9 +320,13 @@
 
 // A word to which no calls hang; who answers is asked again.
 void WorkspaceQuotas::Probe(Time now) {
+  const bool lost = std::ranges::any_of(
+      groups_, [](const Group& group) { return group.lost_at.has_value(); });
   for (auto& [instance, passed] : passed_over_) {
     if (now >= passed.probe_at) {
-      passed.length = std::min(passed.length * 2, options_.longest_pass_over);
+      passed.length =
+          lost ? options_.pass_over
+               : std::min(passed.length * 2, options_.longest_pass_over);
       passed.probe_at = now + passed.length;
       passed.probed = true;
       questions_.push_back({.to = instance, .ask = {.leaving = true}});
@@ -451,15 +457,14 @@
       continue;
     }
     call.asked = false;
-    const size_t place = index++;
-    const bool granted = place < item.granted;
+    const Duration wait =
+        index < item.waits.size() ? item.waits[index] : kUnansweredWait;
+    ++index;
+    const bool granted = wait <= Duration::zero();
     if (call.settled) {
       bucket.untold -= granted ? call.cost : 0;
       continue;
     }
-    const size_t refusal = place - std::min(place, item.granted);
-    const Duration wait =
-        refusal < item.waits.size() ? item.waits[refusal] : kUnansweredWait;
     if (!granted && now + wait <= call.until) {
       call.ask_at = now + wait;
       continue;
--- /dev/null
+++ b/test/correctness/quota_gate_test.cc
@@ -0,0 +1,183 @@
+// Two instances share a workspace's quota over the mesh's messages: one of them
+// allocates it.
+#include "entry/quota_gate.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <limits>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "entry/quota_codec.h"
+#include "support/io_fixture.h"
+
+namespace oleander::entry {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const WorkspaceId kBakery("bakery");
+const InstanceId kAsker("asker");
+const InstanceId kAllocator("allocator");
+
+std::shared_ptr<const ServingConfig> ConfigWith(double per_s) {
+  ServingConfigParts parts;
+  Workspace workspace;
+  workspace.id = kBakery;
+  workspace.quota = {
+      .per_s = per_s, .burst = per_s, .in_tokens = true, .plain_tokens = 1};
+  parts.workspaces = {workspace};
+  return ServingConfig::Create(std::move(parts));
+}
+
+class TwoGates {
+ public:
+  explicit TwoGates(double per_s, Duration clock_off = Duration::zero())
+      : asker_clock(loop.now(), io::EventLoop::wall_now()),
+        allocator_clock(loop.now(), io::EventLoop::wall_now() + clock_off),
+        asker(loop, asker_clock, kAsker, {}, 1),
+        allocator(loop, allocator_clock, kAllocator, {}, 2) {
+    asker.OnSend([this](const InstanceId& to, const mesh::Envelope& message) {
+      BOOST_TEST(to == kAllocator);
+      loop.Post([this, message] {
+        if (!cut) {
+          allocator.OnMessage(kAsker, message);
+        }
+      });
+    });
+    allocator.OnSend([this](const InstanceId&, const mesh::Envelope& message) {
+      loop.Post([this, message] { asker.OnMessage(kAllocator, message); });
+    });
+    for (QuotaGate* gate : {&asker, &allocator}) {
+      gate->SetQuotas(*ConfigWith(per_s));
+      AllocatorRanking ranking;
+      ranking.fill({kAllocator});
+      gate->SetInstances(2, ranking);
+    }
+  }
+
+  // Whether a call passes, and when its caller is to come back where not.
+  std::optional<Duration> Take(double cost) {
+    bool told = false;
+    std::optional<Duration> come_back;
+    asker.Take(kBakery, cost, milliseconds(200),
+               [&](std::optional<Duration> wait) {
+                 BOOST_TEST(!told);
+                 told = true;
+                 come_back = wait;
+               });
+    BOOST_TEST_REQUIRE(io::RunUntil(loop, [&] { return told; }));
+    return come_back;
+  }
+
+  io::EventLoop loop;
+  AgreedClock asker_clock;
+  AgreedClock allocator_clock;
+  bool cut = false;
+  QuotaGate asker;
+  QuotaGate allocator;
+};
+
+BOOST_AUTO_TEST_SUITE(quota_gate)
+
+BOOST_AUTO_TEST_CASE(passes_what_the_allocator_grants_and_no_more) {
+  TwoGates gates(1000);
+  io::RunFor(gates.loop, milliseconds(1500));
+  BOOST_TEST(!gates.Take(100).has_value());
+  // About a tenth of a window's bound may pass at once.
+  int passed = 0;
+  std::vector<Duration> refused;
+  for (int call = 0; call < 40; ++call) {
+    gates.asker.Take(kBakery, 400, milliseconds(100),
+                     [&](std::optional<Duration> wait) {
+                       passed += wait ? 0 : 1;
+                       if (wait) {
+                         refused.push_back(*wait);
+                       }
+                     });
+  }
+  BOOST_TEST(io::RunUntil(gates.loop, [&] {
+    return passed + static_cast<int>(refused.size()) == 40;
+  }));
+  BOOST_TEST(passed >= 1);
+  BOOST_TEST(passed <= 4);
+  BOOST_TEST(std::ranges::all_of(
+      refused, [](Duration wait) { return wait >= milliseconds(100); }));
+}
+
+BOOST_AUTO_TEST_CASE(limits_no_workspace_without_a_quota) {
+  TwoGates gates(1000);
+  bool passes = false;
+  gates.asker.Take(WorkspaceId("other"), 1e9, milliseconds(1),
+                   [&](std::optional<Duration> wait) { passes = !wait; });
+  BOOST_TEST(passes);
+}
+
+BOOST_AUTO_TEST_CASE(answers_its_callers_while_no_allocator_does) {
+  TwoGates gates(1000);
+  io::RunFor(gates.loop, milliseconds(1500));
+  gates.cut = true;
+  const Time cut_at = gates.loop.now();
+  while (gates.loop.now() - cut_at < seconds(1)) {
+    gates.Take(300);
+  }
+  // Half of the rate is this instance's, and a part of it passes at once.
+  io::RunFor(gates.loop, milliseconds(1000));
+  BOOST_TEST(!gates.Take(1).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(goes_on_without_an_allocator_that_stops) {
+  TwoGates gates(1000);
+  io::RunFor(gates.loop, milliseconds(1500));
+  gates.allocator.Retire();
+  gates.Take(10);
+  io::RunFor(gates.loop, milliseconds(1000));
+  BOOST_TEST(!gates.Take(1).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(hears_the_time_of_its_peers) {
+  TwoGates gates(1000, seconds(30));
+  const WallTime before = gates.asker_clock.At(gates.loop.now());
+  Duration change{};
+  gates.asker.OnClockChange([&](Duration by) { change = by; });
+  io::RunFor(gates.loop, milliseconds(1500));
+  // One peer alone is no majority.
+  BOOST_TEST((change == Duration::zero()));
+  BOOST_TEST((gates.asker_clock.At(gates.loop.now()) - before < seconds(5)));
+  // With another one that says the same it is.
+  gates.asker_clock.OnPeer(gates.loop.now(), InstanceId("third"),
+                           gates.allocator_clock.At(gates.loop.now()),
+                           Duration::zero());
+  BOOST_TEST((gates.asker_clock.At(gates.loop.now()) - before > seconds(25)));
+}
+
+BOOST_AUTO_TEST_CASE(takes_no_harm_from_messages_that_make_no_sense) {
+  TwoGates gates(1000);
+  mesh::Envelope ask;
+  ask.mutable_quota_ask()->set_group(1000);
+  gates.allocator.OnMessage(kAsker, ask);
+  ask.mutable_quota_ask()->set_group(
+      static_cast<uint32_t>(QuotaGroupOf(kBakery)));
+  entrywire::QuotaAskItem& item = *ask.mutable_quota_ask()->add_items();
+  item.set_workspace(kBakery.value());
+  item.set_spent(std::numeric_limits<double>::quiet_NaN());
+  item.add_wanted(-1e300);
+  item.add_wanted(std::numeric_limits<double>::infinity());
+  gates.allocator.OnMessage(kAsker, ask);
+  mesh::Envelope grant;
+  grant.mutable_quota_grant()->set_group(1000);
+  gates.asker.OnMessage(kAllocator, grant);
+  grant.mutable_quota_grant()->set_group(0);
+  grant.mutable_quota_grant()->set_time_us(-5);
+  grant.mutable_quota_grant()->add_items()->add_waits_us(-4);
+  gates.asker.OnMessage(kAllocator, grant);
+  io::RunFor(gates.loop, milliseconds(1500));
+  BOOST_TEST(!gates.Take(100).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace oleander::entry
--- a/test/correctness/store_feed_test.cc
+++ b/test/correctness/store_feed_test.cc
@@ -162,6 +162,20 @@
   return envelope;
 }
 
+BOOST_AUTO_TEST_CASE(that_a_server_leaves_holds_for_who_hears_it) {
+  FeedFixture instance("one");
+  instance.feed.Start();
+  BOOST_TEST(instance.Until(
+      [&] { return instance.version() == 1 && instance.ready() == 1; }));
+  const PlacementQuestion question{.service = ServiceId("service")};
+  Placement& placement = instance.entry.context.placement;
+  BOOST_TEST(placement.Pick(instance.entry.loop.now(), question).has_value());
+  mesh::Envelope ask = Ask(1, 0);
+  ask.mutable_store_ask()->add_leaving()->set_server("one");
+  instance.feed.OnMessage(InstanceId("two"), ask);
+  BOOST_TEST(!placement.Pick(instance.entry.loop.now(), question).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(without_a_question_changes_nothing) {
   FeedFixture instance("one");
   instance.feed.Start();
