A call is sent only as the newest configuration allows

Ruled out: a proof that was too old (it was 20 ms old, of the newer configuration). Change: before each send the credential is looked up in the newest configuration; 401 where it has gone. Test: is_not_trusted_once_a_newer_configuration_lacks_it failed before (503, and a second server got the call).

--- a/src/entry/forwarded_call.cc
+++ b/src/entry/forwarded_call.cc
@@ -92,6 +92,16 @@
            "can't be trusted.");
     return;
   }
+  if (!IsStillAllowed()) {
+    if (attempts_.may_have_run > 0) {
+      Fail(ResultCode::kAnswerLost,
+           "The answer was lost, and the request's credential was taken away.");
+    } else {
+      Refuse(ResultCode::kUnknownCredential,
+             "The request's credential was taken away while it waited.");
+    }
+    return;
+  }
   const std::optional<ServerId> picked = PickServer();
   const ListedServer* server = picked ? context_.listed.Find(*picked) : nullptr;
   if (server == nullptr) {
@@ -106,6 +116,18 @@
   SendTo(*server);
 }
 
+// A newer configuration than the one that the call was accepted under may have
+// come while it waited or was tried elsewhere; the proof is of the newer one.
+bool ForwardedCall::IsStillAllowed() const {
+  if (call_.route->open || call_.workspace.empty() ||
+      context_.config == call_.config) {
+    return true;
+  }
+  const Workspace* workspace =
+      context_.config->FindWorkspace(call_.intake.credential);
+  return workspace != nullptr && workspace->id == call_.workspace;
+}
+
 // Where all servers want a pause, the caller hears when the first one ends.
 void ForwardedCall::RefuseWithoutServer() {
   const Time now = context_.loop.now();
@@ -483,18 +505,23 @@
     return;
   }
   // A third of what is left is the most that callers wait before they return.
-  const Duration come_back = known.value_or(std::clamp<Duration>(
+  std::optional<Duration> come_back = known.value_or(std::clamp<Duration>(
       time_left() / 4, kShortestComeBack, kLongestComeBack));
+  int status = 503;
+  if (code == ResultCode::kUnknownCredential) {
+    come_back.reset();
+    status = InfoOf(code).http_status;
+  }
   const absl::Status error = MakeError(
       {.code = code, .ran = Ran::kNo, .retry_after = come_back}, message);
-  const int status = 503;
-  call_.exchange->Respond(
-      status,
-      {{.name = "content-type", .value = "application/json"},
-       {.name = "retry-after",
-        .value = fmt::format(
-            "{:.3f}", std::chrono::duration<double>(come_back).count())}},
-      ErrorBody(error));
+  io::Headers headers = {{.name = "content-type", .value = "application/json"}};
+  if (come_back) {
+    headers.push_back(
+        {.name = "retry-after",
+         .value = fmt::format(
+             "{:.3f}", std::chrono::duration<double>(*come_back).count())});
+  }
+  call_.exchange->Respond(status, std::move(headers), ErrorBody(error));
   Finish(code, status, message);
 }
 
--- a/src/entry/forwarded_call.h
+++ b/src/entry/forwarded_call.h
@@ -76,6 +76,8 @@
   void Refuse(ResultCode code, std::string_view message,
               std::optional<Duration> known = std::nullopt);
   void RefuseWithoutServer();
+  // Whether the newest configuration still has the call's credential.
+  bool IsStillAllowed() const;
   void Fail(ResultCode code, std::string_view message);
   void BreakStream(std::string_view reason);
   void Finish(ResultCode code, int status, std::string_view reason);
--- a/test/error/forwarded_call_test.cc
+++ b/test/error/forwarded_call_test.cc
@@ -78,6 +78,22 @@
   BOOST_TEST(server.requests().empty());
 }
 
+// cairnlea-oleander scale-2 seed 3: a call that waited when the newest
+// configuration came was sent, though that one no longer had its credential.
+BOOST_AUTO_TEST_CASE(is_not_trusted_once_a_newer_configuration_lacks_it) {
+  EntryFixture entry;
+  const auto script = [&](const std::string&) {
+    entry.SetConfig("other");
+    entry.context.proof.Prove(entry.loop.now());
+    return NotRun(503);
+  };
+  io::ScriptedServer& first = entry.AddServer(script);
+  io::ScriptedServer& second = entry.AddServer(script);
+  const std::string answer = entry.Ask("/once/a");
+  BOOST_TEST(StatusOf(answer) == 401);
+  BOOST_TEST(first.requests().size() + second.requests().size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(is_not_known_without_any_configuration) {
   EntryFixture entry;
   entry.context.config = nullptr;
--- a/test/support/entry_fixture.h
+++ b/test/support/entry_fixture.h
@@ -76,7 +76,7 @@
   }
 
   // Routes /once/, /repeat/, /stream/ and /resume/ lead to the one service.
-  void SetConfig() {
+  void SetConfig(const std::string& credential = "key") {
     ServingConfigParts parts;
     parts.version = 7;
     parts.revision = 70;
@@ -86,7 +86,7 @@
                     RouteOf("/resume/", CallKind::kStream, true)};
     Workspace workspace;
     workspace.id = WorkspaceId("bakery");
-    workspace.credentials = {"key"};
+    workspace.credentials = {credential};
     parts.workspaces = {workspace};
     context.config = ServingConfig::Create(std::move(parts));
   }
