--- a/apps/oleanderctl/general_commands.cc
+++ b/apps/oleanderctl/general_commands.cc
@@ -6,6 +6,7 @@
 
 #include "commands.h"
 #include "io/mesh.h"
+#include "io/text_file.h"
 #include "node/settings.h"
 #include "oleander/field_reader.h"
 #include "oleander/profile.h"
@@ -115,7 +116,7 @@
     return UsageError("check FILE");
   }
   const std::string& file = context.words[0];
-  auto text = node::ReadTextFile(file);
+  auto text = io::ReadTextFile(file);
   if (!text.ok()) {
     return text.status();
   }
--- a/apps/oleanderctl/main.cc
+++ b/apps/oleanderctl/main.cc
@@ -10,6 +10,7 @@
 
 #include "commands.h"
 #include "io/log.h"
+#include "io/text_file.h"
 #include "node/settings.h"
 #include "oleander/result_code.h"
 
@@ -75,7 +76,7 @@
   if (FLAGS_token_file.empty()) {
     return MakeError(ResultCode::kUsage, "This command needs --token_file.");
   }
-  auto token = node::ReadTextFile(FLAGS_token_file);
+  auto token = io::ReadTextFile(FLAGS_token_file);
   if (!token.ok()) {
     return token.status();
   }
--- a/apps/oleanderctl/profile_commands.cc
+++ b/apps/oleanderctl/profile_commands.cc
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include "commands.h"
+#include "io/text_file.h"
 #include "node/settings.h"
 #include "oleander/field_reader.h"
 #include "oleander/profile.h"
@@ -153,7 +154,7 @@
   if (context.words.size() != 1) {
     return UsageError("profile apply FILE [--wait]");
   }
-  auto text = node::ReadTextFile(context.words[0]);
+  auto text = io::ReadTextFile(context.words[0]);
   if (!text.ok()) {
     return text.status();
   }
@@ -243,7 +244,7 @@
   if (!copy.ok()) {
     return copy.status();
   }
-  auto text = node::ReadTextFile(context.words[1]);
+  auto text = io::ReadTextFile(context.words[1]);
   if (!text.ok()) {
     return text.status();
   }
--- a/apps/oleanderd/main.cc
+++ b/apps/oleanderd/main.cc
@@ -11,6 +11,7 @@
 #include "entry/entry_node.h"
 #include "entry/settings.h"
 #include "io/log.h"
+#include "io/text_file.h"
 #include "node/mesh_port.h"
 #include "node/node.h"
 #include "node/operator_token.h"
@@ -120,7 +121,7 @@
   if (FLAGS_settings.empty()) {
     return MakeError(ResultCode::kUsage, "--settings=FILE is missing.");
   }
-  auto text = node::ReadTextFile(FLAGS_settings);
+  auto text = io::ReadTextFile(FLAGS_settings);
   if (!text.ok()) {
     return text.status();
   }
--- a/src/entry/entry_node.cc
+++ b/src/entry/entry_node.cc
@@ -5,7 +5,6 @@
 #include <unistd.h>
 
 #include <algorithm>
-#include <fstream>
 #include <iterator>
 #include <map>
 #include <optional>
@@ -24,6 +23,7 @@
 #include "io/event_loop.h"
 #include "io/http_server.h"
 #include "io/log.h"
+#include "io/text_file.h"
 #include "oleander/result_code.h"
 
 namespace oleander::entry {
@@ -115,15 +115,6 @@
          a.mesh_port == b.mesh_port && a.metrics_port == b.metrics_port;
 }
 
-absl::StatusOr<std::string> ReadFile(const std::string& file) {
-  std::ifstream stream(file, std::ios::binary);
-  if (!stream) {
-    return MakeError(ResultCode::kSettingsUnreadable,
-                     fmt::format("The file {} can't be read.", file));
-  }
-  return std::string(std::istreambuf_iterator<char>(stream), {});
-}
-
 SharedRetryBound RetryBoundOf(const Bounds& bounds) {
   return {.share = bounds.retry_share, .slack = bounds.retry_slack};
 }
@@ -308,7 +299,7 @@
 
   // A file that fails its checks leaves the settings in force as they are.
   void Reload() {
-    auto text = ReadFile(settings_file_);
+    auto text = io::ReadTextFile(settings_file_);
     auto settings = text.ok() ? ParseEntrySettings(*text, settings_file_)
                               : absl::StatusOr<EntrySettings>(text.status());
     if (!settings.ok()) {
--- a/src/node/mesh_port.cc
+++ b/src/node/mesh_port.cc
@@ -10,6 +10,7 @@
 #include "io/log.h"
 #include "io/profile_codec.h"
 #include "io/request_codec.h"
+#include "io/text_file.h"
 #include "oleander/field_reader.h"
 #include "oleander/result_code.h"
 
@@ -52,7 +53,7 @@
   if (file.empty()) {
     return keys;
   }
-  auto text = ReadTextFile(file);
+  auto text = io::ReadTextFile(file);
   if (!text.ok()) {
     return text.status();
   }
--- a/src/node/operator_token.cc
+++ b/src/node/operator_token.cc
@@ -6,6 +6,7 @@
 
 #include <array>
 
+#include "io/text_file.h"
 #include "node/settings.h"
 #include "oleander/result_code.h"
 
@@ -38,7 +39,7 @@
 }  // namespace
 
 absl::StatusOr<OperatorToken> OperatorToken::Read(const std::string& file) {
-  auto text = ReadTextFile(file);
+  auto text = io::ReadTextFile(file);
   if (!text.ok()) {
     return text.status();
   }
--- a/src/node/settings.cc
+++ b/src/node/settings.cc
@@ -3,10 +3,10 @@
 #include <arpa/inet.h>
 #include <fmt/format.h>
 
-#include <fstream>
 #include <iterator>
 #include <utility>
 
+#include "io/text_file.h"
 #include "oleander/field_reader.h"
 #include "oleander/result_code.h"
 
@@ -189,17 +189,8 @@
   return settings;
 }
 
-absl::StatusOr<std::string> ReadTextFile(const std::string& file) {
-  std::ifstream stream(file, std::ios::binary);
-  if (!stream) {
-    return MakeError(ResultCode::kSettingsUnreadable,
-                     fmt::format("The file {} can't be read.", file));
-  }
-  return std::string(std::istreambuf_iterator<char>(stream), {});
-}
-
 absl::StatusOr<Settings> ReadSettings(const std::string& file) {
-  auto text = ReadTextFile(file);
+  auto text = io::ReadTextFile(file);
   if (!text.ok()) {
     return text.status();
   }
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -77,9 +77,6 @@
                                        std::string_view source);
 absl::StatusOr<Settings> ReadSettings(const std::string& file);
 
-// Reads a small text file whole, for settings, tokens and keys.
-absl::StatusOr<std::string> ReadTextFile(const std::string& file);
-
 }  // namespace oleander::node
 
 #endif  // OLEANDER_NODE_SETTINGS_H_
--- a/src/parts/quota_allocator.cc
+++ b/src/parts/quota_allocator.cc
@@ -175,7 +175,10 @@
 
 QuotaGrantItem QuotaAllocator::Give(Bucket& bucket, const QuotaAskItem& item) {
   QuotaGrantItem given{.workspace = item.workspace};
-  bucket.level -= item.spent;
+  // What is given back fills no bucket beyond its depth.
+  bucket.level =
+      std::min(bucket.level - item.spent,
+               options_.bound.DepthOf(bucket.quota) * PartHeard(bucket));
   for (const double cost : item.wanted) {
     if (Passes(bucket, cost)) {
       bucket.level -= cost;
