A leaving server's word is kept by the start that was sent to, not by what is listed when it answers

The birth kept with the word was looked up when the answer came; where the entry had gone meanwhile it was 0, and the entry's return counted as a later start. Change: the birth is kept with the send, for pauses, too. Test: stays_away_where_its_entry_goes_and_comes_back failed before (a second request reached the server).

--- a/src/entry/forwarded_call.cc
+++ b/src/entry/forwarded_call.cc
@@ -145,6 +145,7 @@
 
 void ForwardedCall::SendTo(const ListedServer& server) {
   server_ = server.id;
+  server_born_ms_ = server.born_ms;
   question_.tried.push_back(server.id);
   mode_ = Mode::kAwaitingHead;
   begun_counted_ = false;
@@ -243,20 +244,18 @@
 }
 
 void ForwardedCall::NoteServerWords(const ports::AnswerHead& head) {
-  const ListedServer* server = context_.listed.Find(*server_);
-  const int64_t born_ms = server == nullptr ? 0 : server->born_ms;
   ServerNotices& notices = context_.placement.notices();
   const Time now = context_.loop.now();
-  if (head.leaving &&
-      notices.OnLeaving(now, {.server = *server_, .born_ms = born_ms})) {
+  if (head.leaving && notices.OnLeaving(now, {.server = *server_,
+                                              .born_ms = server_born_ms_})) {
     io::Log(io::LogLevel::kInfo, "server.leaving",
             {{"server", server_->value()},
-             {"born_ms", born_ms},
+             {"born_ms", server_born_ms_},
              {"by", "answer"},
              {"call", call_.intake.attempt}});
   }
   if (head.rest) {
-    notices.OnTurnedAway(now, *server_, born_ms, *head.rest);
+    notices.OnTurnedAway(now, *server_, server_born_ms_, *head.rest);
     io::Log(io::LogLevel::kInfo, "server.rests",
             {{"server", server_->value()},
              {"ms", Milliseconds(*head.rest)},
--- a/src/entry/forwarded_call.h
+++ b/src/entry/forwarded_call.h
@@ -90,6 +90,8 @@
   PlacementQuestion question_;
   std::unique_ptr<io::HttpCall> sending_;
   std::optional<ServerId> server_;  // Of the attempt under way.
+  // As listed when it was sent to: the entry may go before the answer comes.
+  int64_t server_born_ms_ = 0;
   Mode mode_ = Mode::kAwaitingHead;
   int status_ = 0;
   io::Headers headers_;
--- a/test/error/forwarded_call_test.cc
+++ b/test/error/forwarded_call_test.cc
@@ -475,6 +475,27 @@
   BOOST_TEST(server.requests().size() == 1U);
 }
 
+// tortared, store-away-beside-drain, seed 1075848039089: the entry was gone
+// from the list when the server said that it leaves, and came back.
+BOOST_AUTO_TEST_CASE(stays_away_where_its_entry_goes_and_comes_back) {
+  EntryFixture entry;
+  ListedServer listed;
+  io::ScriptedServer& server = entry.AddServer([&](const std::string&) {
+    entry.context.listed.Remove(entry.loop.now(), listed.id, 200);
+    entry.Publish();
+    return kGoodbye;
+  });
+  listed = *entry.context.listed.Find(ServerId("server-1"));
+  listed.born_ms = 7;
+  entry.context.listed.Put(entry.loop.now(), listed, 100);
+  entry.Publish();
+  BOOST_TEST(StatusOf(entry.Ask("/once/a")) == 200);
+  entry.context.listed.Put(entry.loop.now(), listed, 300);
+  entry.Publish();
+  BOOST_TEST(StatusOf(entry.Ask("/once/a")) == 503);
+  BOOST_TEST(server.requests().size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(is_used_again_after_a_later_start) {
   EntryFixture entry;
   bool leaving = true;
