--- a/include/oleander/reader_choice.h
+++ b/include/oleander/reader_choice.h
@@ -5,10 +5,6 @@
 // mesh; who reads follows from the names of those that serve, so that all agree
 // without a message. Where two disagree for a moment, one reads more than
 // needed. Whoever gets no fresh word reads by itself.
-//
-// Load it answers: hundreds of unequal instances, each of which asks several
-// times a second; a reader that is short of processor time would answer late,
-// and all that ask it would read for themselves.
 #ifndef OLEANDER_READER_CHOICE_H_
 #define OLEANDER_READER_CHOICE_H_
 
@@ -22,15 +18,10 @@
 struct ReaderCandidate {
   InstanceId instance;
   DomainId domain;
-  double cores = 1;  // Those with more go first.
 
   auto operator<=>(const ReaderCandidate&) const = default;
 };
 
-// How many of `instances` read: one may be down and another cut off, and each
-// answers a bounded number of others.
-size_t ReadersFor(size_t instances);
-
 // The instances that read, at most `count`, of different domains as far as
 // there are; the same for any order of the candidates.
 std::vector<InstanceId> ChooseReaders(std::vector<ReaderCandidate> candidates,
--- a/src/entry/store_feed.cc
+++ b/src/entry/store_feed.cc
@@ -14,6 +14,9 @@
 namespace oleander::entry {
 namespace {
 
+// How many instances read the store for all: one may be down and another cut
+// off.
+constexpr size_t kReaders = 3;
 // Operators expect a change in force within two and a half seconds: a reader's
 // period and an asker's, and room for one that fails.
 constexpr Duration kConfigPeriod = std::chrono::milliseconds(700);
@@ -93,13 +96,12 @@
   std::vector<ReaderCandidate> candidates;
   for (const InstanceRecord& record : records.records()) {
     if (record.alive) {
-      candidates.push_back({.instance = record.instance,
-                            .domain = record.domain,
-                            .cores = record.cores});
+      candidates.push_back(
+          {.instance = record.instance, .domain = record.domain});
     }
   }
-  const size_t count = ReadersFor(candidates.size());
-  std::vector<InstanceId> readers = ChooseReaders(std::move(candidates), count);
+  std::vector<InstanceId> readers =
+      ChooseReaders(std::move(candidates), kReaders);
   if (readers != readers_) {
     readers_ = std::move(readers);
     io::Log(io::LogLevel::kInfo, "store.readers",
