--- a/include/oleander/quota_messages.h
+++ b/include/oleander/quota_messages.h
@@ -32,7 +32,7 @@
 
 struct QuotaAsk {
   size_t group = 0;
-  uint64_t round = 0;    // Repeated by the answer; never 0.
+  uint64_t round = 0;    // Repeated by the answer; 0 only for a probe.
   bool leaving = false;  // The sender asks another allocator from now on.
   std::vector<QuotaAskItem> items = {};
 };
--- a/include/oleander/types.h
+++ b/include/oleander/types.h
@@ -28,8 +28,8 @@
 
 using Time = MonotonicClock::time_point;
 
-// A point on the wall clock, for audit records and operators only; no decision
-// uses it.
+// A point on the wall clock: for audit records and operators, and for windows
+// of usage, by the agreed clock (agreed_clock.h).
 using WallTime = std::chrono::time_point<std::chrono::system_clock, Duration>;
 
 // A string that names one kind of thing, so that a server's name can't be
