An instance whose wait for servers went silent lists them anew when its readers say so

An instance that doesn't read the store began to wait for changes while the store was silent, and went on waiting on that connection for 12 s. Its readers had listed anew and told it to list the servers itself, which it didn't do while it waited: 8 s without a change of servers. Ruled out: words of servers in their answers (that site's servers send none). Change: while the store counts as away the wait is no reason not to list; one listing at a time.

--- a/src/entry/store_feed.cc
+++ b/src/entry/store_feed.cc
@@ -194,6 +194,7 @@
 }
 
 void StoreFeed::ListServers() {
+  listing_ = true;
   store_.Range({.call = 0, .key = catalog_.servers_prefix(), .prefix = true},
                [this](const absl::StatusOr<StoreRangeAnswer>& answer) {
                  OnListed(answer);
@@ -201,6 +202,7 @@
 }
 
 void StoreFeed::OnListed(const absl::StatusOr<StoreRangeAnswer>& answer) {
+  listing_ = false;
   NoteAnswer("servers_list", answer.status());
   if (!answer.ok()) {
     ListAgain(kServersRetry);
@@ -365,7 +367,9 @@
   // The reader lists them itself, or no longer has the changes since then.
   const bool stale =
       context_.loop.now() - servers_fresh_at_ > kFreshWord - kAskPeriod;
-  if (context_.listed.known() && stale && !waiting_ &&
+  // A call that waited through an outage may wait on a dead connection.
+  const bool may_list = !waiting_ || away_;
+  if (context_.listed.known() && stale && may_list && !listing_ &&
       !servers_timer_.active()) {
     ListAgain(Duration::zero());
   }
--- a/src/entry/store_feed.h
+++ b/src/entry/store_feed.h
@@ -105,6 +105,7 @@
   // When the last own reading left that the store answered.
   std::optional<Time> read_at_;
   Time servers_fresh_at_;  // When the servers were last known to be up to date.
+  bool listing_ = false;   // A listing is under way.
   bool waiting_ = false;   // A call waits for changes of the servers.
   uint64_t wait_round_ = 0;  // Answers of earlier rounds are ignored.
   uint64_t published_ = 0;
