A store that comes back from an older copy: what hangs on its revisions begins anew

Cause, by reading and by a test with news of eras cut: after such a return a holder of the duty that took it again got a lower fencing number (and ended by the invariant on them), sums of usage that were sent could be fixed anew with another count, changes at revisions given out again were missed, an older configuration counted as proof, and servers that were known to leave came back. Ruled out: telling a return from revisions that go back (not seen where they have passed the old ones meanwhile). Left: a configuration that nobody read before the copy was lost; experiments of the own deployment.

--- a/include/oleander/leases.h
+++ b/include/oleander/leases.h
@@ -9,11 +9,15 @@
 // The holder counts its time from the moment it *sent* the last successful
 // renewal and stops `stop_early` before the service would let the lease lapse;
 // a process that was paused finds the time gone at its next check. The fencing
-// number is the revision at which the lease's key was created; it grows with
-// every change of holder.
+// number is the revision at which the lease's key was created, below the era of
+// the service; it grows with every change of holder, also when the service
+// comes back from an older copy and counts revisions anew. That copy may lack
+// the key of a holder that still acts, so nobody takes the duty until an era
+// has lasted as long as a lease.
 #ifndef OLEANDER_LEASES_H_
 #define OLEANDER_LEASES_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <random>
@@ -69,6 +73,11 @@
   void OnRange(StoreCall call, const absl::StatusOr<StoreRangeAnswer>& answer,
                Time now);
 
+  // The service answers in `era`, which has lasted for `age` at least. In a
+  // later era than before a holder stops at once. Told again where the age is
+  // found to be longer.
+  void OnEra(int64_t era, Duration age, Time now);
+
   // The duty's key is told to have gone: looks at once instead of at its turn.
   void LookNow(Time now);
 
@@ -90,8 +99,10 @@
 
   void Drop(const std::string& reason, Time now);
   void TryAgain(Time now);
-  void Hold(int64_t fence, Time now);
+  void Hold(int64_t revision, Time now);
   void Revoke();
+  // When the duty may be taken, whoever had it before.
+  Time free_from() const { return std::max(rest_until_, era_settled_); }
   void AskHolder();
   void OnRenewed(const absl::StatusOr<StoreLeaseAnswer>& answer, Time now);
   void OnLooked(const absl::StatusOr<StoreRangeAnswer>& answer, Time now);
@@ -117,6 +128,8 @@
   Time asked_at_;     // When the grant or renewal under way was sent.
   Time next_;
   Time rest_until_;
+  int64_t era_ = 0;   // Of the service; 0: it names none.
+  Time era_settled_;  // No holder of an earlier era acts any more.
   StoreCall call_ = 0;
   StoreCall pending_ = 0;
   std::vector<LeaseAction> actions_;
--- a/include/oleander/listed_servers.h
+++ b/include/oleander/listed_servers.h
@@ -41,6 +41,9 @@
   // How long after an outage's end entries may be missing though their servers
   // live: the platform's page says about two seconds.
   Duration return_time = std::chrono::milliseconds(2000);
+  // How long an older copy may list a server that is gone: three silent
+  // intervals of its heartbeat, and as long again.
+  Duration copy_time = std::chrono::seconds(10);
 };
 
 class ListedServers {
@@ -60,6 +63,11 @@
   // The store has answered for longer than entries take to return.
   void OnStoreSteady(Time now);
   bool steady(Time now) const { return !ReturnsExpected(now); }
+  // The store came back from an older copy: revisions begin anew, and entries
+  // may be missing as after an outage. Starts of servers that were known to
+  // leave or to be gone aren't taken from the copy; a change that a server
+  // writes in the new era shows that it lives. Returns those that were leaving.
+  std::vector<ListedServer> OnNewEra(Time now);
   // Drops entries whose time to return has passed.
   void Tick(Time now);
   Time next_due() const;
@@ -80,11 +88,18 @@
   };
   bool ReturnsExpected(Time now) const;
   void MissOrErase(Time now, const ServerId& server);
+  void PutAsOf(ListedServer server, int64_t revision);
+  bool IsOfOlderCopy(Time now, const ListedServer& server) const;
+  void NoteGone(const ListedServer& server);
 
   ListedServersOptions options_;
   absl::flat_hash_map<ServerId, Entry> entries_;
   // The newest revision at which an entry went; older writes don't undo it.
   absl::flat_hash_map<ServerId, int64_t> removed_;
+  // The births of servers that went, and until when an older copy may list
+  // them.
+  absl::flat_hash_map<ServerId, int64_t> gone_births_;
+  std::optional<Time> copied_until_;
   bool known_ = false;
   bool away_ = false;
   std::optional<Time> back_at_;
--- a/src/entry/call_context.h
+++ b/src/entry/call_context.h
@@ -17,6 +17,7 @@
 #include "oleander/retries.h"
 #include "oleander/server_loads.h"
 #include "oleander/serving_config.h"
+#include "oleander/store_era.h"
 #include "oleander/usage_windows.h"
 #include "ports/call_port.h"
 
@@ -28,6 +29,7 @@
   const ports::CallPort& codec;
   EntryMetrics& metrics;
   AgreedClock clock;
+  StoreEra era = {};
   ConfigProof proof;
   ListedServers listed;
   Placement placement;
--- a/src/entry/duty_lease.cc
+++ b/src/entry/duty_lease.cc
@@ -37,17 +37,38 @@
   }
 }
 
+void DutyLease::OnEra(const StoreEra& era) {
+  const Time now = loop_.now();
+  keeper_.OnEra(era.current(), era.age(now), now);
+  if (followed_era_ != 0 && followed_era_ != era.current()) {
+    // Changes up to the revision that was followed may be new ones now.
+    ++follow_round_;
+    followed_to_ = 0;
+    following_ = false;
+    if (wanted_) {
+      follow_timer_ = loop_.After(kFollowRetry, [this] { Follow(); });
+    }
+  }
+  followed_era_ = era.current();
+  Drive();
+}
+
 void DutyLease::Follow() {
   following_ = true;
+  const uint64_t round = ++follow_round_;
   store_.Wait({.prefix = keeper_.key(),
                .after_revision = followed_to_,
                .longest = kFollowWait},
-              [this](const auto& answer) { OnChanges(answer); });
+              [this, round](const auto& answer) { OnChanges(round, answer); });
 }
 
-void DutyLease::OnChanges(const absl::StatusOr<ports::StoreChanges>& answer) {
-  following_ = false;
+void DutyLease::OnChanges(uint64_t round,
+                          const absl::StatusOr<ports::StoreChanges>& answer) {
   metrics_.CountStoreCall("lease_wait", answer.ok());
+  if (round != follow_round_) {
+    return;
+  }
+  following_ = false;
   if (!wanted_) {
     return;
   }
--- a/src/entry/duty_lease.h
+++ b/src/entry/duty_lease.h
@@ -8,6 +8,7 @@
 #include "entry/entry_metrics.h"
 #include "io/event_loop.h"
 #include "oleander/leases.h"
+#include "oleander/store_era.h"
 #include "ports/store_port.h"
 
 namespace oleander::entry {
@@ -20,6 +21,8 @@
             std::function<void()> on_taken);
 
   void Want(bool want);
+  // The store answers in this era; see LeaseKeeper::OnEra.
+  void OnEra(const StoreEra& era);
   // The fencing number where the duty is held for at least `order_time` more.
   std::optional<int64_t> FenceFor(Duration order_time) const;
 
@@ -28,7 +31,8 @@
   // Follows the duty's key, so that its loss is seen without asking again and
   // again.
   void Follow();
-  void OnChanges(const absl::StatusOr<ports::StoreChanges>& answer);
+  void OnChanges(uint64_t round,
+                 const absl::StatusOr<ports::StoreChanges>& answer);
   void Send(const StoreRequest& request);
 
   io::EventLoop& loop_;
@@ -38,6 +42,8 @@
   std::function<void()> on_taken_;
   bool wanted_ = false;
   bool following_ = false;
+  uint64_t follow_round_ = 0;  // Answers of earlier rounds are ignored.
+  int64_t followed_era_ = 0;
   int64_t followed_to_ = 0;
   io::Timer timer_;
   io::Timer follow_timer_;
--- a/src/entry/entry_node.cc
+++ b/src/entry/entry_node.cc
@@ -10,6 +10,7 @@
 #include <optional>
 #include <random>
 #include <ranges>
+#include <set>
 #include <utility>
 
 #include "entry/call_context.h"
@@ -66,6 +67,9 @@
 // Parts of the memory that one collected answer and all of them may take.
 constexpr size_t kLargestAnswerPart = 16;
 constexpr size_t kCollectedPart = 4;
+// Peers that hear a sum of usage before it is reported: enough that one of them
+// is there when the duty goes on after the store forgot the sum.
+constexpr size_t kPeersTold = 12;
 constexpr Duration kSettingsCheck = std::chrono::seconds(2);
 
 absl::flat_hash_map<DomainId, RegionId> RegionsOf(
@@ -129,7 +133,10 @@
         settings_file_(std::move(settings_file)),
         servers_client_(loop_, kServerIdleBound),
         platform_client_(loop_, kPlatformIdleBound),
-        ports_(factory(settings_, platform_client_)),
+        ports_(factory(settings_, platform_client_,
+                       [this](int64_t era) {
+                         return context_.era.Observe(loop_.now(), era);
+                       })),
         context_{.loop = loop_,
                  .servers_client = servers_client_,
                  .codec = *ports_.calls,
@@ -204,6 +211,11 @@
         [this](Duration change) { OnClockChange("peers", change); });
     feed_.OnClockChange(
         [this](Duration change) { OnClockChange("births", change); });
+    reporter_.OnTell([this](const entrywire::UsageTold& told) { Tell(told); });
+    if (settings_.first_start) {
+      context_.era.BeginDeployment();
+    }
+    context_.era.OnNews([this](StoreEra::News news) { OnEra(news); });
     context_.placement.SetRegions(RegionsOf(settings_));
     context_.quotas.SetInstances(kAssumedInstances, {});
   }
@@ -252,11 +264,39 @@
     reporter_.OnRecords();
   }
 
+  void OnEra(StoreEra::News news) {
+    const bool came_back = news == StoreEra::News::kCameBack;
+    io::Log(came_back ? io::LogLevel::kWarning : io::LogLevel::kInfo,
+            came_back ? "store.came_back" : "store.era",
+            {{"era", context_.era.current()}});
+    lease_.OnEra(context_.era);
+    if (came_back) {
+      feed_.OnNewEra();
+      records_.OnNewEra();
+    }
+  }
+
+  void Tell(const entrywire::UsageTold& told) {
+    mesh::Envelope envelope;
+    *envelope.mutable_usage_told() = told;
+    std::set<InstanceId> peers;
+    for (const InstanceRecord& record : records_.records()) {
+      if (record.alive && record.instance != settings_.instance) {
+        peers.insert(record.instance);
+      }
+    }
+    std::ranges::for_each(
+        peers | std::views::take(kPeersTold),
+        [&](const InstanceId& peer) { peers_.Send(peer, envelope); });
+  }
+
   void OnPeerMessage(const InstanceId& from, const mesh::Envelope& message) {
     if (message.has_store_ask() || message.has_store_tell()) {
       feed_.OnMessage(from, message);
     } else if (message.has_quota_ask() || message.has_quota_grant()) {
       context_.quotas.OnMessage(from, message);
+    } else if (message.has_usage_told()) {
+      reporter_.OnTold(message.usage_told());
     } else {
       io::Log(io::LogLevel::kWarning, "mesh.unexpected",
               {{"peer", from.value()},
--- a/src/entry/entry_node.h
+++ b/src/entry/entry_node.h
@@ -25,7 +25,8 @@
   std::unique_ptr<ports::DutyPort> duties;
 };
 using PortsFactory =
-    std::function<Ports(const EntrySettings& settings, io::HttpClient& client)>;
+    std::function<Ports(const EntrySettings& settings, io::HttpClient& client,
+                        ports::EraObserver on_era)>;
 
 //   auto node = EntryNode::Create(settings, "settings.jsonc", factory);
 //   if (!node.ok()) return Report(node.status());
--- a/src/entry/record_keeper.cc
+++ b/src/entry/record_keeper.cc
@@ -32,10 +32,18 @@
 // only those that were sooner; it is repeated while it shows new ones.
 constexpr Duration kReadAgainAtStart = std::chrono::milliseconds(1500);
 constexpr int kMostReadsAtStart = 4;
+// Instances write their records again within a second of the store's return
+// from an older copy; those missing after two are gone.
+constexpr Duration kReturnTime = std::chrono::milliseconds(2000);
+constexpr Duration kReadAfterReturn = std::chrono::milliseconds(1200);
+// How long an era is told to have lasted at most.
+constexpr Duration kLongestAgeTold = std::chrono::hours(1);
 constexpr size_t kRemovedAtOnce = 16;  // The store takes 32 entries a call.
 
-InstanceRecord Decode(const entrywire::EntryRecord& wire) {
-  InstanceRecord record{.instance = InstanceId(wire.instance()),
+InstanceRecord Decode(const std::string& key,
+                      const entrywire::EntryRecord& wire) {
+  InstanceRecord record{.key = key,
+                        .instance = InstanceId(wire.instance()),
                         .domain = DomainId(wire.domain()),
                         .region = RegionId(wire.region()),
                         .cores = wire.cores(),
@@ -106,6 +114,18 @@
   });
 }
 
+void RecordKeeper::OnNewEra() {
+  revisions_restarted_ = true;
+  const uint64_t hash = XXH64(run_.data(), run_.size(), 2);
+  const Duration spread(static_cast<Duration::rep>(
+      hash % static_cast<uint64_t>(kWriteSpread.count())));
+  era_timer_ = context_.loop.After(spread, [this, spread] {
+    Write(closed_window_, [] {});
+    era_timer_ =
+        context_.loop.After(kReadAfterReturn + spread, [this] { Read(); });
+  });
+}
+
 void RecordKeeper::OnClockChange() {
   ScheduleWrite();
   ScheduleRead();
@@ -117,6 +137,7 @@
 }
 
 void RecordKeeper::Write(int64_t closed_window, std::function<void()> done) {
+  closed_window_ = closed_window;
   context_.usage.Forget(closed_window - kKeptWindows + 1);
   const StoreCas cas{
       .call = 0,
@@ -151,6 +172,9 @@
   record.set_region(settings_.place.region.value());
   record.set_cores(settings_.limits.cores);
   record.set_closed_window(closed_window);
+  record.set_store_era(context_.era.current());
+  record.set_era_age_us(
+      std::min(context_.era.age(context_.loop.now()), kLongestAgeTold).count());
   for (const auto& [window, counts] : context_.usage.windows()) {
     entrywire::UsageWindow& wire = *record.add_windows();
     wire.set_window(window);
@@ -187,19 +211,27 @@
               {{"key", entry.key}, {"bytes", entry.value.size()}});
       continue;
     }
+    context_.era.OnAge(now, wire.store_era(), Duration(wire.era_age_us()));
+    Sighting sighting{.revision = entry.mod_revision,
+                      .closed_window = wire.closed_window(),
+                      .changed_at = now};
     const auto seen = sightings_.find(entry.key);
-    const bool changed =
-        seen == sightings_.end() || seen->second.revision != entry.mod_revision;
-    const Time changed_at = changed ? now : seen->second.changed_at;
-    sightings[entry.key] = {.revision = entry.mod_revision,
-                            .changed_at = changed_at};
-    records.push_back(Decode(wire));
+    if (seen != sightings_.end() && !IsWritten(seen->second, sighting)) {
+      sighting.changed_at = seen->second.changed_at;
+    }
+    const Time changed_at = sighting.changed_at;
+    sightings[entry.key] = sighting;
+    records.push_back(Decode(entry.key, wire));
     records.back().alive =
         now - changed_at < window * (kWindowsAlive + 1) + window / 2;
     if (now - changed_at > window * kWindowsKept) {
       stale.push_back(entry.key);
     }
   }
+  revisions_restarted_ = false;
+  if (context_.era.age(now) < kReturnTime) {
+    KeepMissing(records);
+  }
   const bool grew = records.size() > records_.size();
   sightings_ = std::move(sightings);
   records_ = std::move(records);
@@ -210,6 +242,23 @@
   on_records_();
 }
 
+bool RecordKeeper::IsWritten(const Sighting& before,
+                             const Sighting& after) const {
+  return revisions_restarted_ ? after.closed_window > before.closed_window
+                              : after.revision != before.revision;
+}
+
+void RecordKeeper::KeepMissing(std::vector<InstanceRecord>& records) const {
+  std::vector<InstanceRecord> missing;
+  std::ranges::copy_if(records_, std::back_inserter(missing),
+                       [&records](const InstanceRecord& known) {
+                         return std::ranges::find(records, known.key,
+                                                  &InstanceRecord::key) ==
+                                records.end();
+                       });
+  std::ranges::move(missing, std::back_inserter(records));
+}
+
 // Whoever notices removes; a key that is gone already changes nothing.
 void RecordKeeper::RemoveStale(const std::vector<std::string>& keys) {
   if (keys.empty()) {
--- a/src/entry/record_keeper.h
+++ b/src/entry/record_keeper.h
@@ -22,6 +22,7 @@
 
 // One run of an instance, as its record tells.
 struct InstanceRecord {
+  std::string key;  // In the store.
   InstanceId instance;
   DomainId domain;
   RegionId region;
@@ -45,6 +46,9 @@
   void Start();
   // Writes the counts so far, once, before the process ends.
   void WriteLast(std::function<void()> done);
+  // The store came back from an older copy: this instance's record is written
+  // again, and records that the copy lacks get time to return.
+  void OnNewEra();
   // The agreed clock was changed: windows end at other times.
   void OnClockChange();
   // Reads the records now, for who waits for one that is missing.
@@ -62,13 +66,18 @@
   std::string Encode(int64_t closed_window) const;
   void Read();
   void OnRead(const absl::StatusOr<StoreRangeAnswer>& answer);
+  // Adds records that were known and are missing from a copy of the store.
+  void KeepMissing(std::vector<InstanceRecord>& records) const;
   void RemoveStale(const std::vector<std::string>& keys);
 
   // What is remembered of a record between two readings.
   struct Sighting {
     int64_t revision = 0;
+    int64_t closed_window = 0;
     Time changed_at;
   };
+  // Whether a record was written anew between two sightings.
+  bool IsWritten(const Sighting& before, const Sighting& after) const;
 
   CallContext& context_;
   ports::StorePort& store_;
@@ -79,6 +88,10 @@
   std::vector<InstanceRecord> records_;
   absl::flat_hash_map<std::string, Sighting> sightings_;
   int reads_at_start_ = 0;
+  int64_t closed_window_ = 0;  // As last written.
+  // Revisions of a new era can't be compared with those before.
+  bool revisions_restarted_ = false;
+  io::Timer era_timer_;
   io::Timer start_timer_;
   io::Timer write_timer_;
   io::Timer read_timer_;
--- a/src/entry/settings.cc
+++ b/src/entry/settings.cc
@@ -133,6 +133,7 @@
   if (auto bounds = root.Object("bounds", /*required=*/true)) {
     settings.bounds = ReadBounds(*bounds);
   }
+  settings.first_start = root.Flag("first_start", false);
   const std::string level = root.Text(
       "log_level",
       {.fallback = "info", .one_of = {"debug", "info", "warning", "error"}});
--- a/src/entry/settings.h
+++ b/src/entry/settings.h
@@ -58,6 +58,8 @@
   uint16_t metrics_port = 0;
   EntryLimits limits;
   Bounds bounds;
+  // The whole deployment starts for the first time, not only this process.
+  bool first_start = false;
   io::LogLevel log_level = io::LogLevel::kInfo;
 };
 
--- a/src/entry/store_feed.cc
+++ b/src/entry/store_feed.cc
@@ -1,6 +1,7 @@
 #include "entry/store_feed.h"
 
 #include <fmt/format.h>
+#include <xxhash.h>
 
 #include <algorithm>
 #include <string>
@@ -24,6 +25,11 @@
 constexpr Duration kAskPeriod = std::chrono::milliseconds(400);
 // Without a word this fresh an instance reads by itself.
 constexpr Duration kFreshWord = std::chrono::milliseconds(1500);
+// After a return from an older copy, what operators wrote is written again
+// within about two seconds; before that the store may hold an older document.
+constexpr Duration kRewrittenWithin = std::chrono::milliseconds(2000);
+// All instances list the servers anew then, spread over this time.
+constexpr Duration kNewEraSpread = std::chrono::milliseconds(200);
 // Questions that may still be answered.
 constexpr size_t kOpenQuestions = 6;
 // Waiting costs one call each; the longest that the store allows is 30 s.
@@ -32,6 +38,8 @@
 // Kept for peers that ask; older ones are listed anew.
 constexpr size_t kRememberedChanges = 512;
 
+// How long an era is told to have lasted at most.
+constexpr Duration kLongestAgeTold = std::chrono::hours(1);
 // No server has as many calls; a larger number isn't believed.
 constexpr uint32_t kMostCalls = 100'000;
 // Loads of backend servers in one answer to a peer; more are told in turn.
@@ -92,6 +100,27 @@
   Turn();
 }
 
+void StoreFeed::OnNewEra() {
+  const Time now = context_.loop.now();
+  watched_to_ = 0;
+  changes_.clear();
+  changes_from_ = 0;
+  document_revision_ = 0;
+  document_version_.reset();
+  read_at_.reset();
+  questions_.clear();
+  away_ = false;
+  // The copy may list servers as they were before they said that they leave.
+  for (const ListedServer& server : context_.listed.OnNewEra(now)) {
+    context_.placement.notices().OnLeaving(
+        now, {.server = server.id, .born_ms = server.born_ms});
+  }
+  Publish();
+  const uint64_t hash = XXH64(self_.value().data(), self_.value().size(), 0);
+  ListAgain(Duration(static_cast<Duration::rep>(
+      hash % static_cast<uint64_t>(kNewEraSpread.count()))));
+}
+
 void StoreFeed::OnRecords(const RecordKeeper& records) {
   std::vector<ReaderCandidate> candidates;
   for (const InstanceRecord& record : records.records()) {
@@ -159,22 +188,28 @@
     return;
   }
   read_at_ = asked_at;
-  ApplyConfig(answer->entries.front());
-  // A document that can't be read proves nothing: an older one is in force.
-  const bool newest =
-      context_.config != nullptr &&
-      context_.config->revision() >= answer->entries.front().mod_revision;
-  if (newest) {
+  ReadDocument(answer->entries.front());
+  // A document that can't be read proves nothing, and neither does an older one
+  // than is in force.
+  const bool newest = context_.config != nullptr &&
+                      document_version_ == context_.config->version();
+  if (newest && IsRewritten(asked_at)) {
     context_.proof.Prove(asked_at);
   }
 }
 
-void StoreFeed::ApplyConfig(const StoreEntry& entry) {
-  const bool known = context_.config != nullptr &&
-                     context_.config->revision() >= entry.mod_revision;
-  if (known) {
+bool StoreFeed::IsRewritten(Time asked_at) const {
+  return context_.era.age(asked_at) >= kRewrittenWithin;
+}
+
+// Of two documents the one with the operators' higher number is newer; the
+// store may come back with an older one, at whatever revision.
+void StoreFeed::ReadDocument(const StoreEntry& entry) {
+  if (entry.mod_revision == document_revision_) {
     return;
   }
+  document_revision_ = entry.mod_revision;
+  document_version_.reset();
   auto parts = catalog_.ReadConfig(entry);
   if (!parts.ok()) {
     io::Log(io::LogLevel::kError, "config.unreadable",
@@ -182,12 +217,27 @@
              {"reason", std::string(parts.status().message())}});
     return;
   }
-  context_.config = ServingConfig::Create(*std::move(parts));
+  document_version_ = parts->version;
+  if (context_.config == nullptr ||
+      context_.config->version() < parts->version) {
+    ApplyConfig(*std::move(parts));
+  } else if (context_.config->version() > parts->version) {
+    io::Log(io::LogLevel::kWarning, "config.older",
+            {{"version", parts->version},
+             {"in_force", context_.config->version()},
+             {"revision", entry.mod_revision},
+             {"era", context_.era.current()}});
+  }
+}
+
+void StoreFeed::ApplyConfig(ServingConfigParts parts) {
+  const int64_t revision = parts.revision;
+  context_.config = ServingConfig::Create(std::move(parts));
   context_.quotas.SetQuotas(*context_.config);
   context_.metrics.SetConfigVersion(context_.config->version());
   io::Log(io::LogLevel::kInfo, "config.applied",
           {{"version", context_.config->version()},
-           {"revision", entry.mod_revision},
+           {"revision", revision},
            {"routes", context_.config->routes().size()},
            {"quotas", QuotaText(*context_.config)}});
   on_change_();
@@ -286,6 +336,7 @@
   entrywire::StoreAsk& ask = *envelope.mutable_store_ask();
   ask.set_round(round_);
   ask.set_servers_revision(context_.listed.known() ? watched_to_ : 0);
+  ask.set_store_era(context_.era.current());
   WriteLoads(context_.loads.TakeNews(context_.loop.now()),
              *ask.mutable_loads());
   WriteLeaving(context_.placement.notices().news(context_.loop.now()),
@@ -302,7 +353,17 @@
   }
 }
 
+bool StoreFeed::TakeEra(int64_t era, Duration age) {
+  const Time now = context_.loop.now();
+  if (!context_.era.Observe(now, era)) {
+    return false;
+  }
+  context_.era.OnAge(now, era, age);
+  return true;
+}
+
 void StoreFeed::Answer(const InstanceId& peer, const entrywire::StoreAsk& ask) {
+  const bool same_era = TakeEra(ask.store_era(), Duration::zero());
   mesh::Envelope envelope;
   entrywire::StoreTell& tell = *envelope.mutable_store_tell();
   tell.set_round(ask.round());
@@ -311,14 +372,17 @@
   WriteLoads(context_.loads.Notes(now, kLoadsTold), *tell.mutable_loads());
   TakeLeaving(ask.leaving());
   WriteLeaving(context_.placement.notices().news(now), *tell.mutable_leaving());
+  tell.set_store_era(context_.era.current());
+  tell.set_era_age_us(std::min(context_.era.age(now), kLongestAgeTold).count());
   if (context_.config != nullptr && context_.proof.age(now) < kFreshWord) {
-    tell.set_config_revision(context_.config->revision());
+    tell.set_config_version(context_.config->version());
     tell.set_proof_age_us(context_.proof.age(now).count());
   }
   // Only who waits at a store that answers knows that nothing else has changed.
-  const bool knows_servers =
-      waiting_ && !away_ && read_at_ && now - *read_at_ < kFreshWord &&
-      ask.servers_revision() != 0 && ask.servers_revision() >= changes_from_;
+  const bool knows_servers = same_era && waiting_ && !away_ && read_at_ &&
+                             now - *read_at_ < kFreshWord &&
+                             ask.servers_revision() != 0 &&
+                             ask.servers_revision() >= changes_from_;
   if (knows_servers) {
     tell.set_servers_revision(watched_to_);
     tell.set_servers_age_us((now - *read_at_).count());
@@ -345,10 +409,17 @@
   }
   const Time asked_at = question->asked_at;
   questions_.erase(question);
+  const int64_t era_before = context_.era.current();
+  const bool same_era =
+      TakeEra(tell.store_era(), Duration(tell.era_age_us())) &&
+      context_.era.current() == era_before;
   ReadLoads(context_.loop.now(), tell.loads(), context_.loads);
   TakeLeaving(tell.leaving());
+  if (!same_era) {
+    return;  // What it says of the store is of a copy that is gone.
+  }
   if (tell.has_proof_age_us() && context_.config != nullptr) {
-    if (tell.config_revision() <= context_.config->revision()) {
+    if (tell.config_version() <= context_.config->version()) {
       // What the reader had proven before it answered was proven that much
       // before the question left, or later.
       context_.proof.Prove(asked_at - Duration(tell.proof_age_us()));
--- a/src/entry/store_feed.h
+++ b/src/entry/store_feed.h
@@ -42,6 +42,8 @@
     on_clock_change_ = std::move(on_change);
   }
   void Start();
+  // The store came back from an older copy.
+  void OnNewEra();
   // Who serves, and so who reads, may have changed.
   void OnRecords(const RecordKeeper& records);
   // A message of a peer about the store.
@@ -53,7 +55,11 @@
   bool ReadsItself() const;
   void ReadConfig();
   void OnConfig(Time asked_at, const absl::StatusOr<StoreRangeAnswer>& answer);
-  void ApplyConfig(const StoreEntry& entry);
+  // Takes the store's document where it is newer than the one in force.
+  void ReadDocument(const StoreEntry& entry);
+  void ApplyConfig(ServingConfigParts parts);
+  // Whether the store in this era holds what operators wrote last.
+  bool IsRewritten(Time asked_at) const;
 
   // The servers.
   void ListServers();
@@ -66,6 +72,8 @@
   void Publish();
 
   // The peers.
+  // Whether a peer's word is of this era, which it may be the first to tell.
+  bool TakeEra(int64_t era, Duration age);
   void AskReader();
   void Answer(const InstanceId& peer, const entrywire::StoreAsk& ask);
   void OnTell(const entrywire::StoreTell& tell);
@@ -97,6 +105,10 @@
   uint64_t round_ = 0;
   bool reading_config_ = false;
   Time config_asked_at_;
+  // The document that the store was last seen to hold in this era: its revision
+  // there, and the operators' number; nothing where it can't be read.
+  int64_t document_revision_ = 0;
+  std::optional<int64_t> document_version_;
 
   int64_t watched_to_ = 0;  // The revision up to which servers are known.
   // The last changes, for peers that ask, and the revision before the first.
--- a/src/entry/usage_reporter.cc
+++ b/src/entry/usage_reporter.cc
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "entry.pb.h"
 #include "io/log.h"
 #include "oleander/result_code.h"
 
@@ -28,13 +27,21 @@
   return fmt::format("{}{}", kUsagePrefix, window);
 }
 
-std::string Encode(int64_t number, const UsageCounts& counts) {
+entrywire::UsageWindow Encode(int64_t number, const UsageCounts& counts) {
   entrywire::UsageWindow wire;
   wire.set_window(number);
   for (const auto& [workspace, count] : counts) {
     (*wire.mutable_counts())[workspace.value()] = count;
   }
-  return wire.SerializeAsString();
+  return wire;
+}
+
+UsageCounts Decode(const entrywire::UsageWindow& wire) {
+  UsageCounts counts;
+  for (const auto& [workspace, count] : wire.counts()) {
+    counts[WorkspaceId(workspace)] = count;
+  }
+  return counts;
 }
 
 }  // namespace
@@ -49,6 +56,15 @@
 
 void UsageReporter::OnRecords() { Look(); }
 
+void UsageReporter::OnTold(const entrywire::UsageTold& told) {
+  for (const entrywire::UsageWindow& window : told.windows()) {
+    told_.try_emplace(window.window(), Decode(window));
+  }
+  while (told_.size() > kWindowsKept) {
+    told_.erase(told_.begin());
+  }
+}
+
 void UsageReporter::Look() {
   const int64_t current = context_.usage.WindowOf(context_.wall_now());
   if (context_.draining || !lease_.FenceFor(kOrderTime)) {
@@ -82,7 +98,8 @@
 
 void UsageReporter::Advance(int64_t number, Window& window) {
   if (window.phase == Phase::kGathering && IsGathered(number)) {
-    Fix(number, window);
+    const bool unsent = IsOfThisEra(number) || told_.contains(number);
+    unsent ? Fix(number, window) : Find(number, window);
   } else if (window.phase == Phase::kFixed) {
     Send(number, window);
   }
@@ -115,14 +132,59 @@
   return sum;
 }
 
+bool UsageReporter::IsOfThisEra(int64_t number) const {
+  return context_.wall_now() - context_.usage.EndOf(number) <
+         context_.era.age(context_.loop.now());
+}
+
+void UsageReporter::Find(int64_t number, Window& window) {
+  window.phase = Phase::kFixing;
+  ++calls_;
+  store_.Range({.call = 0, .key = KeyOf(number), .prefix = false},
+               [this, number](const absl::StatusOr<StoreRangeAnswer>& answer) {
+                 --calls_;
+                 OnFound(number, answer);
+               });
+}
+
+void UsageReporter::OnFound(int64_t number,
+                            const absl::StatusOr<StoreRangeAnswer>& answer) {
+  context_.metrics.CountStoreCall("usage_find", answer.ok());
+  const auto found = windows_.find(number);
+  if (found == windows_.end()) {
+    return;
+  }
+  Window& window = found->second;
+  if (!answer.ok()) {
+    io::Log(io::LogLevel::kWarning, "usage.not_found",
+            {{"window", number},
+             {"reason", std::string(answer.status().message())}});
+    window.phase = Phase::kGathering;
+    return;
+  }
+  if (answer->entries.empty()) {
+    io::Log(io::LogLevel::kError, "usage.left_out",
+            {{"window", number},
+             {"era", context_.era.current()},
+             {"reason",
+              "It may have been reported before the store came back "
+              "from an older copy."}});
+    window.phase = Phase::kSent;
+    return;
+  }
+  TakeFixed(number, window, answer->entries.front().value);
+}
+
 void UsageReporter::Fix(int64_t number, Window& window) {
   window.phase = Phase::kFixing;
-  window.counts = Sum(number);
+  const auto told = told_.find(number);
+  window.counts = told == told_.end() ? Sum(number) : told->second;
   ++calls_;
   store_.Cas(
       {.call = 0,
        .compares = {{.key = KeyOf(number), .mod_revision = 0}},
-       .puts = {{.key = KeyOf(number), .value = Encode(number, window.counts)}},
+       .puts = {{.key = KeyOf(number),
+                 .value = Encode(number, window.counts).SerializeAsString()}},
        .deletes = {KeyOf(number - kWindowsKept)}},
       [this, number](const absl::StatusOr<StoreCasAnswer>& answer) {
         --calls_;
@@ -147,19 +209,23 @@
     return;
   }
   if (!answer->succeeded) {
-    entrywire::UsageWindow wire;
-    const bool readable = !answer->current.empty() &&
-                          wire.ParseFromString(answer->current.front().value);
-    if (!readable) {
-      io::Log(io::LogLevel::kError, "usage.unreadable", {{"window", number}});
-      window.phase = Phase::kSent;
-      return;
-    }
-    window.counts.clear();
-    for (const auto& [workspace, count] : wire.counts()) {
-      window.counts[WorkspaceId(workspace)] = count;
-    }
+    TakeFixed(number, window,
+              answer->current.empty() ? "" : answer->current.front().value);
+    return;
+  }
+  window.phase = Phase::kFixed;
+  Send(number, window);
+}
+
+void UsageReporter::TakeFixed(int64_t number, Window& window,
+                              const std::string& value) {
+  entrywire::UsageWindow wire;
+  if (value.empty() || !wire.ParseFromString(value)) {
+    io::Log(io::LogLevel::kError, "usage.unreadable", {{"window", number}});
+    window.phase = Phase::kSent;
+    return;
   }
+  window.counts = Decode(wire);
   window.phase = Phase::kFixed;
   Send(number, window);
 }
@@ -170,6 +236,10 @@
     return;
   }
   window.phase = Phase::kSending;
+  entrywire::UsageTold told;
+  *told.add_windows() = Encode(number, window.counts);
+  OnTold(told);
+  tell_(told);
   ++calls_;
   duties_.SendUsage({.window = number, .counts = window.counts}, *fence,
                     [this, number](const absl::Status& status) {
--- a/src/entry/usage_reporter.h
+++ b/src/entry/usage_reporter.h
@@ -2,12 +2,21 @@
 // writes the sum into the store under the condition that none stands there, and
 // sends exactly what stands there. Whoever holds the duty later repeats that
 // sum, never another.
+//
+// A store that came back from an older copy may have lost sums that were sent.
+// So sums are told to peers before they are sent, and a window that ended
+// before the era began is sent with the sum that stands in the store or that a
+// peer told, or not at all.
 #ifndef OLEANDER_ENTRY_USAGE_REPORTER_H_
 #define OLEANDER_ENTRY_USAGE_REPORTER_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
+#include <string>
+#include <utility>
 
+#include "entry.pb.h"
 #include "entry/duty_lease.h"
 #include "entry/record_keeper.h"
 #include "ports/duty_port.h"
@@ -16,6 +25,9 @@
 
 class UsageReporter {
  public:
+  // Passes sums on to peers.
+  using Tell = std::function<void(const entrywire::UsageTold& told)>;
+
   UsageReporter(CallContext& context, ports::StorePort& store,
                 ports::DutyPort& duties, RecordKeeper& records,
                 const DutyLease& lease, const Bounds& bounds)
@@ -29,6 +41,9 @@
   // The duty became this instance's: windows whose reports may still be due
   // are looked at again.
   void OnTaken();
+  void OnTell(Tell tell) { tell_ = std::move(tell); }
+  // A peer is about to report these sums.
+  void OnTold(const entrywire::UsageTold& told);
   void OnRecords();
   // Whether a report is on its way.
   bool busy() const { return calls_ > 0; }
@@ -45,6 +60,12 @@
   // Whether every live instance has told all of the window, or it is late.
   bool IsGathered(int64_t number) const;
   UsageCounts Sum(int64_t number) const;
+  // Whether the window may not have been reported in an earlier era.
+  bool IsOfThisEra(int64_t number) const;
+  // Looks for the sum of a window that may have been reported.
+  void Find(int64_t number, Window& window);
+  void OnFound(int64_t number, const absl::StatusOr<StoreRangeAnswer>& answer);
+  void TakeFixed(int64_t number, Window& window, const std::string& value);
   void Fix(int64_t number, Window& window);
   void OnFixed(int64_t number, const absl::StatusOr<StoreCasAnswer>& answer);
   void Send(int64_t number, Window& window);
@@ -57,6 +78,9 @@
   const DutyLease& lease_;
   const Bounds& bounds_;
   std::map<int64_t, Window> windows_;
+  // Sums that were sent, or are about to be, here or elsewhere.
+  std::map<int64_t, UsageCounts> told_;
+  Tell tell_ = [](const entrywire::UsageTold&) {};
   int calls_ = 0;
   io::Timer timer_;
 };
--- a/src/io/mesh_codec.cc
+++ b/src/io/mesh_codec.cc
@@ -39,6 +39,8 @@
       return 8;
     case Envelope::kQuotaGrant:
       return 9;
+    case Envelope::kUsageTold:
+      return 10;
     case Envelope::BODY_NOT_SET:
       break;
   }
--- a/src/node/mesh_port.cc
+++ b/src/node/mesh_port.cc
@@ -209,6 +209,7 @@
     case mesh::Envelope::kQuotaGrant:
     case mesh::Envelope::kStoreAsk:
     case mesh::Envelope::kStoreTell:
+    case mesh::Envelope::kUsageTold:
       metrics_.CountDroppedEvents("mesh_of_platform", 1);
       break;
     case mesh::Envelope::BODY_NOT_SET:
--- a/src/parts/leases.cc
+++ b/src/parts/leases.cc
@@ -13,6 +13,9 @@
 namespace {
 
 constexpr double kJitter = 0.3;
+// A fencing number is the era above a revision of so many bits; both together
+// stay exact where a reader keeps numbers as doubles.
+constexpr int kRevisionBits = 40;
 
 // The holder writes its own id into the key, and the lease, so that a read
 // after a lost answer tells its own try from an earlier one of its own.
@@ -38,7 +41,7 @@
   }
   wanted_ = want;
   if (want) {
-    next_ = std::max(now, rest_until_);
+    next_ = std::max(now, free_from());
     return;
   }
   Drop("given up", now);
@@ -155,9 +158,23 @@
   TryAgain(now);
 }
 
+void LeaseKeeper::OnEra(int64_t era, Duration age, Time now) {
+  const bool came_back = era_ != 0 && era != era_;
+  era_ = era;
+  era_settled_ = now + std::max(Duration::zero(), options_.ttl - age);
+  if (came_back) {
+    // The lease's number may be another's by now, so it isn't revoked.
+    lease_ = 0;
+    Drop("the key-value service came back from an older copy", now);
+  }
+  if (phase_ == Phase::kIdle) {
+    next_ = std::max(now, free_from());
+  }
+}
+
 void LeaseKeeper::LookNow(Time now) {
   if (wanted_ && phase_ == Phase::kIdle) {
-    next_ = std::max(now, rest_until_);
+    next_ = std::max(now, free_from());
   }
 }
 
@@ -243,10 +260,11 @@
   phase_ = Phase::kIdle;
   pending_ = 0;
   lease_ = 0;
-  next_ = now + Jittered(options_.retry);
+  next_ = std::max(now + Jittered(options_.retry), era_settled_);
 }
 
-void LeaseKeeper::Hold(int64_t fence, Time now) {
+void LeaseKeeper::Hold(int64_t revision, Time now) {
+  const int64_t fence = (era_ << kRevisionBits) + revision;
   CheckInvariant(fence > fence_, "lease_fence_monotone", [&] {
     return fmt::format("The lease \"{}\" came with fence {} after {}.",
                        options_.duty, fence, fence_);
--- a/src/parts/listed_servers.cc
+++ b/src/parts/listed_servers.cc
@@ -17,8 +17,11 @@
   known_ = true;
   absl::flat_hash_map<ServerId, bool> listed;
   for (ListedServer& server : servers) {
+    if (IsOfOlderCopy(now, server)) {
+      continue;
+    }
     listed.emplace(server.id, true);
-    Put(now, std::move(server), revision);
+    PutAsOf(std::move(server), revision);
   }
   std::vector<ServerId> missing;
   for (const auto& [id, entry] : entries_) {
@@ -31,6 +34,10 @@
 }
 
 void ListedServers::Put(Time /*now*/, ListedServer server, int64_t revision) {
+  PutAsOf(std::move(server), revision);
+}
+
+void ListedServers::PutAsOf(ListedServer server, int64_t revision) {
   const auto removed = removed_.find(server.id);
   if (removed != removed_.end()) {
     if (removed->second >= revision) {
@@ -38,6 +45,7 @@
     }
     removed_.erase(removed);
   }
+  gone_births_.erase(server.id);
   Entry& entry = entries_[server.id];
   if (entry.revision > revision) {
     return;
@@ -61,6 +69,39 @@
   MissOrErase(now, server);
 }
 
+std::vector<ListedServer> ListedServers::OnNewEra(Time now) {
+  away_ = false;
+  back_at_ = now;
+  copied_until_ = now + options_.copy_time;
+  removed_.clear();
+  std::vector<ListedServer> leaving;
+  for (auto& [id, entry] : entries_) {
+    entry.revision = 0;
+    if (entry.server.state == ListedState::kLeaving) {
+      leaving.push_back(entry.server);
+    }
+  }
+  for (const ListedServer& server : leaving) {
+    NoteGone(server);
+    entries_.erase(server.id);
+  }
+  generation_ += leaving.empty() ? 0 : 1;
+  return leaving;
+}
+
+bool ListedServers::IsOfOlderCopy(Time now, const ListedServer& server) const {
+  const auto gone = gone_births_.find(server.id);
+  return copied_until_ && now < *copied_until_ && gone != gone_births_.end() &&
+         gone->second == server.born_ms;
+}
+
+void ListedServers::NoteGone(const ListedServer& server) {
+  if (gone_births_.size() >= kRememberedRemovals) {
+    gone_births_.clear();
+  }
+  gone_births_[server.id] = server.born_ms;
+}
+
 void ListedServers::OnStoreAway(Time /*now*/) {
   away_ = true;
   back_at_.reset();
@@ -85,8 +126,12 @@
     return;
   }
   const size_t before = entries_.size();
-  absl::erase_if(entries_, [](const auto& item) {
-    return item.second.missing_since.has_value();
+  absl::erase_if(entries_, [this](const auto& item) {
+    const bool gone = item.second.missing_since.has_value();
+    if (gone) {
+      NoteGone(item.second.server);
+    }
+    return gone;
   });
   generation_ += before == entries_.size() ? 0 : 1;
 }
@@ -135,6 +180,7 @@
   const bool may_return =
       ReturnsExpected(now) && found->second.server.state == ListedState::kReady;
   if (!may_return) {
+    NoteGone(found->second.server);
     entries_.erase(found);
     ++generation_;
     return;
--- /dev/null
+++ b/src/parts/store_era.cc
@@ -0,0 +1,39 @@
+#include "oleander/store_era.h"
+
+#include <algorithm>
+
+namespace oleander {
+
+bool StoreEra::Observe(Time now, int64_t era) {
+  if (era == era_) {
+    return true;
+  }
+  if (era < era_) {
+    return false;
+  }
+  const bool first = era_ == 0;
+  era_ = era;
+  since_ = first && began_with_deployment_ ? Time::min() : now;
+  Tell(first ? News::kFirstWord : News::kCameBack);
+  return true;
+}
+
+void StoreEra::OnAge(Time now, int64_t era, Duration age) {
+  const bool earlier =
+      era == era_ && era != 0 && since_ != Time::min() && now - age < since_;
+  if (earlier) {
+    since_ = now - age;
+    Tell(News::kKnownLonger);
+  }
+}
+
+Duration StoreEra::age(Time now) const {
+  return since_ == Time::min() ? Duration::max() : now - since_;
+}
+
+void StoreEra::Tell(News news) const {
+  std::ranges::for_each(listeners_,
+                        [news](const Listener& tell) { tell(news); });
+}
+
+}  // namespace oleander
--- a/src/ports/store_port.h
+++ b/src/ports/store_port.h
@@ -2,6 +2,7 @@
 #ifndef OLEANDER_PORTS_STORE_PORT_H_
 #define OLEANDER_PORTS_STORE_PORT_H_
 
+#include <cstdint>
 #include <functional>
 #include <vector>
 
@@ -30,6 +31,10 @@
   Duration longest{};  // Answered without changes after this time.
 };
 
+// Called with the era that an answer of the store names, before the answer is
+// passed on; false: the answer is of an older era and counts as lost.
+using EraObserver = std::function<bool(int64_t era)>;
+
 // Each call answers later, exactly once, never before it returns. Errors:
 // kStoreUnavailable where nothing was done, kStoreAnswerLost where a write may
 // have taken effect or still may, kStoreRevisionCompacted from Wait(),
--- a/test/correctness/store_feed_test.cc
+++ b/test/correctness/store_feed_test.cc
@@ -187,7 +187,7 @@
   const Duration age = instance.entry.context.proof.age(now);
   mesh::Envelope tell;
   tell.mutable_store_tell()->set_round(77);
-  tell.mutable_store_tell()->set_config_revision(1);
+  tell.mutable_store_tell()->set_config_version(1);
   tell.mutable_store_tell()->set_proof_age_us(0);
   entrywire::ServerChange& change = *tell.mutable_store_tell()->add_changes();
   change.set_key("servers/forged");
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -111,6 +111,20 @@
     def store_forgets(self, _, __):
         self.topology.store.compact()
 
+    def store_older_copy(self, _, seconds):
+        """The store is away for a moment and comes back as it was some seconds before."""
+        topology = self.topology
+        with self.store_lock, self.servers_lock:
+            copied = topology.store.copied()
+            time.sleep(seconds)
+            self.ledger.disturb("store", "", 3)
+            topology.store.mode = self.random.choice(("refuse", "silent"))
+            time.sleep(0.4)
+            topology.store.come_back(copied)
+            topology.store.mode = "up"
+            time.sleep(self.random.uniform(0.1, 1))
+            topology.write_again()
+
     def duties_fail(self, _, seconds):
         self.ledger.disturb("duties", "", seconds)
         self.topology.duties.mode = "down"
@@ -178,7 +192,7 @@
 
 
 KINDS = ("stop", "stop_twice", "kill", "kill_all", "pause", "reload", "reload_bad_file", "cut_store", "store_fails",
-         "store_forgets", "duties_fail", "server_fails", "server_unreachable", "server_leaves", "server_crashes",
+         "store_forgets", "store_older_copy", "duties_fail", "server_fails", "server_unreachable", "server_leaves", "server_crashes",
          "key_goes", "config_changes")
 
 
--- a/test/soak/store.py
+++ b/test/soak/store.py
@@ -1,5 +1,6 @@
 """A stand-in of the platform's store and of its calls for one holder: in memory, linearizable, and able to fail."""
 import base64
+import copy
 import json
 import threading
 import time
@@ -26,6 +27,7 @@
         self.compacted = 0
         self.next_lease = 1
         self.mode = "up"
+        self.era = 1  # Rises with each return from an older copy; every answer names it.
         self.server = serve(address, StoreHandler, self)
 
     def put(self, key, value, lease=0):
@@ -42,6 +44,18 @@
         self.changed.notify_all()
         return self.revision
 
+    def copied(self):
+        """What come_back() returns to."""
+        with self.changed:
+            return copy.deepcopy((self.items, self.events, self.leases, self.revision, self.next_lease))
+
+    def come_back(self, copied):
+        """All that was written since is gone, and its revisions and leases are given out again."""
+        with self.changed:
+            self.items, self.events, self.leases, self.revision, self.next_lease = copied
+            self.era += 1
+            self.changed.notify_all()
+
     def remove(self, key):
         with self.changed:
             self._remove(key)
@@ -119,6 +133,9 @@
             time.sleep(0.3)
         return False
 
+    def reply(self, status, document=None, headers=None, body=None):
+        super().reply(status, document, {"Store-Era": str(self.server.owner.era)}, body)
+
     def answer(self, status, document):
         if self.server.owner.mode == "lost" and self.command != "GET":
             self.break_off()
--- a/test/soak/topology.py
+++ b/test/soak/topology.py
@@ -112,6 +112,7 @@
         self.next_server = 0
         self.servers = {}
         self.links = {}
+        self.states = {}  # What each server last wrote of itself.
         self.instances = [Instance(number, self) for number in range(INSTANCES)]
 
     @staticmethod
@@ -156,9 +157,19 @@
                     "api_keys": [key for key in self.keys if self.ledger.keys[key] == name]} for name in WORKSPACES]
         config = {"version": self.version, "routes": self.routes, "tenants": tenants,
                   "services": [{"name": SERVICE, "health_path": "/healthz", "max_conns": 100}]}
-        self.store.put(CONFIG_KEY, json.dumps(config).encode())
+        self.config = json.dumps(config).encode()
+        self.store.put(CONFIG_KEY, self.config)
         self.ledger.disturb("config", "", 0)
 
+    def write_again(self):
+        """What operators and servers do after the store came back from an older copy."""
+        self.store.put(CONFIG_KEY, self.config)
+        for name in [key[len(SERVERS):] for key in self.store.copied()[0] if key.startswith(SERVERS)]:
+            if name not in self.states:
+                self.store.remove(SERVERS + name)
+        for name, state in self.states.items():
+            self.store.put(SERVERS + name, self.entry(name, state))
+
     def take_key_away(self, key):
         """Callers that still use it must be refused from the bound on."""
         self.keys.remove(key)
@@ -180,19 +191,23 @@
         server = BackendServer(name, SERVICE, (f"{self.net}.2", 9000 + number), self.ledger, self.seed * 100 + number)
         self.servers[name] = server
         self.links[name] = Link((f"{self.net}.3", 9000 + number), server.server.server_address)
+        self.states[name] = "ready"
         self.store.put(SERVERS + name, self.entry(name, "ready"))
         return name
 
     def drop_server(self, name, says_so):
         """Takes a server out: it goes on for a while, as servers do that leave."""
         if says_so:
+            self.states[name] = "draining"
             self.store.put(SERVERS + name, self.entry(name, "draining"))
         else:
+            self.states.pop(name)
             self.store.remove(SERVERS + name)
         with self.ledger.lock:
             self.ledger.left[name] = time.monotonic()
 
     def end_server(self, name):
+        self.states.pop(name, None)
         self.store.remove(SERVERS + name)
         self.links.pop(name).stop()
         self.servers.pop(name).stop()
--- a/test/support/memory_store.h
+++ b/test/support/memory_store.h
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <map>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -46,6 +47,20 @@
   void SetDown(bool down) { down_ = down; }
   // The next writes take effect, but their answers are lost.
   void LoseWriteAnswers(int count) { lost_writes_ = count; }
+  // Each answer tells its era to `on_era` first.
+  void OnEra(ports::EraObserver on_era) {
+    on_era_ = std::move(on_era);
+    era_ = std::max<int64_t>(era_, 1);
+  }
+  // Keeps a copy, and comes back from it: what was written since is gone, and
+  // the same revisions and leases are given out again. Calls that wait stay.
+  void KeepCopy() {
+    copy_ = {revision_, last_lease_, leases_, entries_, removed_};
+  }
+  void ComeBack() {
+    ++era_;
+    std::tie(revision_, last_lease_, leases_, entries_, removed_) = copy_;
+  }
   // Waiting calls for changes before now are told that they are gone.
   void Compact() { compacted_ = revision_; }
 
@@ -134,9 +149,17 @@
       return;
     }
     loop_.Post(
-        [done = std::move(done), answer = std::move(answer)] { done(answer); });
+        [this, era = era_, done = std::move(done), answer = std::move(answer)] {
+          if (TellEra(era)) {
+            done(answer);
+          } else {
+            done(MakeError(ResultCode::kStoreAnswerLost, "Of an older era."));
+          }
+        });
   }
 
+  bool TellEra(int64_t era) const { return !on_era_ || on_era_(era); }
+
   StoreCasAnswer Apply(const StoreCas& request) {
     EndLapsedLeases();
     StoreCasAnswer answer;
@@ -199,6 +222,7 @@
     const bool answers =
         !down_ && (!changes.changes.empty() || loop_.now() >= until);
     if (answers) {
+      TellEra(era_);
       done(changes);
       return;
     }
@@ -233,12 +257,17 @@
   io::EventLoop& loop_;
   bool down_ = false;
   int lost_writes_ = 0;
+  ports::EraObserver on_era_;
+  int64_t era_ = 0;
   int64_t revision_ = 10;
   int64_t compacted_ = 0;
   StoreLeaseId last_lease_ = 0;
   std::map<StoreLeaseId, Lease> leases_;
   std::map<std::string, StoreEntry> entries_;
   std::vector<std::pair<std::string, int64_t>> removed_;
+  std::tuple<int64_t, StoreLeaseId, decltype(leases_), decltype(entries_),
+             decltype(removed_)>
+      copy_;
   std::vector<io::Timer> timers_;
 };
 
