One instance of each region places calls for models, by what engines still have to read

Change: prompt_backlog, placement by expected time to the first token, region_placer; placers tell each other their queues; sizing also by the reading that prompts ask of engines, since calls that are served sooner are fewer under way and hid the need. Late calls are logged with what was known at the choice (call.late).

--- a/include/oleander/fleet_sizing.h
+++ b/include/oleander/fleet_sizing.h
@@ -6,6 +6,9 @@
 // late at any time, reclaimable ones take the rest and what comes on top, and
 // the others take over what reclaimable ones are missing.
 //
+// What is needed follows from the calls under way and from the prompts that are
+// to be read: where prompts are long, few calls keep an engine busy.
+//
 // Load it answers: calls under way over all servers of a service, with bursts
 // that end before a server has booted, and with domains reclaimed seconds
 // apart.
@@ -28,6 +31,9 @@
   double busy_share = 0.6;
   // ... and no more than this, since prompts that are read hold up each other.
   double most_calls = 24;
+  // The part of its time that an engine may read, so that prompts wait little
+  // and the streams beside them aren't held up.
+  double reading_share = 1.0;
   // A server that is overloaded collects calls; beyond this many times the
   // calls above they say how slow it is, not how many servers are missing.
   double most_overload = 1.5;
@@ -44,11 +50,11 @@
   // The load shows what is needed only while servers are short, so never fewer
   // steady servers are kept than this share of those found at the start, which
   // operators ordered for their usual load.
-  double floor_share = 0.33;
+  double floor_share = 0.25;
   // Of the servers needed: how many aren't reclaimable at any time, and how
   // many reclaimable ones there are.
-  double steady_share = 0.4;
-  double reclaimable_share = 1.4;
+  double steady_share = 0.3;
+  double reclaimable_share = 1.5;
 };
 
 // How many servers of one market a domain is to have.
@@ -65,8 +71,10 @@
  public:
   explicit FleetSizing(FleetSizingOptions options = {}) : options_(options) {}
 
-  // Calls running and waiting at each server of the service.
-  void Observe(Time now, int slots, const std::vector<double>& calls);
+  // Calls running and waiting at each server of the service, and how many
+  // engines would read all the time; 0 where that isn't known.
+  void Observe(Time now, int slots, const std::vector<double>& calls,
+               double reading = 0);
 
   // The sizes wanted now, for each domain with a price and both markets.
   std::vector<DomainSize> Plan(Time now, const ScalingRule& rule,
--- a/include/oleander/server_loads.h
+++ b/include/oleander/server_loads.h
@@ -28,6 +28,9 @@
   Duration age{};
 };
 
+//
+// The same way serves for what services' prompts ask of their engines: see
+// ReadingName().
 class ServerLoads {
  public:
   // A server told this instance how many calls run and wait there.
@@ -44,6 +47,10 @@
   // since a server that is sent to answers.
   int CallsAt(Time now, const ServerId& server) const;
 
+  // The name under which the reading that a service's prompts ask of a region
+  // is told, in thousandths of an engine.
+  static ServerId ReadingName(const ServiceId& service, const RegionId& region);
+
   static uint32_t NoteId(const ServerId& server);
 
  private:
--- a/src/entry/call_context.h
+++ b/src/entry/call_context.h
@@ -8,6 +8,7 @@
 
 #include "entry/entry_metrics.h"
 #include "entry/quota_gate.h"
+#include "entry/region_placer.h"
 #include "io/event_loop.h"
 #include "io/http_client.h"
 #include "oleander/agreed_clock.h"
@@ -33,7 +34,9 @@
   ConfigProof proof;
   ListedServers listed;
   Placement placement;
-  ServerLoads loads = {};  // Of all instances' calls together.
+  RegionPlacer placer;
+  ServerLoads loads = {};    // Of all instances' calls together.
+  ServerLoads reading = {};  // That prompts ask of engines; see ReadingName().
   RetryBudget retries;
   UsageWindows usage;
   QuotaGate quotas;
--- a/src/entry/entry_node.cc
+++ b/src/entry/entry_node.cc
@@ -70,6 +70,7 @@
 // Peers that hear a sum of usage before it is reported: enough that one of them
 // is there when the duty goes on after the store forgot the sum.
 constexpr size_t kPeersTold = 12;
+constexpr int kThousandths = 1000;
 constexpr Duration kSettingsCheck = std::chrono::seconds(2);
 
 absl::flat_hash_map<DomainId, RegionId> RegionsOf(
@@ -137,19 +138,22 @@
                        [this](int64_t era) {
                          return context_.era.Observe(loop_.now(), era);
                        })),
-        context_{.loop = loop_,
-                 .servers_client = servers_client_,
-                 .codec = *ports_.calls,
-                 .metrics = metrics_,
-                 .clock = AgreedClock(loop_.now(), io::EventLoop::wall_now()),
-                 .proof = ConfigProof({.bound = settings_.bounds.revoke}),
-                 .listed = ListedServers(),
-                 .placement = Placement({}, settings_.place, seed_()),
-                 .retries = RetryBudget(
-                     PartOf(RetryBoundOf(settings_.bounds), kAssumedInstances)),
-                 .usage = UsageWindows(settings_.bounds.usage_window),
-                 .quotas = QuotaGate(loop_, context_.clock, settings_.instance,
-                                     QuotaBoundOf(settings_.bounds), seed_())},
+        context_{
+            .loop = loop_,
+            .servers_client = servers_client_,
+            .codec = *ports_.calls,
+            .metrics = metrics_,
+            .clock = AgreedClock(loop_.now(), io::EventLoop::wall_now()),
+            .proof = ConfigProof({.bound = settings_.bounds.revoke}),
+            .listed = ListedServers(),
+            .placement = Placement({}, settings_.place, seed_()),
+            .placer = RegionPlacer(loop_, settings_.instance, settings_.place,
+                                   context_.placement, RunNumber()),
+            .retries = RetryBudget(
+                PartOf(RetryBoundOf(settings_.bounds), kAssumedInstances)),
+            .usage = UsageWindows(settings_.bounds.usage_window),
+            .quotas = QuotaGate(loop_, context_.clock, settings_.instance,
+                                QuotaBoundOf(settings_.bounds), seed_())},
         handler_(context_),
         run_(RunNumber()),
         peers_(loop_, settings_),
@@ -207,6 +211,16 @@
         [this](const InstanceId& to, const mesh::Envelope& message) {
           peers_.Send(to, message);
         });
+    context_.placer.OnSend(
+        [this](const InstanceId& to, const mesh::Envelope& message) {
+          peers_.Send(to, message);
+        });
+    context_.placer.OnDemand([this](const ServiceId& service, double engines) {
+      context_.reading.OnReport(
+          loop_.now(),
+          ServerLoads::ReadingName(service, settings_.place.region),
+          static_cast<int>(engines * kThousandths));
+    });
     context_.quotas.OnClockChange(
         [this](Duration change) { OnClockChange("peers", change); });
     feed_.OnClockChange(
@@ -240,6 +254,7 @@
     WatchSettings();
     feed_.Start();
     records_.Start();
+    context_.placer.Start();
     lease_.Want(!settings_.duty_names.empty());
     loop_.Run();
     io::Log(io::LogLevel::kInfo, "entry.stopped",
@@ -259,6 +274,7 @@
     context_.quotas.SetInstances(
         instances,
         RankAllocators(settings_.place, Candidates(settings_, records_)));
+    context_.placer.SetCandidates(PlacerCandidates());
     context_.retries.SetOptions(
         PartOf(RetryBoundOf(settings_.bounds), instances));
     reporter_.OnRecords();
@@ -290,11 +306,24 @@
         [&](const InstanceId& peer) { peers_.Send(peer, envelope); });
   }
 
+  std::vector<PlacerCandidate> PlacerCandidates() const {
+    std::vector<PlacerCandidate> candidates;
+    for (const AllocatorCandidate& live : Candidates(settings_, records_)) {
+      candidates.push_back({.instance = live.instance,
+                            .region = live.region,
+                            .cores = live.cores});
+    }
+    return candidates;
+  }
+
   void OnPeerMessage(const InstanceId& from, const mesh::Envelope& message) {
     if (message.has_store_ask() || message.has_store_tell()) {
       feed_.OnMessage(from, message);
     } else if (message.has_quota_ask() || message.has_quota_grant()) {
       context_.quotas.OnMessage(from, message);
+    } else if (message.has_place_ask() || message.has_place_tell() ||
+               message.has_place_news() || message.has_place_waits()) {
+      context_.placer.OnMessage(from, message);
     } else if (message.has_usage_told()) {
       reporter_.OnTold(message.usage_told());
     } else {
@@ -386,6 +415,7 @@
             {{"open", callers_->open_exchanges()}});
     callers_->CloseAfterAnswers();
     context_.quotas.Retire();
+    context_.placer.Retire();
     GiveUpDuty();
     drain_timer_ = loop_.After(kBalancerTurnsAway, [this] {
       context_.refusing = true;
--- a/src/entry/forwarded_call.cc
+++ b/src/entry/forwarded_call.cc
@@ -40,17 +40,16 @@
 // The parts that other prompts share: all but the last, which is the request's
 // own.
 PlacementQuestion QuestionFor(const AcceptedCall& call) {
-  PlacementQuestion question{.service = call.service};
-  const auto& prompt = call.intake.prompt;
-  if (prompt.size() < 2) {
-    return question;
+  PlacementQuestion question{.service = call.service, .goal = call.route->goal};
+  question.prompt.tokens = call.intake.prompt_tokens.value_or(0);
+  question.prompt.urgency = call.urgency;
+  const auto& parts = call.intake.prompt;
+  PromptPrefix prefix;
+  for (size_t i = 0; i + 1 < parts.size(); ++i) {
+    prefix.hash = XXH64(parts[i].id.data(), parts[i].id.size(), prefix.hash);
+    prefix.tokens += parts[i].tokens;
+    question.prompt.shared.push_back(prefix);
   }
-  uint64_t hash = 0;
-  for (size_t i = 0; i + 1 < prompt.size(); ++i) {
-    hash = XXH64(prompt[i].id.data(), prompt[i].id.size(), hash);
-    question.shared_tokens += prompt[i].tokens;
-  }
-  question.subject = hash;
   return question;
 }
 
@@ -68,7 +67,8 @@
   --context_.open_calls;
   DropBody();
   if (server_) {
-    context_.placement.OnEnded(*server_);
+    context_.placement.OnEnded(context_.loop.now(), *server_, reading_);
+    context_.placer.OnEnded(placed_.call);
   }
 }
 
@@ -86,11 +86,27 @@
 }
 
 void ForwardedCall::SendNext() {
+  if (!MaySend()) {
+    return;
+  }
+  context_.placer.Choose(
+      question_, [&context = context_,
+                  weak = weak_from_this()](const RegionPlacer::Placed& placed) {
+        const auto self = weak.lock();
+        if (self == nullptr || self->finished_) {
+          context.placer.OnEnded(placed.call);
+          return;
+        }
+        self->OnChosen(placed);
+      });
+}
+
+bool ForwardedCall::MaySend() {
   if (!call_.route->open && !context_.proof.holds(context_.loop.now())) {
     Refuse(ResultCode::kConfigUnproven,
            "The configuration could not be confirmed of late, so credentials "
            "can't be trusted.");
-    return;
+    return false;
   }
   if (!IsStillAllowed()) {
     if (attempts_.may_have_run > 0) {
@@ -100,10 +116,24 @@
       Refuse(ResultCode::kUnknownCredential,
              "The request's credential was taken away while it waited.");
     }
+    return false;
+  }
+  return true;
+}
+
+void ForwardedCall::OnChosen(const RegionPlacer::Placed& placed) {
+  const ListedServer* server =
+      placed.server ? context_.listed.Find(*placed.server) : nullptr;
+  if (server == nullptr || !MaySend()) {
+    context_.placer.OnEnded(placed.call);
+  }
+  if (finished_) {
     return;
   }
-  const std::optional<ServerId> picked = PickServer();
-  const ListedServer* server = picked ? context_.listed.Find(*picked) : nullptr;
+  placed_ = placed;
+  if (server != nullptr) {
+    context_.placer.OnSent(placed_, question_);
+  }
   if (server == nullptr) {
     attempts_.server_left = false;
     if (attempts_.may_have_run > 0) {
@@ -139,10 +169,6 @@
       rested ? std::optional(*rested - now) : std::nullopt);
 }
 
-std::optional<ServerId> ForwardedCall::PickServer() {
-  return context_.placement.Pick(context_.loop.now(), question_);
-}
-
 void ForwardedCall::SendTo(const ListedServer& server) {
   server_ = server.id;
   server_born_ms_ = server.born_ms;
@@ -153,7 +179,12 @@
   DropBody();
   ++sends_;
   context_.metrics.CountAttempt(call_.service);
-  context_.placement.OnSent(server.id);
+  const Time now = context_.loop.now();
+  choice_ = {
+      .at = now,
+      .expected = context_.placement.ExpectedAt(now, server.id, question_),
+      .calls = context_.placement.EstimatedCalls(now, server.id)};
+  reading_ = context_.placement.OnSent(now, server.id, question_.prompt);
   // `sending_` goes with this object, so its callbacks may use it plainly; they
   // hold it because the last of them may drop the exchange's reference.
   const std::weak_ptr<ForwardedCall> weak = weak_from_this();
@@ -239,6 +270,7 @@
     headers_ = context_.codec.ForCaller(headers);
   }
   if (!streams) {
+    NoteBegun();
     CountBegun();
   }
 }
@@ -314,6 +346,7 @@
   if (whole->empty()) {
     return;
   }
+  NoteBegun();
   BeginStream();
   call_.exchange->Write(*whole);
   if (call_.exchange->pending_bytes() > kPauseAbove && !paused_ &&
@@ -323,10 +356,38 @@
   }
 }
 
+void ForwardedCall::NoteBegun() {
+  context_.placement.OnBegun(context_.loop.now(), reading_);
+  context_.placer.OnBegun(placed_.call);
+}
+
+void ForwardedCall::LogIfLate() const {
+  const Time now = context_.loop.now();
+  if (call_.route->goal == Duration::zero() ||
+      now - call_.arrived <= call_.route->goal) {
+    return;
+  }
+  io::Log(io::LogLevel::kInfo, "call.late",
+          {{"call", call_.intake.attempt},
+           {"route", call_.route->name},
+           {"server", server_ ? server_->value() : ""},
+           {"ms", Milliseconds(now - call_.arrived)},
+           {"before_choice_ms", Milliseconds(choice_.at - call_.arrived)},
+           {"expected_ms", Milliseconds(choice_.expected)},
+           {"calls_there", choice_.calls},
+           {"prompt", question_.prompt.tokens},
+           {"shared", question_.prompt.shared.empty()
+                          ? 0
+                          : question_.prompt.shared.back().tokens},
+           {"by_placer", placed_.call != 0},
+           {"attempts", sends_}});
+}
+
 void ForwardedCall::BeginStream() {
   if (stream_begun()) {
     return;
   }
+  LogIfLate();
   context_.metrics.ObserveFirstEvent(call_.service,
                                      context_.loop.now() - call_.arrived);
   call_.exchange->Begin(status_, headers_);
@@ -412,8 +473,10 @@
   paused_ = false;
   if (failed) {
     context_.placement.OnFailure(context_.loop.now(), *server_);
+    context_.placer.OnFailed(placed_.call, *server_);
   }
-  context_.placement.OnEnded(*server_);
+  context_.placement.OnEnded(context_.loop.now(), *server_, reading_);
+  context_.placer.OnEnded(placed_.call);
   server_.reset();
 }
 
--- a/src/entry/forwarded_call.h
+++ b/src/entry/forwarded_call.h
@@ -47,8 +47,15 @@
   enum class Mode { kAwaitingHead, kDiscard, kCollect, kStream };
 
   void SendNext();
-  std::optional<ServerId> PickServer();
+  // Whether the newest configuration, proven of late, lets the call be sent;
+  // else the call gets its final answer.
+  bool MaySend();
+  void OnChosen(const RegionPlacer::Placed& placed);
   void SendTo(const ListedServer& server);
+  // The prompt is read: the first event came.
+  void NoteBegun();
+  // For on-call engineers: on what grounds a late call was sent where it was.
+  void LogIfLate() const;
   ports::SendTerms TermsFor(const ServerId& server) const;
   io::HttpCallRequest RequestFor(const ListedServer& server) const;
 
@@ -90,6 +97,15 @@
   PlacementQuestion question_;
   std::unique_ptr<io::HttpCall> sending_;
   std::optional<ServerId> server_;  // Of the attempt under way.
+  RegionPlacer::Placed placed_;     // How it was chosen.
+  uint64_t reading_ = 0;            // The attempt's number at the placement.
+  // What was known of the server when it was chosen.
+  struct Choice {
+    Time at;
+    Duration expected{};  // To the first token.
+    double calls = 0;
+  };
+  Choice choice_;
   // As listed when it was sent to: the entry may go before the answer comes.
   int64_t server_born_ms_ = 0;
   Mode mode_ = Mode::kAwaitingHead;
--- /dev/null
+++ b/src/entry/region_placer.h
@@ -0,0 +1,139 @@
+// Where calls for models go, decided in one place per region.
+//
+// An instance sees a small part of what an engine is sent, and reports of load
+// are late, so instances that choose alone send long prompts behind others that
+// they can't see. One instance of each region (see placer_choice.h) hears of
+// all such calls of its region: it is asked where to send each, and told when
+// its first event came and when it ended. The question takes a round trip
+// within the region. The placers of several regions tell each other how long
+// prompts wait at their engines, and whoever sends a call to another region
+// tells the placer there. Where no answer comes at once the instance chooses
+// itself, by what it knows of its own calls; nothing waits for a placer that
+// has gone.
+#ifndef OLEANDER_ENTRY_REGION_PLACER_H_
+#define OLEANDER_ENTRY_REGION_PLACER_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "io/event_loop.h"
+#include "mesh.pb.h"
+#include "oleander/placement.h"
+#include "oleander/placer_choice.h"
+
+namespace oleander::entry {
+
+struct RegionPlacerOptions {
+  // A word within a region takes a few milliseconds; a placer that is busy some
+  // dozens. Longer waits cost the caller more than a worse choice.
+  Duration patience = std::chrono::milliseconds(40);
+  // News of placed calls are gathered for so long.
+  Duration gather = std::chrono::milliseconds(8);
+  // A placed call whose asker says nothing more is forgotten after this; no
+  // route of the pages lets a caller wait longer.
+  Duration forgotten_after = std::chrono::seconds(30);
+  // Between two looks for those.
+  Duration sweep_every = std::chrono::seconds(5);
+  // Between two words to the placers of other regions.
+  Duration tell_every = std::chrono::milliseconds(200);
+};
+
+class RegionPlacer {
+ public:
+  using Send =
+      std::function<void(const InstanceId& to, const mesh::Envelope& message)>;
+  // A server, and the number under which the placer knows the call; 0: it
+  // doesn't.
+  struct Placed {
+    std::optional<ServerId> server;
+    uint64_t call = 0;
+  };
+  using Done = std::function<void(const Placed& placed)>;
+
+  // `placement` is this instance's own, also for calls that it places for
+  // others.
+  RegionPlacer(io::EventLoop& loop, InstanceId self, const Place& place,
+               Placement& placement, uint64_t seed,
+               RegionPlacerOptions options = {});
+
+  void OnSend(Send send) { send_ = std::move(send); }
+  void SetCandidates(const std::vector<PlacerCandidate>& candidates);
+  // Told each time how many engines the prompts of a service keep reading here,
+  // where this instance places for the region.
+  using Demand = std::function<void(const ServiceId& service, double engines)>;
+  void OnDemand(Demand on_demand) { on_demand_ = std::move(on_demand); }
+  // Begins to tell other regions, while this instance places for its own.
+  void Start();
+  // Who asks is sent on to the next placer.
+  void Retire() { retired_ = true; }
+
+  // `done` is called once, at once or within some dozen milliseconds.
+  void Choose(const PlacementQuestion& question, Done done);
+  // News of a call that a placer knows; 0 is ignored.
+  void OnSent(Placed& placed, const PlacementQuestion& question);
+  void OnBegun(uint64_t call);
+  void OnEnded(uint64_t call);
+  void OnFailed(uint64_t call, const ServerId& server);
+
+  void OnMessage(const InstanceId& from, const mesh::Envelope& message);
+
+ private:
+  struct Asked {
+    InstanceId placer;
+    PlacementQuestion question;
+    Done done;
+    Time at;
+  };
+  // A call that this instance placed for another one.
+  struct PlacedFor {
+    ServerId server;
+    uint64_t reading = 0;  // Of the placement.
+    Time until;
+  };
+  using AskerCall = std::pair<InstanceId, uint64_t>;
+
+  void Ask(const InstanceId& placer, const PlacementQuestion& question,
+           Done done);
+  void Answer(const InstanceId& from, const entrywire::PlaceAsk& ask);
+  void OnTell(const InstanceId& from, const entrywire::PlaceTell& tell);
+  void OnNews(const InstanceId& from, const entrywire::PlaceNews& news);
+  void OnWaited();
+  void Keep(const InstanceId& from, const entrywire::PlaceAsk& ask,
+            const ServerId& server, const Prompt& prompt);
+  void TellWaits();
+  void OnWaits(const entrywire::PlaceWaits& waits);
+  void Tell(uint64_t call,
+            const std::function<void(entrywire::PlaceNews&)>& write);
+  void SendNews();
+  void EndPlaced(const AskerCall& key);
+  void DropLost();
+
+  RegionPlacerOptions options_;
+  io::EventLoop& loop_;
+  InstanceId self_;
+  Placement& placement_;
+  Place place_;
+  PlacerChoice choice_;
+  Send send_;
+  Demand on_demand_ = [](const ServiceId&, double) {};
+  bool retired_ = false;
+  uint64_t last_call_;  // Begins anywhere, so that runs are told apart.
+  std::map<uint64_t, Asked> asked_;  // In the order of asking.
+  // The placers that know a call.
+  absl::flat_hash_map<uint64_t, std::vector<InstanceId>> known_by_;
+  std::map<RegionId, PlacerChoice> other_regions_;
+  std::map<InstanceId, entrywire::PlaceNews> news_;
+  std::map<AskerCall, PlacedFor> placed_;
+  Time sweep_at_;
+  io::Timer wait_timer_;
+  io::Timer news_timer_;
+  io::Timer tell_timer_;
+};
+
+}  // namespace oleander::entry
+
+#endif  // OLEANDER_ENTRY_REGION_PLACER_H_
--- a/src/entry/store_feed.cc
+++ b/src/entry/store_feed.cc
@@ -234,6 +234,12 @@
   const int64_t revision = parts.revision;
   context_.config = ServingConfig::Create(std::move(parts));
   context_.quotas.SetQuotas(*context_.config);
+  for (const ServiceRule& service : context_.config->services()) {
+    if (service.engine) {
+      context_.placement.SetMemory(
+          service.id, {.cache_tokens = service.engine->cache_tokens});
+    }
+  }
   context_.metrics.SetConfigVersion(context_.config->version());
   io::Log(io::LogLevel::kInfo, "config.applied",
           {{"version", context_.config->version()},
@@ -339,6 +345,8 @@
   ask.set_store_era(context_.era.current());
   WriteLoads(context_.loads.TakeNews(context_.loop.now()),
              *ask.mutable_loads());
+  WriteLoads(context_.reading.TakeNews(context_.loop.now()),
+             *ask.mutable_reading());
   WriteLeaving(context_.placement.notices().news(context_.loop.now()),
                *ask.mutable_leaving());
   peers_.Send(reader, envelope);
@@ -370,6 +378,8 @@
   const Time now = context_.loop.now();
   ReadLoads(now, ask.loads(), context_.loads);
   WriteLoads(context_.loads.Notes(now, kLoadsTold), *tell.mutable_loads());
+  ReadLoads(now, ask.reading(), context_.reading);
+  WriteLoads(context_.reading.Notes(now, kLoadsTold), *tell.mutable_reading());
   TakeLeaving(ask.leaving());
   WriteLeaving(context_.placement.notices().news(now), *tell.mutable_leaving());
   tell.set_store_era(context_.era.current());
@@ -414,6 +424,7 @@
       TakeEra(tell.store_era(), Duration(tell.era_age_us())) &&
       context_.era.current() == era_before;
   ReadLoads(context_.loop.now(), tell.loads(), context_.loads);
+  ReadLoads(context_.loop.now(), tell.reading(), context_.reading);
   TakeLeaving(tell.leaving());
   if (!same_era) {
     return;  // What it says of the store is of a copy that is gone.
--- a/src/io/mesh_codec.cc
+++ b/src/io/mesh_codec.cc
@@ -41,6 +41,14 @@
       return 9;
     case Envelope::kUsageTold:
       return 10;
+    case Envelope::kPlaceAsk:
+      return 11;
+    case Envelope::kPlaceTell:
+      return 12;
+    case Envelope::kPlaceNews:
+      return 13;
+    case Envelope::kPlaceWaits:
+      return 14;
     case Envelope::BODY_NOT_SET:
       break;
   }
--- a/src/io/mesh_codec.h
+++ b/src/io/mesh_codec.h
@@ -13,9 +13,10 @@
 
 // The classes of messages are the names of the envelope's fields; the first is
 // the one without a body.
-inline constexpr std::array<std::string_view, 11> kMeshClasses = {
-    "none",      "request",    "ledger",    "profile",     "membership", "load",
-    "store_ask", "store_tell", "quota_ask", "quota_grant", "usage_told"};
+inline constexpr std::array<std::string_view, 15> kMeshClasses = {
+    "none",       "request",   "ledger",     "profile",    "membership",
+    "load",       "store_ask", "store_tell", "quota_ask",  "quota_grant",
+    "usage_told", "place_ask", "place_tell", "place_news", "place_waits"};
 
 // The index of the message's class in kMeshClasses.
 size_t MeshClassOf(const mesh::Envelope& message);
--- a/src/node/mesh_port.cc
+++ b/src/node/mesh_port.cc
@@ -210,6 +210,10 @@
     case mesh::Envelope::kStoreAsk:
     case mesh::Envelope::kStoreTell:
     case mesh::Envelope::kUsageTold:
+    case mesh::Envelope::kPlaceAsk:
+    case mesh::Envelope::kPlaceTell:
+    case mesh::Envelope::kPlaceNews:
+    case mesh::Envelope::kPlaceWaits:
       metrics_.CountDroppedEvents("mesh_of_platform", 1);
       break;
     case mesh::Envelope::BODY_NOT_SET:
--- a/src/parts/fleet_sizing.cc
+++ b/src/parts/fleet_sizing.cc
@@ -62,8 +62,8 @@
 
 }  // namespace
 
-void FleetSizing::Observe(Time now, int slots,
-                          const std::vector<double>& calls) {
+void FleetSizing::Observe(Time now, int slots, const std::vector<double>& calls,
+                          double reading) {
   const double per_server =
       std::clamp(slots * options_.busy_share, 1.0, options_.most_calls);
   const double most = per_server * options_.most_overload;
@@ -72,7 +72,9 @@
       [most](double sum, double here) { return sum + std::min(here, most); });
   observed_since_ = observed_since_.value_or(now);
   loaded_ = loaded_ || load > 0;
-  samples_.push_back({.at = now, .servers = load / per_server});
+  samples_.push_back({.at = now,
+                      .servers = std::max(load / per_server,
+                                          reading / options_.reading_share)});
   while (samples_.front().at + options_.load_memory < now) {
     samples_.pop_front();
   }
--- a/src/parts/placement.cc
+++ b/src/parts/placement.cc
@@ -35,9 +35,17 @@
     server.born_ms = listed->born_ms;
     server.listed = true;
     by_service_[listed->service].push_back(listed->id);
+    const auto memory = memories_.find(listed->service);
+    if (memory != memories_.end()) {
+      backlog_.SetEngine(listed->id, memory->second);
+    }
   }
-  absl::erase_if(servers_, [](const auto& item) {
-    return !item.second.listed && item.second.own == 0;
+  absl::erase_if(servers_, [this](const auto& item) {
+    const bool gone = !item.second.listed && item.second.own == 0;
+    if (gone) {
+      backlog_.Forget(item.first);
+    }
+    return gone;
   });
 }
 
@@ -47,20 +55,11 @@
   if (candidates.empty()) {
     return std::nullopt;
   }
-  if (question.subject) {
-    std::ranges::sort(candidates, std::greater<>(),
-                      [&question](const Server* server) {
-                        return RankHash(*question.subject, server->id);
-                      });
-  }
+  const Preference preference = PreferenceFor(candidates, question);
   std::vector<std::pair<Duration, const Server*>> costs;
-  int rank = 0;
+  costs.reserve(candidates.size());
   for (const Server* server : candidates) {
-    const RegionId* region = RegionOf(server->domain);
-    const bool own_region = region != nullptr && *region == self_.region;
-    costs.emplace_back(CostOf(now, *server, own_region ? rank : 1, question),
-                       server);
-    rank += own_region ? 1 : 0;
+    costs.emplace_back(CostOf(now, *server, preference, question), server);
   }
   const Duration least = std::ranges::min(costs, {}, [](const auto& row) {
                            return row.first;
@@ -73,20 +72,56 @@
   return server->id;
 }
 
-void Placement::OnSent(const ServerId& server) {
+uint64_t Placement::OnSent(Time now, const ServerId& server,
+                           const Prompt& prompt) {
   const auto found = servers_.find(server);
-  if (found != servers_.end()) {
-    ++found->second.own;
+  if (found == servers_.end()) {
+    return 0;
   }
+  ++found->second.own;
+  if (prompt.tokens == 0) {
+    return 0;
+  }
+  if (InOwnRegion(found->second)) {
+    std::deque<Sent>& sent = sent_[found->second.service];
+    sent.push_back(
+        {.at = now,
+         .takes = backlog_.TimeToRead(server, prompt.tokens,
+                                      backlog_.Unkept(server, prompt))});
+    while (sent.front().at + options_.reading_window < now) {
+      sent.pop_front();
+    }
+  }
+  return backlog_.OnSent(now, server, prompt);
 }
 
-void Placement::OnEnded(const ServerId& server) {
+std::vector<std::pair<ServiceId, double>> Placement::ReadingHere(
+    Time now) const {
+  std::vector<std::pair<ServiceId, double>> engines;
+  for (const auto& [service, sent] : sent_) {
+    Duration takes{};
+    for (const Sent& call : sent) {
+      takes += call.at + options_.reading_window < now ? Duration::zero()
+                                                       : call.takes;
+    }
+    engines.emplace_back(
+        service, std::chrono::duration<double>(takes) /
+                     std::chrono::duration<double>(options_.reading_window));
+  }
+  return engines;
+}
+
+void Placement::OnBegun(Time now, uint64_t call) { backlog_.OnRead(now, call); }
+
+void Placement::OnEnded(Time now, const ServerId& server, uint64_t call) {
+  backlog_.OnEnded(now, call);
   const auto found = servers_.find(server);
   if (found == servers_.end()) {
     return;
   }
   found->second.own = std::max(0, found->second.own - 1);
   if (found->second.own == 0 && !found->second.listed) {
+    backlog_.Forget(server);
     servers_.erase(found);
   }
 }
@@ -144,24 +179,134 @@
   return found == servers_.end() ? 0 : found->second.own;
 }
 
-Duration Placement::CostOf(Time now, const Server& server, int rank,
+Placement::Preference Placement::PreferenceFor(
+    const std::vector<const Server*>& candidates,
+    const PlacementQuestion& question) const {
+  Preference preference;
+  const Prompt& prompt = question.prompt;
+  if (prompt.shared.empty()) {
+    return preference;
+  }
+  preference.kept_somewhere =
+      std::ranges::any_of(candidates, [&](const Server* server) {
+        return backlog_.Unkept(server->id, prompt) <=
+               prompt.tokens - prompt.shared.back().tokens;
+      });
+  const uint64_t subject = prompt.shared.back().hash;
+  for (const Server* server : candidates) {
+    const bool better =
+        InOwnRegion(*server) && (preference.home == nullptr ||
+                                 RankHash(subject, server->id) >
+                                     RankHash(subject, preference.home->id));
+    preference.home = better ? server : preference.home;
+  }
+  return preference;
+}
+
+int64_t Placement::TokensToRead(const Server& server,
+                                const Preference& preference,
+                                const Prompt& prompt) const {
+  const int64_t unkept = backlog_.Unkept(server.id, prompt);
+  if (preference.kept_somewhere || preference.home != &server) {
+    return unkept;
+  }
+  const auto guessed = static_cast<int64_t>(
+      options_.home_share * static_cast<double>(prompt.shared.back().tokens));
+  return std::min(unkept, prompt.tokens - guessed);
+}
+
+Duration Placement::WaitAt(Time now, const Server& server, int urgency) const {
+  const Duration known = backlog_.WaitAt(now, server.id, urgency);
+  const bool told =
+      server.told_at && now - *server.told_at < options_.told_wait_age;
+  return told ? std::max(known, server.told_wait - (now - *server.told_at))
+              : known;
+}
+
+void Placement::OnToldWait(Time now, const ServerId& server, Duration wait) {
+  const auto found = servers_.find(server);
+  if (found != servers_.end()) {
+    found->second.told_wait = wait;
+    found->second.told_at = now;
+  }
+}
+
+std::vector<std::pair<ServerId, Duration>> Placement::WaitsHere(
+    Time now) const {
+  std::vector<std::pair<ServerId, Duration>> waits;
+  for (const auto& [id, server] : servers_) {
+    const bool engine = memories_.contains(server.service);
+    if (engine && server.own > 0 && InOwnRegion(server)) {
+      waits.emplace_back(id, backlog_.WaitAt(now, id, 0));
+    }
+  }
+  return waits;
+}
+
+const RegionId* Placement::RegionOfServer(const ServerId& server) const {
+  const auto found = servers_.find(server);
+  return found == servers_.end() ? nullptr : RegionOf(found->second.domain);
+}
+
+Duration Placement::FirstTokenAt(Time now, const Server& server,
+                                 const Prompt& prompt, int64_t unkept) const {
+  return WaitAt(now, server, prompt.urgency) +
+         backlog_.TimeToRead(server.id, prompt.tokens, unkept) + WayTo(server);
+}
+
+Duration Placement::ExpectedAt(Time now, const ServerId& server,
+                               const PlacementQuestion& question) const {
+  const auto found = servers_.find(server);
+  return found == servers_.end()
+             ? Duration::max()
+             : FirstTokenAt(now, found->second, question.prompt,
+                            backlog_.Unkept(server, question.prompt));
+}
+
+Duration Placement::CostOf(Time now, const Server& server,
+                           const Preference& preference,
                            const PlacementQuestion& question) const {
   const double calls = EstimatedCalls(now, server.id);
   const double waiting = std::max(0.0, calls - server.slots);
-  Duration cost = Scaled(options_.per_running, calls) +
-                  Scaled(options_.per_waiting, waiting);
-  if (rank > 0) {
-    cost += Scaled(options_.per_thousand_tokens,
-                   static_cast<double>(question.shared_tokens) / 1000);
+  const Duration crowd = Scaled(options_.per_running, calls) +
+                         Scaled(options_.per_waiting, waiting);
+  const Prompt& prompt = question.prompt;
+  if (prompt.tokens == 0) {
+    return crowd + WayTo(server);
   }
-  if (server.domain != self_.domain) {
-    cost += options_.other_domain;
+  const int64_t tokens = TokensToRead(server, preference, prompt);
+  const int64_t own_tokens =
+      prompt.tokens - (prompt.shared.empty() ? 0 : prompt.shared.back().tokens);
+  const Duration again =
+      backlog_.TimeToRead(server.id, prompt.tokens - own_tokens,
+                          std::max<int64_t>(0, tokens - own_tokens));
+  const Duration first = FirstTokenAt(now, server, prompt, tokens);
+  const Duration goal =
+      question.goal > Duration::zero() ? question.goal : options_.usual_goal;
+  const double lateness =
+      static_cast<double>(first.count()) / static_cast<double>(goal.count());
+  return crowd + first + Scaled(first, lateness) +
+         Scaled(again, options_.reread_weight);
+}
+
+Duration Placement::WayTo(const Server& server) const {
+  if (!InOwnRegion(server)) {
+    return options_.other_region;
   }
+  return server.domain == self_.domain ? Duration::zero()
+                                       : options_.other_domain;
+}
+
+bool Placement::InOwnRegion(const Server& server) const {
   const RegionId* region = RegionOf(server.domain);
-  if (region == nullptr || *region != self_.region) {
-    cost += options_.other_region;
-  }
-  return cost;
+  return region != nullptr && *region == self_.region;
+}
+
+bool Placement::MayUse(Time now, const ServerId& server) const {
+  const auto found = servers_.find(server);
+  return found != servers_.end() && found->second.listed &&
+         !notices_.leaving(server, found->second.born_ms) &&
+         !notices_.rests_until(now, server, found->second.born_ms);
 }
 
 std::vector<const Placement::Server*> Placement::Candidates(
@@ -177,8 +322,7 @@
       continue;
     }
     const Server& server = servers_.at(id);
-    if (notices_.leaving(id, server.born_ms) ||
-        notices_.rests_until(now, id, server.born_ms)) {
+    if (!MayUse(now, id)) {
       continue;
     }
     const bool rests = server.resting_until && now < *server.resting_until;
--- a/src/parts/server_loads.cc
+++ b/src/parts/server_loads.cc
@@ -59,6 +59,11 @@
   return fresh ? load->second.calls : 0;
 }
 
+ServerId ServerLoads::ReadingName(const ServiceId& service,
+                                  const RegionId& region) {
+  return ServerId(service.value() + " in " + region.value());
+}
+
 uint32_t ServerLoads::NoteId(const ServerId& server) {
   return XXH32(server.value().data(), server.value().size(), 0);
 }
--- a/test/correctness/fleet_sizing_test.cc
+++ b/test/correctness/fleet_sizing_test.cc
@@ -2,6 +2,7 @@
 #include "oleander/fleet_sizing.h"
 
 #include <boost/test/unit_test.hpp>
+#include <cmath>
 #include <map>
 
 namespace oleander {
@@ -189,6 +190,24 @@
   BOOST_TEST(sizing.needed() == 50);  // 720 calls, 14.4 at each server.
 }
 
+BOOST_AUTO_TEST_CASE(needs_engines_for_long_prompts_that_are_few_calls) {
+  // Two calls at each of ten engines, whose prompts keep eight of them reading.
+  const FleetSizingOptions options;
+  FleetSizing sizing(options);
+  FleetSizing by_calls(options);
+  const std::vector<double> calls(10, 2);
+  Time now{};
+  for (int i = 0; i < 20; ++i) {
+    now += std::chrono::milliseconds(500);
+    sizing.Observe(now, /*slots=*/64, calls, /*reading=*/8);
+    by_calls.Observe(now, /*slots=*/64, calls);
+  }
+  BOOST_TEST(by_calls.needed() == 1);
+  BOOST_TEST(sizing.needed() >= 8);
+  BOOST_TEST(sizing.needed() ==
+             static_cast<int>(std::ceil(8 / options.reading_share - 1e-6)));
+}
+
 BOOST_AUTO_TEST_CASE(orders_no_reclaimable_servers_that_save_nothing) {
   SizedFleet fleet(3, Rule(1.0));
   fleet.Run(seconds(60), 6 * kSlots / 4.0);
--- a/test/correctness/placement_test.cc
+++ b/test/correctness/placement_test.cc
@@ -42,10 +42,10 @@
 }
 
 PlacementQuestion About(uint64_t subject) {
-  return {.service = kEngines,
-          .subject = subject,
-          .shared_tokens = 5000,
-          .tried = {}};
+  return {
+      .service = kEngines,
+      .prompt = {.shared = {{.hash = subject, .tokens = 5000}}, .tokens = 5000},
+      .tried = {}};
 }
 
 BOOST_AUTO_TEST_SUITE(placement)
@@ -92,15 +92,65 @@
   for (int call = 0; call < 15; ++call) {
     const auto server = placement.Pick(kNow, {.service = kEngines});
     BOOST_TEST((server == ServerId("conce-a-0")));
-    placement.OnSent(*server);
+    placement.OnSent(kNow, *server);
   }
   for (int call = 0; call < 60; ++call) {
-    placement.OnSent(ServerId("conce-a-0"));
+    placement.OnSent(kNow, ServerId("conce-a-0"));
   }
   BOOST_TEST(
       (placement.Pick(kNow, {.service = kEngines}) != ServerId("conce-a-0")));
 }
 
+BOOST_AUTO_TEST_CASE(a_long_prompt_passes_by_engines_that_read_long_ones) {
+  const auto fleet = Fleet(1);
+  Placement placement = PlacementIn("santiago", "stgo-a", fleet, 1);
+  // One call each, but not of one length.
+  placement.OnSent(kNow, ServerId("stgo-a-0"), {.tokens = 80'000});
+  placement.OnSent(kNow, ServerId("stgo-b-0"), {.tokens = 1'000});
+  const PlacementQuestion question{.service = kEngines,
+                                   .prompt = {.tokens = 20'000}};
+  BOOST_TEST((placement.Pick(kNow, question) == ServerId("stgo-b-0")));
+}
+
+BOOST_AUTO_TEST_CASE(another_regions_word_keeps_calls_from_its_queues) {
+  const auto fleet = Fleet(1);
+  Placement placement = PlacementIn("concepcion", "conce-a", fleet, 1);
+  placement.OnSent(kNow, ServerId("conce-a-0"), {.tokens = 150'000});
+  const PlacementQuestion question{.service = kEngines,
+                                   .prompt = {.tokens = 10'000}};
+  BOOST_TEST((placement.Pick(kNow, question) != ServerId("conce-a-0")));
+  for (const char* far : {"stgo-a-0", "stgo-b-0"}) {
+    placement.OnToldWait(kNow, ServerId(far), std::chrono::seconds(6));
+  }
+  BOOST_TEST((placement.Pick(kNow, question) == ServerId("conce-a-0")));
+  // A word that is old says nothing.
+  const Time later = kNow + std::chrono::milliseconds(1100);
+  BOOST_TEST((placement.Pick(later, question) != ServerId("conce-a-0")));
+}
+
+BOOST_AUTO_TEST_CASE(tells_what_prompts_ask_of_the_regions_engines) {
+  const auto fleet = Fleet(1);
+  Placement placement = PlacementIn("concepcion", "conce-a", fleet, 1);
+  placement.SetMemory(kEngines, {.cache_tokens = 500'000});
+  BOOST_TEST(placement.ReadingHere(kNow).empty());
+  for (int call = 0; call < 10; ++call) {
+    placement.OnSent(kNow, ServerId("conce-a-0"), {.tokens = 10'000});
+    placement.OnSent(kNow, ServerId("stgo-a-0"), {.tokens = 10'000});
+  }
+  const auto reading = placement.ReadingHere(kNow);
+  BOOST_TEST_REQUIRE(reading.size() == 1U);
+  // Ten prompts of about 130 ms within two seconds, those of another region
+  // left out.
+  BOOST_TEST(reading.front().second > 0.5);
+  BOOST_TEST(reading.front().second < 0.8);
+  const auto waits = placement.WaitsHere(kNow);
+  BOOST_TEST_REQUIRE(waits.size() == 1U);
+  BOOST_TEST((waits.front().second > std::chrono::seconds(1)));
+  BOOST_TEST(
+      placement.ReadingHere(kNow + std::chrono::seconds(5)).front().second ==
+      0.0);
+}
+
 BOOST_AUTO_TEST_CASE(a_server_that_fails_again_and_again_rests) {
   const auto fleet = Fleet(1);
   Placement placement = PlacementIn("concepcion", "conce-a", fleet, 1);
--- /dev/null
+++ b/test/correctness/placer_choice_test.cc
@@ -0,0 +1,77 @@
+// Whom instances of a region ask where to send calls for models.
+#include "oleander/placer_choice.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace oleander {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Time kNow = Time(seconds(100));
+
+PlacerCandidate Candidate(const std::string& name, const std::string& region,
+                          double cores) {
+  return {
+      .instance = InstanceId(name), .region = RegionId(region), .cores = cores};
+}
+
+PlacerChoice ChoiceOf(const std::string& region) {
+  PlacerChoice choice{RegionId(region)};
+  choice.SetCandidates(
+      {Candidate("weak", "north", 0.1), Candidate("strong", "north", 0.5),
+       Candidate("middle", "north", 0.25), Candidate("far", "south", 4)});
+  return choice;
+}
+
+BOOST_AUTO_TEST_SUITE(placer_choice)
+
+BOOST_AUTO_TEST_CASE(falls_on_the_regions_strongest_for_all) {
+  BOOST_TEST((ChoiceOf("north").Current(kNow) == InstanceId("strong")));
+  BOOST_TEST((ChoiceOf("south").Current(kNow) == InstanceId("far")));
+  PlacerChoice other_order(RegionId("north"));
+  other_order.SetCandidates(
+      {Candidate("strong", "north", 0.5), Candidate("weak", "north", 0.1)});
+  BOOST_TEST((other_order.Current(kNow) == InstanceId("strong")));
+}
+
+BOOST_AUTO_TEST_CASE(among_equals_is_the_same_for_all) {
+  PlacerChoice one(RegionId("r"));
+  PlacerChoice two(RegionId("r"));
+  one.SetCandidates({Candidate("a", "r", 1), Candidate("b", "r", 1)});
+  two.SetCandidates({Candidate("b", "r", 1), Candidate("a", "r", 1)});
+  BOOST_TEST((one.Current(kNow) == two.Current(kNow)));
+}
+
+BOOST_AUTO_TEST_CASE(passes_over_who_gives_no_answer_and_comes_back) {
+  PlacerChoice choice = ChoiceOf("north");
+  const InstanceId strong("strong");
+  choice.OnSilence(kNow, strong);
+  BOOST_TEST((choice.Current(kNow) == InstanceId("middle")));
+  BOOST_TEST((choice.Current(kNow + milliseconds(600)) == strong));
+  // Without an answer again, for longer.
+  choice.OnSilence(kNow + milliseconds(600), strong);
+  BOOST_TEST((choice.Current(kNow + milliseconds(1300)) != strong));
+  choice.OnAnswer(strong);
+  BOOST_TEST((choice.Current(kNow + milliseconds(1300)) == strong));
+}
+
+BOOST_AUTO_TEST_CASE(is_nobody_where_all_are_silent) {
+  PlacerChoice choice = ChoiceOf("north");
+  for (const char* name : {"strong", "middle", "weak"}) {
+    choice.OnSilence(kNow, InstanceId(name));
+  }
+  BOOST_TEST(!choice.Current(kNow).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(leaves_out_who_stops) {
+  PlacerChoice choice = ChoiceOf("north");
+  choice.OnRetired(kNow, InstanceId("strong"));
+  BOOST_TEST((choice.Current(kNow + seconds(3)) == InstanceId("middle")));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace oleander
--- a/test/correctness/server_loads_test.cc
+++ b/test/correctness/server_loads_test.cc
@@ -37,6 +37,19 @@
   BOOST_TEST(heard.CallsAt(kNow + milliseconds(100), kOne) == 9);
 }
 
+BOOST_AUTO_TEST_CASE(tell_reading_apart_by_service_and_region) {
+  ServerLoads reading;
+  const ServerId here =
+      ServerLoads::ReadingName(ServiceId("model"), RegionId("north"));
+  const ServerId there =
+      ServerLoads::ReadingName(ServiceId("model"), RegionId("south"));
+  reading.OnReport(kNow, here, 4200);
+  BOOST_TEST(reading.CallsAt(kNow, here) == 4200);
+  BOOST_TEST(reading.CallsAt(kNow, there) == 0);
+  // Where nobody places any more the word gets old.
+  BOOST_TEST(reading.CallsAt(kNow + std::chrono::seconds(10), here) == 0);
+}
+
 BOOST_AUTO_TEST_CASE(that_are_older_change_nothing) {
   ServerLoads heard;
   heard.OnReport(kNow, kOne, 7);
--- a/test/support/entry_fixture.h
+++ b/test/support/entry_fixture.h
@@ -59,6 +59,10 @@
                 .listed = ListedServers(),
                 .placement = Placement(
                     {}, {.region = RegionId("r"), .domain = DomainId("d")}, 1),
+                .placer = RegionPlacer(
+                    loop, InstanceId("self"),
+                    {.region = RegionId("r"), .domain = DomainId("d")},
+                    context.placement, 1),
                 .retries = RetryBudget({.share = 0.2, .burst = 100}),
                 .usage = UsageWindows(std::chrono::seconds(5)),
                 .quotas =
