--- a/test/correctness/region_placer_test.cc
+++ b/test/correctness/region_placer_test.cc
@@ -58,6 +58,7 @@
   }
   std::vector<const ListedServer*> Servers() const {
     std::vector<const ListedServer*> list;
+    list.reserve(servers.size());
     for (const ListedServer& server : servers) {
       list.push_back(&server);
     }
--- a/test/support/engine_world.h
+++ b/test/support/engine_world.h
@@ -77,6 +77,7 @@
 
   std::vector<const ListedServer*> servers() const {
     std::vector<const ListedServer*> list;
+    list.reserve(servers_.size());
     for (const ListedServer& server : servers_) {
       list.push_back(&server);
     }
