A store that counts its returns from zero: its first return is one, too

Cause, by reading: the adapter took an era of 0 as none told, so the first return (0 to 1) would have passed for the first word, with no duty stopped and nothing listed anew. Ruled out: taking 0 as a missing header.

--- /dev/null
+++ b/test/correctness/store_client_test.cc
@@ -0,0 +1,109 @@
+// The platform's store over HTTP: what its answers tell of its era.
+#include "platform/store_client.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "oleander/result_code.h"
+#include "oleander/store_era.h"
+#include "support/io_fixture.h"
+#include "support/scripted_server.h"
+
+namespace oleander::platform {
+namespace {
+
+using std::chrono::seconds;
+
+std::string Answer(const std::string& body, const std::string& era) {
+  return "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n" +
+         (era.empty() ? "" : "Store-Era: " + era + "\r\n") +
+         "content-length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+constexpr char kEmptyPage[] = R"({"items":[],"has_more":false,"at_rev":7})";
+
+// A store whose answers name the eras given, in turn; empty: no header.
+struct Store {
+  explicit Store(std::vector<std::string> told)
+      : eras(std::move(told)),
+        server(loop, io::kTestAddress,
+               [this](const std::string&) -> io::ScriptedAnswer {
+                 const std::string era = eras.at(answered);
+                 const std::string body =
+                     bodies.empty() ? kEmptyPage : bodies.at(answered);
+                 ++answered;
+                 return {.bytes = Answer(body, era)};
+               }),
+        client(loop, seconds(4)),
+        store(
+            client, {.address = io::kTestAddress, .port = server.port()},
+            [this](int64_t named) { return era.Observe(loop.now(), named); }) {}
+
+  absl::StatusOr<StoreRangeAnswer> List() {
+    std::optional<absl::StatusOr<StoreRangeAnswer>> answer;
+    store.Range({.call = 0, .key = "servers/", .prefix = true},
+                [&answer](const auto& got) { answer = got; });
+    BOOST_TEST_REQUIRE(io::RunUntil(loop, [&] { return answer.has_value(); }));
+    return *answer;
+  }
+  absl::StatusOr<StoreCasAnswer> Write() {
+    std::optional<absl::StatusOr<StoreCasAnswer>> answer;
+    store.Cas({.call = 0, .compares = {}, .puts = {}, .deletes = {}},
+              [&answer](const auto& got) { answer = got; });
+    BOOST_TEST_REQUIRE(io::RunUntil(loop, [&] { return answer.has_value(); }));
+    return *answer;
+  }
+
+  io::EventLoop loop;
+  StoreEra era;
+  std::vector<std::string> eras;
+  std::vector<std::string> bodies;
+  size_t answered = 0;
+  io::ScriptedServer server;
+  io::HttpClient client;
+  StoreClient store;
+};
+
+BOOST_AUTO_TEST_SUITE(store_client)
+
+BOOST_AUTO_TEST_CASE(tells_a_return_also_where_the_count_begins_at_zero) {
+  Store store({"0", "1"});
+  int returns = 0;
+  store.era.OnNews([&returns](StoreEra::News news) {
+    returns += news == StoreEra::News::kCameBack ? 1 : 0;
+  });
+  BOOST_TEST(store.List().ok());
+  BOOST_TEST(returns == 0);
+  BOOST_TEST(store.List().ok());
+  BOOST_TEST(returns == 1);
+}
+
+BOOST_AUTO_TEST_CASE(takes_an_answer_of_an_older_era_as_lost) {
+  Store store({"5", "4", "4"});
+  BOOST_TEST(store.List().ok());
+  BOOST_TEST((CodeOf(store.List().status()) == ResultCode::kStoreUnavailable));
+  // What it wrote may stand in the older copy or not.
+  BOOST_TEST((CodeOf(store.Write().status()) == ResultCode::kStoreAnswerLost));
+}
+
+BOOST_AUTO_TEST_CASE(puts_no_two_eras_into_one_reading) {
+  Store store({"1", "2", "2"});
+  const std::string first =
+      R"({"items":[{"key":"servers/a","rev":3,"value":""}],)"
+      R"("has_more":true,"at_rev":7})";
+  store.bodies = {first, kEmptyPage, kEmptyPage};
+  BOOST_TEST(!store.List().ok());
+  BOOST_TEST(store.List().ok());
+}
+
+BOOST_AUTO_TEST_CASE(goes_on_where_the_header_is_missing_or_no_number) {
+  Store store({"3", "", "many", "-1", "99999999999"});
+  for (int call = 0; call < 5; ++call) {
+    BOOST_TEST(store.List().ok());
+  }
+  BOOST_TEST(store.era.current() == 4);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace oleander::platform
