--- a/include/oleander/server_loads.h
+++ b/include/oleander/server_loads.h
@@ -29,8 +29,8 @@
 };
 
 //
-// The same way serves for what services' prompts ask of their engines: see
-// ReadingName().
+// What services' prompts ask of their engines is passed on in the same way, by
+// service and region instead of by server.
 class ServerLoads {
  public:
   // A server told this instance how many calls run and wait there.
@@ -38,6 +38,13 @@
   // A peer told what a server had told somebody.
   void OnNote(Time now, const LoadNote& note);
 
+  // The prompts of a service keep so many engines of a region reading.
+  void OnReading(Time now, const ServiceId& service, const RegionId& region,
+                 double engines);
+  // Zero where nobody told it of late.
+  double ReadingOf(Time now, const ServiceId& service,
+                   const RegionId& region) const;
+
   // What servers told this instance itself since the last call of this.
   std::vector<LoadNote> TakeNews(Time now);
   // At most `most` of the loads that are known, in turn.
@@ -47,10 +54,6 @@
   // since a server that is sent to answers.
   int CallsAt(Time now, const ServerId& server) const;
 
-  // The name under which the reading that a service's prompts ask of a region
-  // is told, in thousandths of an engine.
-  static ServerId ReadingName(const ServiceId& service, const RegionId& region);
-
   static uint32_t NoteId(const ServerId& server);
 
  private:
--- a/include/oleander/store_era.h
+++ b/include/oleander/store_era.h
@@ -52,6 +52,8 @@
   // How long the era in force has surely lasted; the longest duration where
   // nothing was before it.
   Duration age(Time now) const;
+  // The same for peers and records, an hour at most.
+  Duration age_told(Time now) const;
 
  private:
   void Tell(News news) const;
--- a/src/entry/call_context.h
+++ b/src/entry/call_context.h
@@ -35,8 +35,9 @@
   ListedServers listed;
   Placement placement;
   RegionPlacer placer;
-  ServerLoads loads = {};    // Of all instances' calls together.
-  ServerLoads reading = {};  // That prompts ask of engines; see ReadingName().
+  ServerLoads loads = {};  // Of all instances' calls together.
+  ServerLoads reading =
+      {};  // That prompts ask of engines; by service and region.
   RetryBudget retries;
   UsageWindows usage;
   QuotaGate quotas;
--- a/src/entry/entry_node.cc
+++ b/src/entry/entry_node.cc
@@ -70,7 +70,6 @@
 // Peers that hear a sum of usage before it is reported: enough that one of them
 // is there when the duty goes on after the store forgot the sum.
 constexpr size_t kPeersTold = 12;
-constexpr int kThousandths = 1000;
 constexpr Duration kSettingsCheck = std::chrono::seconds(2);
 
 absl::flat_hash_map<DomainId, RegionId> RegionsOf(
@@ -216,16 +215,15 @@
           peers_.Send(to, message);
         });
     context_.placer.OnDemand([this](const ServiceId& service, double engines) {
-      context_.reading.OnReport(
-          loop_.now(),
-          ServerLoads::ReadingName(service, settings_.place.region),
-          static_cast<int>(engines * kThousandths));
+      context_.reading.OnReading(loop_.now(), service, settings_.place.region,
+                                 engines);
     });
     context_.quotas.OnClockChange(
         [this](Duration change) { OnClockChange("peers", change); });
     feed_.OnClockChange(
         [this](Duration change) { OnClockChange("births", change); });
-    reporter_.OnTell([this](const entrywire::UsageTold& told) { Tell(told); });
+    reporter_.OnTell(
+        [this](const entrywire::UsageTold& told) { TellUsage(told); });
     if (settings_.first_start) {
       context_.era.BeginDeployment();
     }
@@ -292,7 +290,7 @@
     }
   }
 
-  void Tell(const entrywire::UsageTold& told) {
+  void TellUsage(const entrywire::UsageTold& told) {
     mesh::Envelope envelope;
     *envelope.mutable_usage_told() = told;
     std::set<InstanceId> peers;
--- a/src/entry/forwarded_call.cc
+++ b/src/entry/forwarded_call.cc
@@ -180,10 +180,10 @@
   ++sends_;
   context_.metrics.CountAttempt(call_.service);
   const Time now = context_.loop.now();
-  choice_ = {
-      .at = now,
-      .expected = context_.placement.ExpectedAt(now, server.id, question_),
-      .calls = context_.placement.EstimatedCalls(now, server.id)};
+  choice_ = {.at = now,
+             .expected = placed_.expected.value_or(
+                 context_.placement.ExpectedAt(now, server.id, question_)),
+             .calls = context_.placement.EstimatedCalls(now, server.id)};
   reading_ = context_.placement.OnSent(now, server.id, question_.prompt);
   // `sending_` goes with this object, so its callbacks may use it plainly; they
   // hold it because the last of them may drop the exchange's reference.
--- a/src/entry/record_keeper.cc
+++ b/src/entry/record_keeper.cc
@@ -36,8 +36,6 @@
 // from an older copy; those missing after two are gone.
 constexpr Duration kReturnTime = std::chrono::milliseconds(2000);
 constexpr Duration kReadAfterReturn = std::chrono::milliseconds(1200);
-// How long an era is told to have lasted at most.
-constexpr Duration kLongestAgeTold = std::chrono::hours(1);
 constexpr size_t kRemovedAtOnce = 16;  // The store takes 32 entries a call.
 
 InstanceRecord Decode(const std::string& key,
@@ -173,8 +171,7 @@
   record.set_cores(settings_.limits.cores);
   record.set_closed_window(closed_window);
   record.set_store_era(context_.era.current());
-  record.set_era_age_us(
-      std::min(context_.era.age(context_.loop.now()), kLongestAgeTold).count());
+  record.set_era_age_us(context_.era.age_told(context_.loop.now()).count());
   for (const auto& [window, counts] : context_.usage.windows()) {
     entrywire::UsageWindow& wire = *record.add_windows();
     wire.set_window(window);
--- a/src/entry/region_placer.cc
+++ b/src/entry/region_placer.cc
@@ -208,7 +208,9 @@
     known_by_[tell.call()] = {from};
   }
   if (usable) {
-    asked.done({.server = server, .call = tell.call()});
+    asked.done({.server = server,
+                .call = tell.call(),
+                .expected = Duration(tell.expected_us())});
     return;
   }
   OnEnded(tell.call());
--- a/src/entry/region_placer.h
+++ b/src/entry/region_placer.h
@@ -46,11 +46,12 @@
  public:
   using Send =
       std::function<void(const InstanceId& to, const mesh::Envelope& message)>;
-  // A server, and the number under which the placer knows the call; 0: it
-  // doesn't.
+  // A server, and the number under which placers know the call; 0: none does.
   struct Placed {
     std::optional<ServerId> server;
     uint64_t call = 0;
+    // To the first token, where the placer told it.
+    std::optional<Duration> expected = std::nullopt;
   };
   using Done = std::function<void(const Placed& placed)>;
 
--- a/src/entry/size_orderer.cc
+++ b/src/entry/size_orderer.cc
@@ -16,8 +16,6 @@
 // A call's time-out; the lease must outlast it.
 constexpr Duration kOrderTime = std::chrono::milliseconds(1000);
 
-constexpr double kThousandths = 1000;
-
 }  // namespace
 
 void SizeOrderer::OnTaken() {
@@ -73,10 +71,9 @@
   }
   const Time now = context_.loop.now();
   FleetSizing& sizing = sizings_[{service.id, region}];
-  const int reading = context_.reading.CallsAt(
-      now, ServerLoads::ReadingName(service.id, region));
   sizing.Observe(now, service.engine ? service.engine->slots : 1,
-                 CallsAt(servers), reading / kThousandths);
+                 CallsAt(servers),
+                 context_.reading.ReadingOf(now, service.id, region));
   for (const DomainSize& size : sizing.Plan(now, rule, servers)) {
     const auto present = static_cast<int>(
         std::ranges::count_if(servers, [&size](const ListedServer* server) {
--- a/src/entry/store_feed.cc
+++ b/src/entry/store_feed.cc
@@ -38,8 +38,6 @@
 // Kept for peers that ask; older ones are listed anew.
 constexpr size_t kRememberedChanges = 512;
 
-// How long an era is told to have lasted at most.
-constexpr Duration kLongestAgeTold = std::chrono::hours(1);
 // No server has as many calls; a larger number isn't believed.
 constexpr uint32_t kMostCalls = 100'000;
 // Loads of backend servers in one answer to a peer; more are told in turn.
@@ -383,7 +381,7 @@
   TakeLeaving(ask.leaving());
   WriteLeaving(context_.placement.notices().news(now), *tell.mutable_leaving());
   tell.set_store_era(context_.era.current());
-  tell.set_era_age_us(std::min(context_.era.age(now), kLongestAgeTold).count());
+  tell.set_era_age_us(context_.era.age_told(now).count());
   if (context_.config != nullptr && context_.proof.age(now) < kFreshWord) {
     tell.set_config_version(context_.config->version());
     tell.set_proof_age_us(context_.proof.age(now).count());
--- a/src/entry/usage_reporter.cc
+++ b/src/entry/usage_reporter.cc
@@ -98,8 +98,11 @@
 
 void UsageReporter::Advance(int64_t number, Window& window) {
   if (window.phase == Phase::kGathering && IsGathered(number)) {
-    const bool unsent = IsOfThisEra(number) || told_.contains(number);
-    unsent ? Fix(number, window) : Find(number, window);
+    if (IsOfThisEra(number) || told_.contains(number)) {
+      Fix(number, window);
+    } else {
+      Find(number, window);
+    }
   } else if (window.phase == Phase::kFixed) {
     Send(number, window);
   }
--- a/src/parts/server_loads.cc
+++ b/src/parts/server_loads.cc
@@ -11,8 +11,27 @@
 // A call of a model lasts about a second; what is older tells nothing of now.
 constexpr Duration kFresh = std::chrono::milliseconds(2500);
 
+// Engines that read are told in so many parts of one.
+constexpr double kPartsOfEngine = 1000;
+
+// No server has a blank in its id.
+ServerId ReadingName(const ServiceId& service, const RegionId& region) {
+  return ServerId(service.value() + " in " + region.value());
+}
+
 }  // namespace
 
+void ServerLoads::OnReading(Time now, const ServiceId& service,
+                            const RegionId& region, double engines) {
+  OnReport(now, ReadingName(service, region),
+           static_cast<int>(engines * kPartsOfEngine));
+}
+
+double ServerLoads::ReadingOf(Time now, const ServiceId& service,
+                              const RegionId& region) const {
+  return CallsAt(now, ReadingName(service, region)) / kPartsOfEngine;
+}
+
 void ServerLoads::OnReport(Time now, const ServerId& server, int calls) {
   loads_[NoteId(server)] = {.calls = calls, .at = now, .news = true};
 }
@@ -59,11 +78,6 @@
   return fresh ? load->second.calls : 0;
 }
 
-ServerId ServerLoads::ReadingName(const ServiceId& service,
-                                  const RegionId& region) {
-  return ServerId(service.value() + " in " + region.value());
-}
-
 uint32_t ServerLoads::NoteId(const ServerId& server) {
   return XXH32(server.value().data(), server.value().size(), 0);
 }
--- a/src/parts/store_era.cc
+++ b/src/parts/store_era.cc
@@ -31,6 +31,10 @@
   return since_ == Time::min() ? Duration::max() : now - since_;
 }
 
+Duration StoreEra::age_told(Time now) const {
+  return std::min<Duration>(age(now), std::chrono::hours(1));
+}
+
 void StoreEra::Tell(News news) const {
   std::ranges::for_each(listeners_,
                         [news](const Listener& tell) { tell(news); });
--- a/test/correctness/server_loads_test.cc
+++ b/test/correctness/server_loads_test.cc
@@ -38,16 +38,20 @@
 }
 
 BOOST_AUTO_TEST_CASE(tell_reading_apart_by_service_and_region) {
-  ServerLoads reading;
-  const ServerId here =
-      ServerLoads::ReadingName(ServiceId("model"), RegionId("north"));
-  const ServerId there =
-      ServerLoads::ReadingName(ServiceId("model"), RegionId("south"));
-  reading.OnReport(kNow, here, 4200);
-  BOOST_TEST(reading.CallsAt(kNow, here) == 4200);
-  BOOST_TEST(reading.CallsAt(kNow, there) == 0);
+  const ServiceId model("model");
+  const RegionId north("north");
+  ServerLoads heard;
+  heard.OnReading(kNow, model, north, 4.2);
+  BOOST_TEST(heard.ReadingOf(kNow, model, north) == 4.2);
+  BOOST_TEST(heard.ReadingOf(kNow, model, RegionId("south")) == 0);
   // Where nobody places any more the word gets old.
-  BOOST_TEST(reading.CallsAt(kNow + std::chrono::seconds(10), here) == 0);
+  BOOST_TEST(heard.ReadingOf(kNow + std::chrono::seconds(10), model, north) ==
+             0);
+  ServerLoads other;
+  for (const LoadNote& note : heard.TakeNews(kNow)) {
+    other.OnNote(kNow, note);
+  }
+  BOOST_TEST(other.ReadingOf(kNow, model, north) == 4.2);
 }
 
 BOOST_AUTO_TEST_CASE(that_are_older_change_nothing) {
