--- a/src/entry/region_placer.h
+++ b/src/entry/region_placer.h
@@ -74,8 +74,11 @@
 
   // `done` is called once, at once or within some dozen milliseconds.
   void Choose(const PlacementQuestion& question, Done done);
-  // News of a call that a placer knows; 0 is ignored.
+  // The call is sent to the server of `placed`. Where that stands in another
+  // region, the placer there is told, and `placed` gets a number if it lacks
+  // one.
   void OnSent(Placed& placed, const PlacementQuestion& question);
+  // News of a call that a placer knows; 0 is ignored.
   void OnBegun(uint64_t call);
   void OnEnded(uint64_t call);
   void OnFailed(uint64_t call, const ServerId& server);
