Log a loop whose timers fire late

Three causes were possible; none of the logs or metrics shows a process that is busy for tenths of a second, which would handle a close late.

loop.late is written when a timer fires more than 200 ms after it was due.

--- a/src/io/event_loop.cc
+++ b/src/io/event_loop.cc
@@ -16,12 +16,16 @@
 
 #include "fmt/format.h"
 #include "io/h2o.h"
+#include "io/log.h"
 #include "oleander/invariant.h"
 
 namespace oleander::io {
 namespace {
 
 constexpr Duration kMaxWait = std::chrono::seconds(60);
+// A timer that fires later than this shows that the loop was busy, or the
+// machine suspended.
+constexpr Duration kMaxLateness = std::chrono::milliseconds(200);
 // The minimum size at which cancelled timers are removed from the heap. After
 // that, the heap is swept each time its size has doubled.
 constexpr size_t kMinSweepSize = 1024;
@@ -57,6 +61,7 @@
   // fire in the next round at the earliest.
   void RunDue(Time now) {
     const uint64_t end = next_order_;
+    LogIfLate(now);
     while (!heap_.empty() && heap_.front().at <= now &&
            heap_.front().order < end) {
       Fire(Pop(), now);
@@ -72,6 +77,16 @@
   }
 
  private:
+  void LogIfLate(Time now) const {
+    if (heap_.empty() || now - heap_.front().at <= kMaxLateness) {
+      return;
+    }
+    Log(LogLevel::kWarning, "loop.late",
+        {{"ms", std::chrono::duration_cast<std::chrono::milliseconds>(
+                    now - heap_.front().at)
+                    .count()}});
+  }
+
   void Push(TimerEntry entry) {
     heap_.push_back(std::move(entry));
     std::ranges::push_heap(heap_, FiresLater);
