--- a/test/error/forwarded_call_test.cc
+++ b/test/error/forwarded_call_test.cc
@@ -631,6 +631,31 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_server_that_names_a_limit)
+
+// LIMIT on tortared (second1): allowed in any span is one and a half times what
+// the limit admits, and 5 calls.
+BOOST_AUTO_TEST_CASE(gets_no_more_calls_than_the_limit_allows) {
+  constexpr double kLimitPerS = 2;
+  EntryFixture entry;
+  io::ScriptedServer& limited = entry.AddServer(Always(
+      {.bytes = SealedAnswer("done", 200, kAttempt, "server-limit: 2.0\r\n"),
+       .after = AfterAnswer::kKeep}));
+  io::ScriptedServer& other = entry.AddServer(Always(kGood));
+  const Time start = entry.loop.now();
+  constexpr int kCalls = 60;
+  for (int i = 0; i < kCalls; ++i) {
+    BOOST_TEST(StatusOf(entry.Request("/once/a")) == 200);
+  }
+  const double seconds =
+      std::chrono::duration<double>(entry.loop.now() - start).count();
+  BOOST_TEST(static_cast<double>(limited.requests().size()) <=
+             1.5 * kLimitPerS * seconds + 5);
+  BOOST_TEST(limited.requests().size() + other.requests().size() == kCalls);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_CASE(a_run_counts_once_in_its_workspaces_usage) {
   EntryFixture entry;
   entry.AddServer(Always(kGood));
--- a/test/support/entry_fixture.h
+++ b/test/support/entry_fixture.h
@@ -20,13 +20,15 @@
 // The id that every test request carries.
 inline constexpr char kAttempt[] = "9c41d07be2a35f68";
 
-// A complete answer of a backend server, with its signature.
+// A complete answer of a backend server, with its signature and the header
+// lines `more`.
 inline std::string SealedAnswer(const std::string& body, int status = 200,
-                                const std::string& attempt = kAttempt) {
+                                const std::string& attempt = kAttempt,
+                                const std::string& more = "") {
   return "HTTP/1.1 " + std::to_string(status) +
          " Status\r\nx-oleanderfield-attempt-id: " + attempt +
-         "\r\nx-oleanderfield-server-seal: s.1\r\ncontent-length: " +
-         std::to_string(body.size()) + "\r\n\r\n" + body;
+         "\r\nx-oleanderfield-server-seal: s.1\r\n" + more +
+         "content-length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
 // The head of a stream of events, and one event as a chunk.
