Keep to the request rate that a server names

Cause: nothing read the header, so no instance held back. Ruled out: independent shares that add up, and retries that bypass a limit; there was none.

The rate holds for all instances together, so each needs its share of it. Dividing time into turns, one call each, that pass from instance to instance keeps the sum within the rate without a message for each call. Token buckets of an even share would let 360 instances send 360 calls at once after a pause; one allocator for each server would cost every call a round trip. Instances pass on what servers told them with the queries to the store's readers, so a limit and its end are known everywhere within about a second. A placer grants the turns of the instance that asks.

--- a/include/oleander/placement.h
+++ b/include/oleander/placement.h
@@ -31,6 +31,7 @@
 #include "absl/container/flat_hash_map.h"
 #include "oleander/listed_servers.h"
 #include "oleander/prompt_backlog.h"
+#include "oleander/server_limits.h"
 #include "oleander/server_notices.h"
 #include "oleander/types.h"
 
@@ -73,6 +74,8 @@
   Prompt prompt = {};  // Empty for services that aren't models.
   Duration goal{};     // Time to first token; zero means default_goal.
   std::vector<ServerId> tried = {};  // Excluded from the choice.
+  // The instance that sends the call; nothing for the local one.
+  std::optional<InstanceId> sender = std::nullopt;
 };
 
 class Placement {
@@ -96,9 +99,11 @@
   // Returns the server with the lowest cost, or nothing if no server is usable.
   std::optional<ServerId> Pick(Time now, const PlacementRequest& request);
 
-  // Returns whether the server is listed and neither leaving nor paused. The
+  // Returns whether the server is listed, neither leaving nor paused, and takes
+  // a call of `sender` now; without a sender, of the local instance. The
   // cooldown after failures isn't considered.
-  bool MayUse(Time now, const ServerId& server) const;
+  bool MayUse(Time now, const ServerId& server,
+              const std::optional<InstanceId>& sender = std::nullopt) const;
   // Returns the expected time to first token of the request at the server, or
   // Duration::max() if the server is unknown.
   Duration ExpectedFirstToken(Time now, const ServerId& server,
@@ -132,8 +137,11 @@
   // Notices that servers gave about themselves. A leaving or paused server
   // receives no call, even if no other server is left.
   ServerNotices& notices() { return notices_; }
-  // Returns the earliest end of a pause among the service's servers that aren't
-  // leaving, or nothing if none of them is paused.
+  // Request rates that servers named. A server receives no call beyond them.
+  ServerLimits& limits() { return limits_; }
+  // Returns the earliest time at which a pause ends, or a turn of the local
+  // instance starts, among the service's servers that aren't leaving; nothing
+  // if none of them is paused or limited.
   std::optional<Time> EarliestPauseEnd(Time now,
                                        const ServiceId& service) const;
 
@@ -196,6 +204,7 @@
   Location self_;
   std::mt19937_64 gen_;
   ServerNotices notices_;
+  ServerLimits limits_;
   PromptBacklog backlog_;
   absl::flat_hash_map<ServiceId, EngineMemory> memories_;
   // Prefill time sent to engines of this region, by service.
--- a/src/entry/entry_node.cc
+++ b/src/entry/entry_node.cc
@@ -238,6 +238,8 @@
     context_.era.OnChange(
         [this](StoreEra::Change change) { OnEraChange(change); });
     context_.placement.SetRegions(RegionsOf(settings_));
+    context_.placement.limits().SetClock(
+        [this](Time now) { return context_.clock.At(now); });
     context_.quotas.SetInstances(kAssumedInstances, {});
   }
 
@@ -281,7 +283,13 @@
     context_.quotas.SetInstances(
         instances,
         RankAllocators(settings_.location, Candidates(settings_, records_)));
-    context_.placer.SetCandidates(PlacerCandidates());
+    const std::vector<PlacerCandidate> live = PlacerCandidates();
+    context_.placer.SetCandidates(live);
+    std::vector<InstanceId> live_ids;
+    std::ranges::transform(live, std::back_inserter(live_ids),
+                           &PlacerCandidate::instance);
+    context_.placement.limits().SetInstances(std::move(live_ids),
+                                             settings_.instance);
     context_.retries.SetOptions(
         RetryBudgetPerInstance(RetryBoundOf(settings_.bounds), instances));
     reporter_.OnRecords();
--- a/src/entry/forwarded_call.cc
+++ b/src/entry/forwarded_call.cc
@@ -307,6 +307,16 @@
              {"ms", Milliseconds(*head.pause)},
              {"call", call_.intake.attempt}});
   }
+  // Only an answer to a call that ran shows that a limit has ended.
+  const bool tells_limit = head.limit_per_s || (head.sealed && !head.not_run);
+  if (tells_limit && context_.placement.limits().OnAnswer(
+                         now, *server_, server_started_ms_, head.limit_per_s)) {
+    io::Log(io::LogLevel::kInfo, "server.limit",
+            {{"server", server_->value()},
+             {"per_s", head.limit_per_s.value_or(0)},
+             {"by", "answer"},
+             {"call", call_.intake.attempt}});
+  }
 }
 
 void ForwardedCall::OnBody(std::string_view chunk) {
--- a/src/entry/region_placer.cc
+++ b/src/entry/region_placer.cc
@@ -278,7 +278,8 @@
 void RegionPlacer::OnRequest(const InstanceId& from,
                              const entrywire::PlaceAsk& wire) {
   const Time now = loop_.now();
-  const PlacementRequest request = ReadRequest(wire);
+  PlacementRequest request = ReadRequest(wire);
+  request.sender = from;
   DropExpiredCalls();
   if (!wire.sent_to().empty()) {
     RecordCall(from, wire, ServerId(wire.sent_to()), request.prompt);
--- a/src/entry/store_feed.cc
+++ b/src/entry/store_feed.cc
@@ -78,6 +78,19 @@
   }
 }
 
+void WriteLimits(
+    const std::vector<ServerLimitReport>& reports,
+    google::protobuf::RepeatedPtrField<entrywire::ServerLimit>& wire) {
+  for (const ServerLimitReport& report : reports) {
+    entrywire::ServerLimit& limit = *wire.Add();
+    limit.set_server(report.server.value());
+    limit.set_born_ms(report.started_ms);
+    limit.set_per_s(report.per_s);
+    limit.set_age_ms(static_cast<uint32_t>(
+        std::chrono::floor<std::chrono::milliseconds>(report.age).count()));
+  }
+}
+
 // Returns each workspace with a quota, with its rate and burst, for the log.
 std::string QuotaText(const ServingConfig& config) {
   std::string text;
@@ -347,6 +360,8 @@
              *query.mutable_reading());
   WriteLeaving(context_.placement.notices().recent_leaving(context_.loop.now()),
                *query.mutable_leaving());
+  WriteLimits(context_.placement.limits().RecentReports(context_.loop.now()),
+              *query.mutable_limits());
   peers_.Send(reader, envelope);
 }
 
@@ -384,6 +399,9 @@
   ApplyLeaving(query.leaving());
   WriteLeaving(context_.placement.notices().recent_leaving(now),
                *reply.mutable_leaving());
+  ApplyLimits(query.limits());
+  WriteLimits(context_.placement.limits().RecentReports(now),
+              *reply.mutable_limits());
   reply.set_store_era(context_.era.current());
   reply.set_era_age_us(context_.era.reported_age(now).count());
   if (context_.config != nullptr && context_.proof.age(now) < kMaxDataAge) {
@@ -430,6 +448,7 @@
   ReadLoads(context_.loop.now(), reply.loads(), context_.loads);
   ReadLoads(context_.loop.now(), reply.reading(), context_.prefill_load);
   ApplyLeaving(reply.leaving());
+  ApplyLimits(reply.limits());
   if (!same_era) {
     return;  // The remaining fields are from another era.
   }
@@ -477,6 +496,23 @@
   }
 }
 
+void StoreFeed::ApplyLimits(
+    const google::protobuf::RepeatedPtrField<entrywire::ServerLimit>& wire) {
+  for (const entrywire::ServerLimit& limit : wire) {
+    const ServerLimitReport report{
+        .server = ServerId(limit.server()),
+        .started_ms = limit.born_ms(),
+        .per_s = limit.per_s(),
+        .age = std::chrono::milliseconds(limit.age_ms())};
+    if (context_.placement.limits().OnPeerReport(context_.loop.now(), report)) {
+      io::Log(io::LogLevel::kInfo, "server.limit",
+              {{"server", report.server.value()},
+               {"per_s", report.per_s},
+               {"by", "peer"}});
+    }
+  }
+}
+
 void StoreFeed::ApplyServerChanges(const entrywire::StoreTell& reply,
                                    Time known_at) {
   if (!context_.listed.has_listing()) {
--- a/src/entry/store_feed.h
+++ b/src/entry/store_feed.h
@@ -97,6 +97,8 @@
   void OnReply(const entrywire::StoreTell& reply);
   void ApplyLeaving(
       const google::protobuf::RepeatedPtrField<entrywire::LeavingServer>& wire);
+  void ApplyLimits(
+      const google::protobuf::RepeatedPtrField<entrywire::ServerLimit>& wire);
   // Checks the agreed clock against the start times of the servers, which
   // cannot lie in the future.
   void CompareServerStarts();
--- a/src/parts/placement.cc
+++ b/src/parts/placement.cc
@@ -81,6 +81,7 @@
     return 0;
   }
   ++found->second.local_calls;
+  limits_.OnSent(now, server);
   if (prompt.tokens == 0) {
     return 0;
   }
@@ -317,11 +318,16 @@
   return region != nullptr && *region == self_.region;
 }
 
-bool Placement::MayUse(Time now, const ServerId& server) const {
+bool Placement::MayUse(Time now, const ServerId& server,
+                       const std::optional<InstanceId>& sender) const {
   const auto found = servers_.find(server);
-  return found != servers_.end() && found->second.listed &&
-         !notices_.leaving(server, found->second.started_ms) &&
-         !notices_.pause_until(now, server, found->second.started_ms);
+  if (found == servers_.end() || !found->second.listed) {
+    return false;
+  }
+  const int64_t started_ms = found->second.started_ms;
+  return !notices_.leaving(server, started_ms) &&
+         !notices_.pause_until(now, server, started_ms) &&
+         limits_.MaySend(now, server, started_ms, sender);
 }
 
 std::vector<const Placement::Server*> Placement::Candidates(
@@ -337,7 +343,7 @@
       continue;
     }
     const Server& server = servers_.at(id);
-    if (!MayUse(now, id)) {
+    if (!MayUse(now, id, request.sender)) {
       continue;
     }
     const bool in_cooldown =
@@ -356,9 +362,12 @@
   }
   for (const ServerId& id : listed->second) {
     const int64_t started_ms = servers_.at(id).started_ms;
-    const auto until = notices_.leaving(id, started_ms)
-                           ? std::nullopt
-                           : notices_.pause_until(now, id, started_ms);
+    if (notices_.leaving(id, started_ms)) {
+      continue;
+    }
+    const auto pause_end = notices_.pause_until(now, id, started_ms);
+    const auto until =
+        pause_end ? pause_end : limits_.NextTurn(now, id, started_ms);
     if (until && (!first || *until < *first)) {
       first = until;
     }
--- a/src/ports/call_port.h
+++ b/src/ports/call_port.h
@@ -64,6 +64,8 @@
   bool leaving = false;  // The server announces that it is about to stop.
   // The server requests that this instance send nothing for this long.
   std::optional<Duration> pause;
+  // The calls a second that the server takes from all instances together.
+  std::optional<double> limit_per_s;
 };
 
 // Converts between the headers of the surrounding system and this project.
--- a/test/support/entry_fixture.h
+++ b/test/support/entry_fixture.h
@@ -77,6 +77,8 @@
                 }) {
     BOOST_REQUIRE(server_.Listen().ok());
     context.placement.SetRegions({{DomainId("d"), RegionId("r")}});
+    context.placement.limits().SetInstances({InstanceId("self")},
+                                            InstanceId("self"));
     SetConfig();
     context.listed.Replace(loop.now(), {}, 0);
     context.proof.Prove(loop.now());
