Test limits passed on, refusals until the next turn, and rates that are none

Refusals say that servers are paused or limited, and when the first one is usable again. Placement::EarliestPauseEnd is now NextUsableAt, since it covers turns, too.

--- a/include/oleander/placement.h
+++ b/include/oleander/placement.h
@@ -142,8 +142,7 @@
   // Returns the earliest time at which a pause ends, or a turn of the local
   // instance starts, among the service's servers that aren't leaving; nothing
   // if none of them is paused or limited.
-  std::optional<Time> EarliestPauseEnd(Time now,
-                                       const ServiceId& service) const;
+  std::optional<Time> NextUsableAt(Time now, const ServiceId& service) const;
 
   // Returns the calls running and waiting at the server: by its last report,
   // corrected by the change in local calls since then, and never fewer than the
--- a/src/entry/forwarded_call.cc
+++ b/src/entry/forwarded_call.cc
@@ -166,16 +166,16 @@
   return workspace != nullptr && workspace->id == call_.workspace;
 }
 
-// If servers are paused, tells the caller when the first pause ends.
+// If servers are paused or limited, tells the caller when the first one is
+// usable again.
 void ForwardedCall::RefuseWithoutServer() {
   const Time now = context_.loop.now();
-  const auto pause_end =
-      context_.placement.EarliestPauseEnd(now, call_.service);
-  Refuse(
-      ResultCode::kNoServer,
-      fmt::format("No server of service {} accepts new work{}.",
-                  call_.service.value(), pause_end ? "; some are paused" : ""),
-      pause_end ? std::optional(*pause_end - now) : std::nullopt);
+  const auto usable_at = context_.placement.NextUsableAt(now, call_.service);
+  Refuse(ResultCode::kNoServer,
+         fmt::format("No server of service {} accepts new work{}.",
+                     call_.service.value(),
+                     usable_at ? "; some are paused or limited" : ""),
+         usable_at ? std::optional(*usable_at - now) : std::nullopt);
 }
 
 void ForwardedCall::SendTo(const ListedServer& server) {
--- a/src/parts/placement.cc
+++ b/src/parts/placement.cc
@@ -353,8 +353,8 @@
   return available.empty() ? cooling_down : available;
 }
 
-std::optional<Time> Placement::EarliestPauseEnd(
-    Time now, const ServiceId& service) const {
+std::optional<Time> Placement::NextUsableAt(Time now,
+                                            const ServiceId& service) const {
   const auto listed = by_service_.find(service);
   std::optional<Time> first;
   if (listed == by_service_.end()) {
--- a/test/correctness/server_limits_test.cc
+++ b/test/correctness/server_limits_test.cc
@@ -26,14 +26,18 @@
   return InstanceId("entry-" + std::to_string(index));
 }
 
+std::vector<InstanceId> InstanceNames(int count) {
+  std::vector<InstanceId> names(static_cast<size_t>(count));
+  int index = 0;
+  std::ranges::generate(names, [&index] { return InstanceName(index++); });
+  return names;
+}
+
 // Instances that know the limit and send to the server whenever they may.
 class Fleet {
  public:
   Fleet(int size, double per_s) : per_s_(per_s), limits_(size) {
-    std::vector<InstanceId> live;
-    for (int i = 0; i < size; ++i) {
-      live.push_back(InstanceName(i));
-    }
+    const std::vector<InstanceId> live = InstanceNames(size);
     for (int i = 0; i < size; ++i) {
       limits_[i].SetInstances(live, InstanceName(i));
       limits_[i].OnAnswer(now, kServer, kStartedMs, per_s);
@@ -116,10 +120,7 @@
 
 BOOST_AUTO_TEST_CASE(are_kept_while_one_instance_is_unknown_to_half_of_them) {
   Fleet fleet(8, kPerS);
-  std::vector<InstanceId> fewer;
-  for (int i = 0; i < 7; ++i) {
-    fewer.push_back(InstanceName(i));
-  }
+  const std::vector<InstanceId> fewer = InstanceNames(7);
   for (int i = 0; i < 4; ++i) {
     fleet[i].SetInstances(fewer, InstanceName(i));
   }
--- a/test/correctness/store_feed_test.cc
+++ b/test/correctness/store_feed_test.cc
@@ -177,6 +177,28 @@
   BOOST_TEST(!placement.Pick(instance.entry.loop.now(), request).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(passes_on_the_limit_of_a_server_and_its_end) {
+  FeedFixture instance("one");
+  instance.feed.Start();
+  BOOST_TEST(instance.Until([&] { return instance.ready() == 1; }));
+  ServerLimits& limits = instance.entry.context.placement.limits();
+  limits.SetInstances({}, InstanceId("one"));
+  const auto may_send = [&] {
+    return limits.MaySend(instance.entry.loop.now(), ServerId("one"), 0);
+  };
+  mesh::Envelope query = StoreQuery(1, 0);
+  entrywire::ServerLimit& limit = *query.mutable_store_ask()->add_limits();
+  limit.set_server("one");
+  limit.set_per_s(2.5);
+  limit.set_age_ms(900);
+  instance.feed.OnMessage(InstanceId("two"), query);
+  BOOST_TEST(!may_send());
+  limit.set_per_s(0);
+  limit.set_age_ms(0);
+  instance.feed.OnMessage(InstanceId("two"), query);
+  BOOST_TEST(may_send());
+}
+
 BOOST_AUTO_TEST_CASE(without_a_query_is_ignored) {
   FeedFixture instance("one");
   instance.feed.Start();
--- a/test/error/forwarded_call_test.cc
+++ b/test/error/forwarded_call_test.cc
@@ -654,6 +654,36 @@
   BOOST_TEST(limited.requests().size() + other.requests().size() == kCalls);
 }
 
+BOOST_AUTO_TEST_CASE(refuses_callers_until_its_next_turn_if_no_other_is_left) {
+  EntryFixture entry;
+  entry.AddServer(Always(
+      {.bytes = SealedAnswer("done", 200, kAttempt, "server-limit: 0.5\r\n"),
+       .after = AfterAnswer::kKeep}));
+  BOOST_TEST(StatusOf(entry.Request("/once/a")) == 200);
+  const std::string refusal = entry.Request("/once/a");
+  BOOST_TEST(StatusOf(refusal) == 503);
+  const std::string name = "retry-after: ";
+  const size_t at = refusal.find(name);
+  BOOST_TEST_REQUIRE(at != std::string::npos);
+  const double retry_after_s = std::stod(refusal.substr(at + name.size()));
+  BOOST_TEST(retry_after_s > 0);
+  BOOST_TEST(retry_after_s <= 2);
+}
+
+BOOST_AUTO_TEST_CASE(is_not_held_to_what_is_no_rate) {
+  for (const char* rate :
+       {"0", "-2", "nan", "inf", "1e12", "2 per second", ""}) {
+    EntryFixture entry;
+    io::ScriptedServer& server = entry.AddServer(Always(
+        {.bytes = SealedAnswer("done", 200, kAttempt,
+                               std::string("server-limit: ") + rate + "\r\n"),
+         .after = AfterAnswer::kKeep}));
+    BOOST_TEST(StatusOf(entry.Request("/once/a")) == 200);
+    BOOST_TEST(StatusOf(entry.Request("/once/a")) == 200);
+    BOOST_TEST(server.requests().size() == 2U);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_CASE(a_run_counts_once_in_its_workspaces_usage) {
