--- a/test/error/forwarded_call_test.cc
+++ b/test/error/forwarded_call_test.cc
@@ -436,7 +436,7 @@
   BOOST_TEST(entry.context.open_calls == 0U);
 }
 
-// GONE on tortared-large: a busy instance reads a request and the close at once.
+// GONE on tortared-large: a busy instance reads request and close at once.
 BOOST_AUTO_TEST_CASE(before_the_request_is_read_reaches_no_server) {
   EntryFixture entry;
   io::ScriptedServer& server = entry.AddServer(Always(kGood));
