Refuse prompts with a part that crashes servers

Cause: nothing related the end of a server to what it had been asked. Each request with the part was sent like any other, and sent once more after it had ended its first server.

Ruled out: that instances knew and did not tell each other (no code knew); that the servers were reclaimed (each of the 24 that ended while the logs run had a call with the head of an answer and no event; calls that waited had no head).

Change: PoisonParts collects crashes by server run with the shared parts of the calls that were lost before their first event, drops the parts that were answered on, and suspects the fewest parts that explain the crashes. A suspected part is refused at once with code 2113, "not run" and the time until the next trial. A call that ended a server isn't sent to the next one if two servers crashed under one of its parts. Evidence goes to the store's readers at once and to all with their queries; it is passed on as long as it supports a suspicion, so new and reconnected instances learn it. An answer ends a suspicion; to get one, single calls are admitted, at first at one instance of all.

--- a/include/oleander/result_code.h
+++ b/include/oleander/result_code.h
@@ -47,6 +47,7 @@
   kNoConfiguration = 2110,
   kConfigUnproven = 2111,
   kQuotaSpent = 2112,
+  kPoisonPrompt = 2113,
   // 22xx: failed, and may have run.
   kAnswerLost = 2201,
   kServerFailed = 2202,
--- a/include/oleander/send_policy.h
+++ b/include/oleander/send_policy.h
@@ -28,6 +28,9 @@
   Duration time_left{};
   bool budget_left = true;  // The service's retry budget isn't spent.
   bool server_left = true;  // An untried server is left.
+  // The call was lost with its server, and so were others with parts of its
+  // prompt: another server may end like the last one.
+  bool may_end_servers = false;
 };
 
 enum class SendDecision {
--- a/src/entry/call_context.h
+++ b/src/entry/call_context.h
@@ -3,6 +3,7 @@
 #define OLEANDER_ENTRY_CALL_CONTEXT_H_
 
 #include <cstddef>
+#include <functional>
 #include <limits>
 #include <memory>
 
@@ -15,6 +16,7 @@
 #include "oleander/config_proof.h"
 #include "oleander/listed_servers.h"
 #include "oleander/placement.h"
+#include "oleander/poison_parts.h"
 #include "oleander/retries.h"
 #include "oleander/server_loads.h"
 #include "oleander/serving_config.h"
@@ -39,6 +41,10 @@
   ServerLoads loads = {};
   // Engines kept busy with prefill, by service and region.
   ServerLoads prefill_load = {};
+  PoisonParts poison = PoisonParts();
+  // Called when a call was lost with its server, so that peers learn of it at
+  // once.
+  std::function<void()> on_server_crash = [] {};
   RetryBudget retries;
   UsageWindows usage;
   QuotaGate quotas;
--- a/src/entry/call_handler.cc
+++ b/src/entry/call_handler.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "entry/poison_guard.h"
 #include "io/log.h"
 #include "oleander/result_code.h"
 
@@ -165,6 +166,12 @@
   if (absl::Status status = FindWorkspace(call); !status.ok()) {
     return status;
   }
+  call.shared_parts = SharedParts(call.intake.prompt);
+  if (absl::Status status =
+          CheckPrompt(context_, call.intake, call.shared_parts);
+      !status.ok()) {
+    return status;
+  }
   call.service = PickTarget(*call.route, UniformHash(call.intake.attempt));
   call.deadline = DeadlineOf(call);
   return absl::OkStatus();
--- a/src/entry/entry_metrics.cc
+++ b/src/entry/entry_metrics.cc
@@ -59,7 +59,11 @@
       config_version_(NewGauge(*registry_, "oleander_entry_config_version",
                                "The configuration in force here.")),
       servers_(NewGauge(*registry_, "oleander_entry_ready_servers",
-                        "Backend servers that may get new work.")) {}
+                        "Backend servers that may get new work.")),
+      suspected_parts_(
+          NewGauge(*registry_, "oleander_entry_suspected_prompt_parts",
+                   "Parts of prompts that are suspected of crashing "
+                   "servers.")) {}
 
 void EntryMetrics::CountAnswer(const ServiceId& service, ResultCode code,
                                Duration latency) {
@@ -102,6 +106,10 @@
   servers_.Set(static_cast<double>(ready));
 }
 
+void EntryMetrics::SetSuspectedParts(size_t parts) {
+  suspected_parts_.Set(static_cast<double>(parts));
+}
+
 std::string EntryMetrics::Text() const {
   return prometheus::TextSerializer().Serialize(registry_->Collect());
 }
--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -36,6 +36,7 @@
   void CountOrder(std::string_view duty, bool accepted);
   void SetConfigVersion(int64_t version);
   void SetServers(size_t ready);
+  void SetSuspectedParts(size_t parts);
 
   // Returns the metrics in the Prometheus text format.
   std::string Text() const;
@@ -57,6 +58,7 @@
   CounterFamily& orders_;
   prometheus::Gauge& config_version_;
   prometheus::Gauge& servers_;
+  prometheus::Gauge& suspected_parts_;
 };
 
 }  // namespace oleander::entry
--- a/src/entry/entry_node.cc
+++ b/src/entry/entry_node.cc
@@ -232,6 +232,7 @@
     reporter_.OnSendToPeers([this](const entrywire::UsageTold& report) {
       SendUsageReport(report);
     });
+    context_.on_server_crash = [this] { feed_.PushCrashNews(); };
     if (settings_.first_start) {
       context_.era.MarkNewDeployment();
     }
@@ -288,6 +289,7 @@
     std::vector<InstanceId> live_ids;
     std::ranges::transform(live, std::back_inserter(live_ids),
                            &PlacerCandidate::instance);
+    context_.poison.SetInstances(live_ids, settings_.instance);
     context_.placement.limits().SetInstances(std::move(live_ids),
                                              settings_.instance);
     context_.retries.SetOptions(
@@ -332,7 +334,8 @@
   }
 
   void OnPeerMessage(const InstanceId& from, const mesh::Envelope& message) {
-    if (message.has_store_ask() || message.has_store_tell()) {
+    if (message.has_store_ask() || message.has_store_tell() ||
+        message.has_crash_news()) {
       feed_.OnMessage(from, message);
     } else if (message.has_quota_ask() || message.has_quota_grant()) {
       context_.quotas.OnMessage(from, message);
--- a/src/entry/forwarded_call.cc
+++ b/src/entry/forwarded_call.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "entry/poison_guard.h"
 #include "io/log.h"
 #include "oleander/invariant.h"
 #include "oleander/result_code.h"
@@ -121,6 +122,18 @@
     }
     return false;
   }
+  if (const absl::Status status =
+          CheckPrompt(context_, call_.intake, call_.shared_parts);
+      !status.ok()) {
+    const std::string reason(status.message());
+    if (attempts_.may_have_run > 0) {
+      Fail(ResultCode::kAnswerLost,
+           fmt::format("The answer was lost. {}", reason));
+    } else {
+      Refuse(ResultCode::kPoisonPrompt, reason, DetailsOf(status).retry_after);
+    }
+    return false;
+  }
   return true;
 }
 
@@ -185,6 +198,7 @@
   mode_ = Mode::kAwaitingHead;
   start_counted_ = false;
   status_ = 0;
+  events_before_ = cutter_.events();
   ClearCollectedBody();
   ++sends_;
   context_.metrics.CountAttempt(call_.service);
@@ -196,6 +210,7 @@
              .calls = context_.placement.EstimatedCalls(now, server.id)};
   placement_call_ =
       context_.placement.OnSent(now, server.id, placement_request_.prompt);
+  context_.poison.OnSent(now, call_.shared_parts);
   // `server_call_` is destroyed with this object, so its callbacks never run
   // without it. They lock a reference because a callback may release the
   // exchange's, which would destroy the object while the callback runs.
@@ -362,6 +377,7 @@
 
 void ForwardedCall::ForwardEvents(std::string_view chunk) {
   CountStart();
+  const bool had_event = has_event();
   const auto whole = cutter_.Feed(chunk);
   if (!whole.ok()) {
     FinishAttempt(SendOutcome::kLost, "an event is too long");
@@ -371,6 +387,9 @@
     return;
   }
   RecordStart();
+  if (!had_event) {
+    RecordAnswer(context_, call_.shared_parts);
+  }
   StartStream();
   call_.exchange->Write(*whole);
   if (call_.exchange->pending_bytes() > kMaxPendingBytes && !paused_ &&
@@ -433,6 +452,9 @@
     return;
   }
   if (!end.status.ok()) {
+    if (end.sent && CodeOf(end.status) == ResultCode::kAnswerLost) {
+      RecordLostConnection();
+    }
     FinishAttempt(end.sent ? SendOutcome::kLost : SendOutcome::kNotSent,
                   std::string(end.status.message()));
     return;
@@ -453,6 +475,20 @@
   RespondCollected();
 }
 
+// A server that crashes ends its connections. If it wasn't a crash, answers on
+// the same parts elsewhere show it.
+void ForwardedCall::RecordLostConnection() {
+  if (has_event()) {
+    return;
+  }
+  RecordServerCrash(context_, call_.intake, *server_,
+                    {.run = HashOfServerRun(*server_, server_started_ms_),
+                     .begun = mode_ != Mode::kAwaitingHead,
+                     .parts = call_.shared_parts});
+  attempts_.may_end_servers =
+      !context_.poison.MayRetry(context_.loop.now(), call_.shared_parts);
+}
+
 void ForwardedCall::OnCallerDisconnected() {
   if (finished_) {
     return;
@@ -570,6 +606,7 @@
   }
   if (server_) {
     context_.placement.OnSuccess(*server_);
+    RecordAnswer(context_, call_.shared_parts);
   }
   EndAttempt(/*failed=*/false);
   call_.exchange->Respond(status_, std::move(headers_), body_);
--- a/src/entry/forwarded_call.h
+++ b/src/entry/forwarded_call.h
@@ -16,6 +16,7 @@
 #include "entry/call_context.h"
 #include "io/http_server.h"
 #include "oleander/event_cutter.h"
+#include "oleander/poison_parts.h"
 #include "oleander/send_policy.h"
 
 namespace oleander::entry {
@@ -31,6 +32,8 @@
   WorkspaceId workspace;
   ServiceId service;
   int urgency = 0;
+  // The parts of the prompt that other prompts may share.
+  std::vector<PartHash> shared_parts;
   Time arrived;
   Time deadline;  // The earlier of the caller's and the route's.
 };
@@ -52,7 +55,8 @@
 
   void SendNext();
   // Returns whether the current configuration allows the call to be sent and
-  // was confirmed recently enough. If not, sends the final answer.
+  // was confirmed recently enough, and no part of its prompt is suspected of
+  // crashing servers. If not, sends the final answer.
   bool MaySend();
   void OnChosen(const RegionPlacer::Placed& placed);
   void SendTo(const ListedServer& server);
@@ -67,6 +71,11 @@
 
   void OnHead(int status, const io::Headers& headers);
   void ApplyServerNotices(const ports::AnswerHead& head);
+  // Returns whether the current attempt's answer has had a complete event.
+  bool has_event() const { return cutter_.events() > events_before_; }
+  // Records that the current attempt's connection ended, in case the server
+  // crashed because of the prompt.
+  void RecordLostConnection();
   void OnBody(std::string_view chunk);
   void OnEnd(const io::HttpCallEnd& end);
   void OnCallerDisconnected();
@@ -116,6 +125,7 @@
   // From the list at the time of sending: the server may be removed from the
   // list before the answer arrives.
   int64_t server_started_ms_ = 0;
+  uint64_t events_before_ = 0;  // Events of earlier attempts.
   Mode mode_ = Mode::kAwaitingHead;
   int status_ = 0;
   io::Headers headers_;
--- a/src/entry/store_feed.cc
+++ b/src/entry/store_feed.cc
@@ -8,6 +8,7 @@
 #include <utility>
 #include <vector>
 
+#include "entry/poison_guard.h"
 #include "io/log.h"
 #include "oleander/reader_choice.h"
 #include "oleander/result_code.h"
@@ -38,6 +39,9 @@
 // changes lists the servers itself.
 constexpr size_t kMaxRetainedChanges = 512;
 
+// A crash ends many calls within some milliseconds.
+constexpr Duration kCrashNewsDelay = std::chrono::milliseconds(10);
+
 // No server has this many calls; larger reports are clamped.
 constexpr uint32_t kMaxReportedCalls = 100'000;
 // Server loads in one reply; the next replies carry the others in turn.
@@ -149,6 +153,7 @@
     readers_ = std::move(readers);
     io::Log(io::LogLevel::kInfo, "store.readers",
             {{"readers", readers_.size()}, {"reads", ReadsStore()}});
+    PushCrashNews();
   }
 }
 
@@ -363,15 +368,40 @@
                *query.mutable_leaving());
   WriteLimits(context_.placement.limits().RecentReports(context_.loop.now()),
               *query.mutable_limits());
+  WriteNews(context_.poison.News(context_.loop.now()),
+            *query.mutable_crash_news());
   peers_.Send(reader, envelope);
 }
 
+void StoreFeed::PushCrashNews() {
+  if (!crash_news_timer_.active()) {
+    crash_news_timer_ =
+        context_.loop.After(kCrashNewsDelay, [this] { SendCrashNews(); });
+  }
+}
+
+void StoreFeed::SendCrashNews() {
+  const CrashNews news = context_.poison.News(context_.loop.now());
+  if (news.empty()) {
+    return;
+  }
+  mesh::Envelope envelope;
+  WriteNews(news, *envelope.mutable_crash_news());
+  for (const InstanceId& reader : readers_) {
+    if (reader != self_) {
+      peers_.Send(reader, envelope);
+    }
+  }
+}
+
 void StoreFeed::OnMessage(const InstanceId& from,
                           const mesh::Envelope& message) {
   if (message.has_store_ask()) {
     Reply(from, message.store_ask());
   } else if (message.has_store_tell()) {
     OnReply(message.store_tell());
+  } else if (message.has_crash_news()) {
+    ApplyNews(context_, message.crash_news());
   }
 }
 
@@ -403,6 +433,8 @@
   ApplyLimits(query.limits());
   WriteLimits(context_.placement.limits().RecentReports(now),
               *reply.mutable_limits());
+  ApplyNews(context_, query.crash_news());
+  WriteNews(context_.poison.News(now), *reply.mutable_crash_news());
   reply.set_store_era(context_.era.current());
   reply.set_era_age_us(context_.era.reported_age(now).count());
   if (context_.config != nullptr && context_.proof.age(now) < kMaxDataAge) {
@@ -450,6 +482,7 @@
   ReadLoads(context_.loop.now(), reply.reading(), context_.prefill_load);
   ApplyLeaving(reply.leaving());
   ApplyLimits(reply.limits());
+  ApplyNews(context_, reply.crash_news());
   if (!same_era) {
     return;  // The remaining fields are from another era.
   }
--- a/src/entry/store_feed.h
+++ b/src/entry/store_feed.h
@@ -55,7 +55,10 @@
   void OnNewEra();
   // Chooses the readers again, since the live instances may have changed.
   void OnRecords(const RecordKeeper& records);
-  // Handles a query or a reply about the store from a peer.
+  // Tells the readers the evidence of crashed servers soon, together with what
+  // is learned until then. Otherwise it goes along with queries and replies.
+  void PushCrashNews();
+  // Handles a query or a reply about the store, or evidence, from a peer.
   void OnMessage(const InstanceId& from, const mesh::Envelope& message);
 
  private:
@@ -91,6 +94,7 @@
   bool ObserveEra(int64_t era, Duration age);
   // Sends a query to the next reader, round robin.
   void PollReader();
+  void SendCrashNews();
   // Answers the query of a peer.
   void Reply(const InstanceId& peer, const entrywire::StoreAsk& query);
   // Applies the reply to a query of this instance; ignores any other reply.
@@ -147,6 +151,7 @@
   uint64_t published_ = 0;   // The generation of the list last published.
   bool store_unreachable_ = false;
   io::Timer poll_timer_;
+  io::Timer crash_news_timer_;
   io::Timer listing_timer_;
   io::Timer listed_timer_;
 };
--- a/src/io/mesh_codec.cc
+++ b/src/io/mesh_codec.cc
@@ -49,6 +49,8 @@
       return 13;
     case Envelope::kPlaceWaits:
       return 14;
+    case Envelope::kCrashNews:
+      return 15;
     case Envelope::BODY_NOT_SET:
       break;
   }
--- a/src/node/mesh_port.cc
+++ b/src/node/mesh_port.cc
@@ -217,6 +217,7 @@
     case mesh::Envelope::kPlaceTell:
     case mesh::Envelope::kPlaceNews:
     case mesh::Envelope::kPlaceWaits:
+    case mesh::Envelope::kCrashNews:
       metrics_.CountDroppedEvents("mesh_of_platform", 1);
       break;
     case mesh::Envelope::BODY_NOT_SET:
--- a/src/parts/send_policy.cc
+++ b/src/parts/send_policy.cc
@@ -7,6 +7,7 @@
                 const SendHistory& history) {
   const bool possible = history.time_left >= options.min_time_left &&
                         history.budget_left && history.server_left &&
+                        !history.may_end_servers &&
                         history.not_run < options.max_not_run;
   if (!possible) {
     return false;
--- a/test/correctness/store_feed_test.cc
+++ b/test/correctness/store_feed_test.cc
@@ -199,6 +199,36 @@
   BOOST_TEST(may_send());
 }
 
+BOOST_AUTO_TEST_CASE(tells_of_prompt_parts_that_crash_servers) {
+  FeedFixture instance("one");
+  instance.feed.Start();
+  BOOST_TEST(instance.Until([&] { return instance.ready() == 1; }));
+  PoisonParts& poison = instance.entry.context.poison;
+  mesh::Envelope news;
+  mesh::Envelope query = StoreQuery(1, 0);
+  for (uint64_t run = 1; run <= 3; ++run) {
+    // Two instances saw different crashes.
+    entrywire::CrashNews& told =
+        run == 1 ? *news.mutable_crash_news()
+                 : *query.mutable_store_ask()->mutable_crash_news();
+    entrywire::ServerCrash& crash = *told.add_crashes();
+    crash.set_run(run);
+    crash.set_begun(true);
+    crash.add_parts(7);
+    crash.set_age_ms(400);
+  }
+  instance.feed.OnMessage(InstanceId("two"), news);
+  BOOST_TEST(!poison.IsSuspected(7));
+  instance.feed.OnMessage(InstanceId("three"), query);
+  BOOST_TEST(poison.IsSuspected(7));
+  entrywire::AnsweredPart& answered =
+      *query.mutable_store_ask()->mutable_crash_news()->add_answered();
+  answered.set_part(7);
+  answered.set_age_ms(100);
+  instance.feed.OnMessage(InstanceId("three"), query);
+  BOOST_TEST(!poison.IsSuspected(7));
+}
+
 BOOST_AUTO_TEST_CASE(without_a_query_is_ignored) {
   FeedFixture instance("one");
   instance.feed.Start();
--- a/test/error/poison_parts_test.cc
+++ b/test/error/poison_parts_test.cc
@@ -71,6 +71,54 @@
   BOOST_TEST(entry.reached() <= kCrashesToLearn + kAllowedLater);
 }
 
+BOOST_AUTO_TEST_CASE(is_refused_at_once_with_its_evidence) {
+  PoisonFixture entry;
+  entry.Ask("bad");
+  entry.Ask("bad");
+  const int reached = entry.reached();
+  const Time asked_at = entry.loop.now();
+  const std::string answer = entry.Ask("bad");
+  BOOST_TEST((entry.loop.now() - asked_at < milliseconds(50)));
+  BOOST_TEST(StatusOf(answer) == 503);
+  BOOST_TEST(Holds(answer, "\"ran\":\"no\""));
+  BOOST_TEST(Holds(answer, "\"code\":2113"));
+  BOOST_TEST(Holds(answer, "part bad"));
+  BOOST_TEST(Holds(answer, "3 servers crashed"));
+  BOOST_TEST(Holds(answer, "retry-after: "));
+  BOOST_TEST(entry.reached() == reached);
+  BOOST_TEST(
+      Holds(entry.metrics().Text(), "oleander_entry_suspected_prompt_parts 1"));
+}
+
+BOOST_AUTO_TEST_CASE(
+    is_not_carried_to_the_next_server_while_suspicion_is_open) {
+  PoisonFixture entry;
+  BOOST_TEST(StatusOf(entry.Ask("bad")) == 502);
+  BOOST_TEST(entry.reached() == 2);
+  BOOST_TEST(StatusOf(entry.Ask("bad")) == 502);
+  BOOST_TEST(entry.reached() == 3);
+}
+
+BOOST_AUTO_TEST_CASE(is_sent_again_once_it_was_answered_on) {
+  PoisonFixture entry;
+  entry.Ask("bad");
+  entry.Ask("bad");
+  BOOST_TEST(StatusOf(entry.Ask("bad")) == 503);
+  BOOST_TEST(StatusOf(entry.Ask("good")) == 200);
+  entry.poisonous = false;
+  entry.context.poison.OnAnswer(entry.loop.now(), {HashOfPart("bad")});
+  BOOST_TEST(StatusOf(entry.Ask("bad")) == 200);
+}
+
+BOOST_AUTO_TEST_CASE(that_is_the_last_one_is_not_blamed) {
+  PoisonFixture entry;
+  for (int call = 0; call < 4; ++call) {
+    entry.Request("/resume/a", "key",
+                  "x-oleanderfield-prompt-prefix: bad:50\r\n");
+  }
+  BOOST_TEST(entry.context.poison.suspected_count() == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
