Take a stream that closes before its first event for broken off

What callers saw: a server whose answer named no length and that crashed before the first event gave its caller an empty, complete stream; a resumable request was not sent on, and the crash was not counted as evidence against the prompt.

Cause: an answer without a length ends with its connection, and its end was believed without a single event. Class of fault: an end that nothing vouches for is taken for completeness.

Ruled out: answers with a length or chunks (their early end was an error before), a reset (told from a close in the client), and an end inside an event; tests hold all three.

Change: HttpCallEnd says whether the close of the connection ended the response; a stream that ends so without an event is lost.

Evidence: is_no_stream_without_an_event failed before (200 where 502 is due, and no event of the second server) and passes.

--- a/src/entry/forwarded_call.cc
+++ b/src/entry/forwarded_call.cc
@@ -464,6 +464,12 @@
       FinishAttempt(SendOutcome::kLost, "the stream ended inside an event");
       return;
     }
+    if (!has_event() && end.by_close) {
+      RecordLostConnection();
+      FinishAttempt(SendOutcome::kLost,
+                    "the connection was closed before the first event");
+      return;
+    }
     FinishStream();
     return;
   }
--- a/src/io/http_client.cc
+++ b/src/io/http_client.cc
@@ -561,7 +561,10 @@
     ReleaseShared();
     const auto callbacks = std::move(callbacks_);
     if (callbacks->on_end) {
-      callbacks->on_end({.status = std::move(status), .sent = sent_});
+      callbacks->on_end({.status = std::move(status),
+                         .sent = sent_,
+                         .by_close = phase_ == Phase::kBody &&
+                                     body_end_ == BodyEnd::kConnection});
     }
   }
 
--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -48,6 +48,8 @@
   absl::Status
       status;  // OK if the whole response arrived, whatever its HTTP status.
   bool sent = false;
+  // The response named no length, so it ended with its connection.
+  bool by_close = false;
 };
 
 // The callbacks of one call; each may be empty. on_end is called exactly once,
--- /dev/null
+++ b/test/error/answer_claims_test.cc
@@ -0,0 +1,91 @@
+// What the answers of backend servers claim, and whether it is believed: that a
+// call was not run, that a stream goes on, that an answer is complete.
+#include <boost/test/unit_test.hpp>
+#include <string>
+#include <utility>
+
+#include "support/entry_fixture.h"
+
+namespace oleander::entry {
+namespace {
+
+using io::AfterAnswer;
+using io::ScriptedAnswer;
+
+// The head of an answer that ends with its connection.
+std::string HeadWithoutLength() {
+  return std::string("HTTP/1.1 200 OK\r\nx-oleanderfield-attempt-id: ") +
+         kAttempt + "\r\nx-oleanderfield-server-seal: s.1\r\n\r\n";
+}
+
+BOOST_AUTO_TEST_SUITE(answer_claims)
+
+BOOST_AUTO_TEST_SUITE(an_answer_that_ends_with_its_connection)
+
+BOOST_AUTO_TEST_CASE(is_complete_if_the_connection_was_closed) {
+  EntryFixture entry;
+  entry.AddServer([](const std::string&) -> ScriptedAnswer {
+    return {.bytes = HeadWithoutLength() + "done",
+            .after = AfterAnswer::kClose};
+  });
+  const std::string answer = entry.Request("/once/a");
+  BOOST_TEST(StatusOf(answer) == 200);
+  BOOST_TEST(BodyOf(answer) == "done");
+}
+
+BOOST_AUTO_TEST_CASE(is_broken_off_if_the_connection_was_reset) {
+  EntryFixture entry;
+  entry.AddServer([](const std::string&) -> ScriptedAnswer {
+    return {.bytes = HeadWithoutLength() + "done",
+            .after = AfterAnswer::kReset};
+  });
+  BOOST_TEST(StatusOf(entry.Request("/once/a")) == 502);
+}
+
+BOOST_AUTO_TEST_CASE(streams_its_events_and_ends) {
+  EntryFixture entry;
+  entry.AddServer([](const std::string&) -> ScriptedAnswer {
+    return {.bytes = HeadWithoutLength() + Event(1) + Event(2),
+            .after = AfterAnswer::kClose};
+  });
+  const std::string answer = entry.Request("/stream/a");
+  BOOST_TEST(Holds(answer, Event(1)));
+  BOOST_TEST(Holds(answer, Event(2)));
+  BOOST_TEST(answer.ends_with(kLastChunk));
+}
+
+BOOST_AUTO_TEST_CASE(is_broken_off_inside_an_event) {
+  const std::string whole = Event(1) + Event(2);
+  for (size_t cut = Event(1).size() + 1; cut < whole.size(); ++cut) {
+    EntryFixture entry;
+    entry.AddServer([&](const std::string&) -> ScriptedAnswer {
+      return {.bytes = HeadWithoutLength() + whole.substr(0, cut),
+              .after = AfterAnswer::kClose};
+    });
+    const std::string answer = entry.Request("/stream/a");
+    BOOST_TEST_REQUIRE(Holds(answer, Event(1)));
+    BOOST_TEST_REQUIRE(!answer.ends_with(kLastChunk));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(is_no_stream_without_an_event) {
+  EntryFixture entry;
+  int run = 0;
+  const auto script = [&](const std::string&) -> ScriptedAnswer {
+    const std::string events = run++ == 0 ? "" : Event(1);
+    return {.bytes = HeadWithoutLength() + events,
+            .after = AfterAnswer::kClose};
+  };
+  entry.AddServer(script);
+  entry.AddServer(script);
+  BOOST_TEST(StatusOf(entry.Request("/stream/a")) == 502);
+  run = 0;
+  BOOST_TEST(Holds(entry.Request("/resume/a"), Event(1)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace oleander::entry
