Close connections after refusals that name no call

What callers saw (reported by another operator): "not run, try again" for a request that a server was running. A faulty server had written an earlier refusal once more on a kept connection.

Cause: refusals may come without the id of their call, and one that arrives after the next call was sent on the connection was taken for that call's answer. Class of fault: an answer is attributed by its place on a connection alone.

Ruled out: refusals with another call's id (they were told apart before; a test holds it), and copies that arrive before the next call (the client drops connections with unread bytes).

Change: a connection that carried a refusal without an id is closed after it, so no later call can get its copy. Refusals with an id and all other answers keep their connections.

Evidence: a_repeated_refusal_is_not_given_to_a_call_that_runs failed before (503 with "ran":"no" while the call ran) and passes. Elsewhere: the client of src/node talks to engines whose answers carry no ids at all; it sends calls that must not repeat on connections of their own.

--- a/src/entry/forwarded_call.cc
+++ b/src/entry/forwarded_call.cc
@@ -282,6 +282,10 @@
   }
   ApplyServerNotices(head);
   if (head.not_run) {
+    if (!head.attempt) {
+      // A copy of this refusal could not be told from the next call's answer.
+      server_call_->CloseAfterResponse();
+    }
     DiscardBody();
     return;
   }
--- a/test/error/answer_claims_test.cc
+++ b/test/error/answer_claims_test.cc
@@ -11,6 +11,11 @@
 
 using io::AfterAnswer;
 using io::ScriptedAnswer;
+using std::chrono::milliseconds;
+
+const std::string kRefusal =
+    "HTTP/1.1 503 Full\r\nx-oleanderfield-not-run: 1\r\n"
+    "content-length: 0\r\n\r\n";
 
 // The head of an answer that ends with its connection.
 std::string HeadWithoutLength() {
@@ -20,6 +25,41 @@
 
 BOOST_AUTO_TEST_SUITE(answer_claims)
 
+// A refusal that is written again on its connection would be taken for the
+// answer to the next call there.
+BOOST_AUTO_TEST_CASE(a_repeated_refusal_is_not_given_to_a_call_that_runs) {
+  EntryFixture entry;
+  io::ScriptedServer* server = nullptr;
+  server = &entry.AddServer([&](const std::string&) -> ScriptedAnswer {
+    if (server->requests().size() == 1U) {
+      return {.bytes = kRefusal,
+              .repeated = kRefusal,
+              .repeat_interval = milliseconds(40)};
+    }
+    if (server->accepted() == 1) {
+      return {.bytes = ""};  // The call runs; only the old refusal arrives.
+    }
+    return {.bytes = SealedAnswer("done")};
+  });
+  BOOST_TEST(StatusOf(entry.Request("/once/a")) == 503);
+  const std::string answer = entry.Request("/once/b");
+  BOOST_TEST(StatusOf(answer) == 200);
+  BOOST_TEST(!Holds(answer, "\"ran\":\"no\""));
+}
+
+BOOST_AUTO_TEST_CASE(a_refusal_of_another_call_says_nothing_about_this_one) {
+  EntryFixture entry;
+  entry.AddServer([](const std::string&) -> ScriptedAnswer {
+    return {.bytes =
+                "HTTP/1.1 503 Full\r\nx-oleanderfield-not-run: 1\r\n"
+                "x-oleanderfield-attempt-id: another\r\n"
+                "content-length: 0\r\n\r\n"};
+  });
+  const std::string answer = entry.Request("/once/a");
+  BOOST_TEST(StatusOf(answer) == 502);
+  BOOST_TEST(!Holds(answer, "\"ran\":\"no\""));
+}
+
 BOOST_AUTO_TEST_SUITE(an_answer_that_ends_with_its_connection)
 
 BOOST_AUTO_TEST_CASE(is_complete_if_the_connection_was_closed) {
