Resume a stream only with the same type of content

What callers saw (reported by another operator): after a stream had broken off, the text of the next server's error in the middle of it, and the stream ended as if it were complete.

Cause: the resuming server's answer was appended if its status was 2xx, whatever it contained. Class of fault: what an answer claims to be isn't compared with what it should go on.

Ruled out: answers with a failure status, refusals, answers without a signature and bytes that are no answer: the stream was broken off before, too; the test holds these cases.

Change: a 2xx answer whose content-type differs from that of the stream's first answer is lost.

Evidence: contains_no_error_of_the_next_server_and_does_not_end failed before for a 200 with application/json and passes.

--- a/src/entry/forwarded_call.cc
+++ b/src/entry/forwarded_call.cc
@@ -297,6 +297,14 @@
   status_ = status;
   const bool streams =
       call_.route->kind == CallKind::kStream && status / 100 == 2;
+  if (streams && stream_started() &&
+      io::FindHeader(headers, "content-type") !=
+          io::FindHeader(headers_, "content-type")) {
+    FinishAttempt(SendOutcome::kLost,
+                  "the server that should have resumed the stream sent another "
+                  "type of content");
+    return;
+  }
   mode_ = streams ? Mode::kStream : Mode::kCollect;
   if (!stream_started()) {
     headers_ = context_.codec.ForCaller(headers);
--- a/test/error/answer_claims_test.cc
+++ b/test/error/answer_claims_test.cc
@@ -60,6 +60,45 @@
   BOOST_TEST(!Holds(answer, "\"ran\":\"no\""));
 }
 
+BOOST_AUTO_TEST_SUITE(a_stream_that_broke_off)
+
+BOOST_AUTO_TEST_CASE(contains_no_error_of_the_next_server_and_does_not_end) {
+  const std::string json = "{\"error\":1}\n\n";
+  const std::string errors[] = {
+      SealedAnswer("broken", 500),
+      SealedAnswer("broken", 404),
+      SealedAnswer("broken\n\n", 200, kAttempt,
+                   "content-type: application/json\r\n"),
+      SealedAnswer("broken", 503, kAttempt, "x-oleanderfield-not-run: 1\r\n"),
+      kRefusal,
+      "HTTP/1.1 502 Broken\r\ncontent-length: 6\r\n\r\nbroken",
+      "broken\r\n\r\n",
+  };
+  for (const std::string& error : errors) {
+    EntryFixture entry;
+    int run = 0;
+    const auto script = [&](const std::string&) -> ScriptedAnswer {
+      if (run++ == 0) {
+        return {.bytes = StreamHead() + Chunk(Event(1)),
+                .after = AfterAnswer::kReset};
+      }
+      return {.bytes = error};
+    };
+    entry.AddServer(script);
+    entry.AddServer(script);
+    const std::string answer = entry.Request("/resume/a");
+    BOOST_TEST_CONTEXT(error) {
+      BOOST_TEST(run == 2);
+      BOOST_TEST(Holds(answer, Event(1)));
+      BOOST_TEST(!Holds(answer, "broken"));
+      BOOST_TEST(answer.find("HTTP/1.1", 1) == std::string::npos);
+      BOOST_TEST(!answer.ends_with(kLastChunk));
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(an_answer_that_ends_with_its_connection)
 
 BOOST_AUTO_TEST_CASE(is_complete_if_the_connection_was_closed) {
