Forget failures of a server that has started again

What callers saw: a server that crashed under a few calls and came back under its id got no calls for up to six seconds, though it was sound again, while the others were full.

Cause: failures, cooldown, load and cache content were kept by the server's id, not by its run.

Ruled out: servers that come back under a new id (they start without a history).

Change: SetServers() drops what was seen of an earlier run if the listed start time differs; open calls stay counted.

Evidence: a_server_that_crashed_is_used_again_once_it_has_started failed before (the other server was picked) and passes.

--- a/include/oleander/placement.h
+++ b/include/oleander/placement.h
@@ -177,6 +177,8 @@
     // The region's server that ranks first by hash for the shared prefix.
     const Server* preferred = nullptr;
   };
+  // Drops what is known of a server that has started again under its id.
+  void ForgetRun(Server& server);
   Preference PreferenceFor(const std::vector<const Server*>& candidates,
                            const PlacementRequest& request) const;
   // Returns the uncached tokens, fewer at the preferred server if no engine is
--- a/src/parts/placement.cc
+++ b/src/parts/placement.cc
@@ -30,6 +30,9 @@
   by_service_.clear();
   for (const ListedServer* listed : ready) {
     Server& server = servers_[listed->id];
+    if (server.started_ms != listed->started_ms) {
+      ForgetRun(server);
+    }
     server.id = listed->id;
     server.service = listed->service;
     server.domain = listed->domain;
@@ -51,6 +54,13 @@
   });
 }
 
+void Placement::ForgetRun(Server& server) {
+  backlog_.Forget(server.id);
+  const int local_calls = server.local_calls;
+  server = Server();
+  server.local_calls = local_calls;  // Those to the earlier run may be open.
+}
+
 std::optional<ServerId> Placement::Pick(Time now,
                                         const PlacementRequest& request) {
   std::vector<const Server*> candidates = Candidates(now, request);
--- a/test/correctness/placement_test.cc
+++ b/test/correctness/placement_test.cc
@@ -50,6 +50,23 @@
 
 BOOST_AUTO_TEST_SUITE(placement)
 
+// BUDGET on tortared (inc1): servers crash under calls and start again.
+BOOST_AUTO_TEST_CASE(a_server_that_crashed_is_used_again_once_it_has_started) {
+  auto fleet = Fleet(1);
+  fleet.resize(2);
+  fleet[0].started_ms = 1;
+  Placement placement = PlacementIn("santiago", "stgo-a", fleet, 1);
+  const ServerId crashed = fleet[0].id;
+  for (int lost = 0; lost < 6; ++lost) {
+    placement.OnFailure(kNow, crashed);
+  }
+  const PlacementRequest request{.service = kEngines};
+  BOOST_TEST((placement.Pick(kNow, request) == fleet[1].id));
+  fleet[0].started_ms = 2;
+  placement.SetServers({&fleet[0], &fleet[1]});
+  BOOST_TEST((placement.Pick(kNow, request) == crashed));
+}
+
 BOOST_AUTO_TEST_CASE(instances_agree_on_the_server_of_a_shared_prefix) {
   const auto fleet = Fleet(3);
   Placement one = PlacementIn("santiago", "stgo-a", fleet, 1);
