--- a/test/error/platform_codecs_test.cc
+++ b/test/error/platform_codecs_test.cc
@@ -75,6 +75,30 @@
   }
 }
 
+// Operators of like systems saw instances end, or stop to follow the list,
+// because of one entry of another writer.
+BOOST_AUTO_TEST_CASE(of_another_writer_names_no_server) {
+  const std::string good = kServer;
+  const std::string opened(400'000, '[');
+  const std::string closed(400'000, ']');
+  const std::pair<const char*, std::string> odd[] = {
+      {"deeply nested", With(good, "true", opened + closed)},
+      {"deeply nested and cut off", With(good, "true", opened)},
+      {"more slots than an int holds", With(good, "96", "99999999999")},
+      {"fewer slots than none", With(good, "96", "-99999999999")},
+      {"more slots than a double holds", With(good, "96", "1e999")},
+      {"a port out of range", With(good, ":8080", ":65536")},
+      {"a negative port", With(good, ":8080", ":-1")},
+      {"a port beyond 64 bits", With(good, ":8080", ":99999999999999999999")},
+      {"a name for an address", With(good, "10.1.2.3", "pool.example")},
+  };
+  for (const auto& [what, value] : odd) {
+    BOOST_TEST_CONTEXT(what) {
+      BOOST_TEST(!CatalogCodec().ReadServer(Entry("servers/i-1", value)).ok());
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(a_configuration)
