Tell peers at once that a suspicion has ended

What callers would see: where all live instances read the store (three or fewer), none sends queries, so the end of a wrong suspicion at one of them did not reach the others, which went on refusing until a trial of their own.

Change: an instance that clears a suspicion pushes the evidence like a crash. Answers are remembered for 30 s at the most, so that a busy instance does not scan thousands of them at each answer.

--- a/include/oleander/poison_parts.h
+++ b/include/oleander/poison_parts.h
@@ -54,8 +54,10 @@
   int min_crashes_to_stop_retries = 2;
   // A part that was answered on within this time before a crash isn't blamed.
   Duration answer_trust = std::chrono::seconds(2);
-  // How long a crash counts if no part is suspected of it.
+  // How long a crash counts if no part is suspected of it, and how long an
+  // answer is remembered.
   Duration crash_lifetime = std::chrono::minutes(2);
+  Duration answer_lifetime = std::chrono::seconds(30);
   // How long a suspicion holds after the last crash, and how many times longer
   // after each further round of crashes.
   Duration hold = std::chrono::seconds(15);
@@ -187,7 +189,8 @@
   void DropOldCrashes(Time now);
   void DropOldAnswers(Time now);
 
-  void FindSuspects();
+  // Derives the suspects from the crashes, after these have changed.
+  void UpdateSuspects();
   // Returns the suspect, and removes the crashes that it explains from
   // `unexplained`.
   Suspect Explain(PartHash part, std::vector<uint64_t>& unexplained);
--- a/src/entry/call_context.h
+++ b/src/entry/call_context.h
@@ -42,9 +42,9 @@
   // Engines kept busy with prefill, by service and region.
   ServerLoads prefill_load = {};
   PoisonParts poison = PoisonParts();
-  // Called when a call was lost with its server, so that peers learn of it at
-  // once.
-  std::function<void()> on_server_crash = [] {};
+  // Called when peers should learn at once that a server crashed, or that a
+  // suspected part was answered on.
+  std::function<void()> on_crash_news = [] {};
   RetryBudget retries;
   UsageWindows usage;
   QuotaGate quotas;
--- a/src/entry/entry_node.cc
+++ b/src/entry/entry_node.cc
@@ -232,7 +232,7 @@
     reporter_.OnSendToPeers([this](const entrywire::UsageTold& report) {
       SendUsageReport(report);
     });
-    context_.on_server_crash = [this] { feed_.PushCrashNews(); };
+    context_.on_crash_news = [this] { feed_.PushCrashNews(); };
     if (settings_.first_start) {
       context_.era.MarkNewDeployment();
     }
--- a/src/entry/poison_guard.cc
+++ b/src/entry/poison_guard.cc
@@ -25,14 +25,20 @@
 
 std::string HexOf(PartHash part) { return fmt::format("{:016x}", part); }
 
-// Logs the parts that became suspected or are no longer.
-void ReportChanges(CallContext& context) {
-  for (const SuspicionChange& change : context.poison.TakeChanges()) {
+// Logs the parts that became suspected or are no longer. Returns whether there
+// are any.
+bool ReportChanges(CallContext& context) {
+  const std::vector<SuspicionChange> changes = context.poison.TakeChanges();
+  if (changes.empty()) {
+    return false;
+  }
+  for (const SuspicionChange& change : changes) {
     io::Log(change.suspected ? io::LogLevel::kWarning : io::LogLevel::kInfo,
             change.suspected ? "prompt_part.suspected" : "prompt_part.cleared",
             {{"part", HexOf(change.part)}, {"crashes", change.crashes}});
   }
   context.metrics.SetSuspectedParts(context.poison.suspected_count());
+  return true;
 }
 
 std::string IdOf(const ports::CallIntake& call, PartHash part) {
@@ -84,13 +90,15 @@
            {"begun", crash.begun},
            {"parts", fmt::format("{:016x}", fmt::join(crash.parts, ","))}});
   ReportChanges(context);
-  context.on_server_crash();
+  context.on_crash_news();
 }
 
 void RecordAnswer(CallContext& context,
                   const std::vector<PartHash>& shared_parts) {
   context.poison.OnAnswer(context.loop.now(), shared_parts);
-  ReportChanges(context);
+  if (ReportChanges(context)) {
+    context.on_crash_news();
+  }
 }
 
 void WriteNews(const CrashNews& news, entrywire::CrashNews& wire) {
--- a/src/parts/poison_parts.cc
+++ b/src/parts/poison_parts.cc
@@ -45,7 +45,7 @@
   DropOldCrashes(now);
   const bool added = AddCrash(now, crash, /*local=*/true);
   if (added) {
-    FindSuspects();
+    UpdateSuspects();
   }
   return added;
 }
@@ -60,7 +60,7 @@
     }
   }
   if (exonerated) {
-    FindSuspects();
+    UpdateSuspects();
   }
 }
 
@@ -179,7 +179,7 @@
     }
   }
   if (changed) {
-    FindSuspects();
+    UpdateSuspects();
   }
 }
 
@@ -199,9 +199,9 @@
   std::ranges::copy_if(report.parts, std::back_inserter(blamed),
                        [&](PartHash part) { return !IsTrusted(part, at); });
   const auto known = crashes_.find(report.run);
-  const bool outdone =
+  const bool superseded =
       known != crashes_.end() && known->second.begun && !report.begun;
-  if (blamed.empty() || outdone) {
+  if (blamed.empty() || superseded) {
     return false;
   }
   if (known == crashes_.end() && crashes_.size() >= kMaxCrashes) {
@@ -251,14 +251,14 @@
            !IsEvidenceOfSuspect(now, item.second);
   });
   if (dropped > 0) {
-    FindSuspects();
+    UpdateSuspects();
   }
 }
 
 void PoisonParts::DropOldAnswers(Time now) {
   if (answered_.size() > kMaxAnsweredParts) {
     absl::erase_if(answered_, [&](const auto& item) {
-      return now - item.second > options_.crash_lifetime;
+      return now - item.second > options_.answer_lifetime;
     });
   }
   absl::erase_if(exonerated_,
@@ -272,7 +272,7 @@
   });
 }
 
-void PoisonParts::FindSuspects() {
+void PoisonParts::UpdateSuspects() {
   std::vector<uint64_t> unexplained = AllRuns();
   std::vector<Suspect> suspects;
   for (auto most = MostBlamed(unexplained); most.second >= options_.min_crashes;
--- a/test/error/poison_parts_test.cc
+++ b/test/error/poison_parts_test.cc
@@ -107,7 +107,10 @@
   BOOST_TEST(StatusOf(entry.Ask("good")) == 200);
   entry.poisonous = false;
   entry.context.poison.OnAnswer(entry.loop.now(), {HashOfPart("bad")});
+  int told = 0;
+  entry.context.on_crash_news = [&told] { ++told; };
   BOOST_TEST(StatusOf(entry.Ask("bad")) == 200);
+  BOOST_TEST(told == 1);
 }
 
 BOOST_AUTO_TEST_CASE(that_is_the_last_one_is_not_blamed) {
