--- a/test/error/answer_claims_test.cc
+++ b/test/error/answer_claims_test.cc
@@ -63,7 +63,6 @@
 BOOST_AUTO_TEST_SUITE(a_stream_that_broke_off)
 
 BOOST_AUTO_TEST_CASE(contains_no_error_of_the_next_server_and_does_not_end) {
-  const std::string json = "{\"error\":1}\n\n";
   const std::string errors[] = {
       SealedAnswer("broken", 500),
       SealedAnswer("broken", 404),
