--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""Case 2: an order of a holder that was cut off reaches the platform after the next holder's orders."""
+"""Case 2: a worker that spoils one byte in the head of an answer ends the process that reads it."""
 import asyncio
 import os
 import sys
@@ -6,69 +6,72 @@
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "kit"))
 import fleet as kit  # noqa: E402
+from fleet import X  # noqa: E402
 
-CUT_S = 12.0  # The site file's `node_cut`: share = 0.35, for_s = 12.0; here 1 machine of 3.
-THAW_S = 0.3  # SYSTEM.md: thaw_ms.
-CONTACT_S = 4.0  # SYSTEM.md: contact_ms.
-LEAD_S = 10.0  # SYSTEM.md, "Machines": traffic starts 10 s after the machines do.
-BEFORE_ORDER_S = 0.5  # The cut begins this long before the holder orders again.
-REORDER_S = 6.0  # So often the system repeats an order that had no effect (src/entry/size_orderer.cc).
-SETTLE_S = 14.0
-# SYSTEM.md and the site file: `oleander-pool` grows and shrinks by orders.
-SCALING = {"min_count": 1, "max_count": 6, "boot_s": 4.0, "spot_price": 0.18,
-           "zone_prices": {"stgo-a": 1.0, "conce-a": 0.8, "stgo-b": 1.25}}
-ENGINE = {"slots": 96, "kv_capacity": 1074493}
+# The site file's `garble`: share = 0.35 of the workers (here 1 of 3) spoil x = 0.02 of their answers for 5.5 s.
+SPOILED_SHARE = 0.02
+GARBLE_S = 5.5
+GARBLES = 3  # BENCH.md: a disruption may come more than once.
+CONTACT_S = 4.0  # RULES.md, "In touch": contact_ms.
+CLIENTS_PER_MACHINE = 12
+PAUSE_S = 0.05
+MOST_LOST = 3  # RULES.md, LOST: "more than three times".
+
+
+def spoiled(answer):
+    """An answer in whose head one byte is wrong: a line of the head ends in "C\\n" and not in "\\r\\n"."""
+    return kit.message("HTTP/1.1 200 OK", answer, b"x" * 20).replace(b"20\r\n", b"20C\n")
 
 
 async def case(fleet, trouble):
-    fleet.add_service("oleander-pool", scaling=SCALING, engine=ENGINE)
+    garbling = [False]
+
+    async def faulty(worker, method, target, headers, reader, writer):
+        if not garbling[0] or fleet.random.random() >= SPOILED_SHARE:
+            return await kit.answer_stream(worker, method, target, headers, reader, writer)
+        await kit.read_body(headers, reader)
+        answer = worker.begin(headers, target)
+        fleet.record.add("spoiled", id=answer[X + "Attempt-Id"], worker=worker.name)
+        writer.write(spoiled(answer))
+        await writer.drain()
+        return False
+
+    fleet.add_service("oleander-pool")
     fleet.add_route("/design/", "streaming", "oleander-pool", resumable=True, timeout_ms=15000, goal_ms=600,
                     max_attempts=2)
-    for number in range(6):
-        kit.Worker(fleet, f"i-{number:08x}", "oleander-pool", slots=96, reply=kit.answer_stream)
-    # PROTOCOL.md, "Singleton duties": "The call returns 409 if none are available there at the moment."
-    fleet.duty_answer = lambda target, _: (409, {}) if target == "/scale" else (200, {})
+    sound = set()
+    for number, reply in enumerate((faulty, kit.answer_stream, kit.answer_stream)):
+        worker = kit.Worker(fleet, f"i-{number:08x}", "oleander-pool", slots=96, reply=reply)
+        if number > 0:
+            sound.add(worker.name)
     await fleet.start()
-    running, healed = [True], {}
+
+    running, lost = [True], []
 
     async def client(machine):
         kept = kit.KeptClient(fleet, machine)
         while running[0]:
-            await kept.call("POST", "/design/2f", b"x" * 1200, deadline_ms=15000)
-            await asyncio.sleep(0.2)
+            answer = await kept.call("POST", "/design/2f", b"x" * 1200, deadline_ms=15000)
+            ran_at = [name for _, name in fleet.runs.get(answer.attempt, [])]
+            if answer.kept and answer.note.startswith("closed without") and ran_at and set(ran_at) <= sound:
+                lost.append(answer.attempt)
+            await asyncio.sleep(PAUSE_S)
         kept.close()
 
-    clients = [asyncio.ensure_future(client(machine)) for machine in fleet.machines for _ in range(4)]
-    await asyncio.sleep(LEAD_S)
-    orders = [duty for duty in fleet.duties if duty[3] == "/scale"]
-    while not orders or fleet.record.now() - orders[-1][0] < REORDER_S - BEFORE_ORDER_S:
-        await asyncio.sleep(0.02)
-        orders = [duty for duty in fleet.duties if duty[3] == "/scale"]
-    holder = next(machine for machine in fleet.machines if machine.name == orders[-1][1])
-    if trouble:
-        holder.store_link.cut()
-        holder.cloud_link.cut()
-    await asyncio.sleep(CUT_S)
-    if trouble:
-        holder.store_link.heal()
-        holder.cloud_link.heal()
-        healed[holder.name] = fleet.record.now()
-    await asyncio.sleep(SETTLE_S)
+    clients = [asyncio.ensure_future(client(machine)) for machine in fleet.machines
+               for _ in range(CLIENTS_PER_MACHINE)]
+    await asyncio.sleep(CONTACT_S)
+    for _ in range(GARBLES):
+        garbling[0] = trouble
+        await asyncio.sleep(GARBLE_S)
+        garbling[0] = False
+        await asyncio.sleep(CONTACT_S)
     running[0] = False
     await asyncio.gather(*clients)
-    return broken_fences(fleet, healed)
-
-
-def broken_fences(fleet, healed):
-    """RULES.md, ONE: a call with a lower token than was seen for its duty and subject, thaw_ms after a heal or more."""
-    highest, broken = {}, []
-    for at, machine, fence, target, document in fleet.duties:
-        subject = (target, document.get("service"), document.get("zone"))
-        excused = machine in healed and healed[machine] <= at < healed[machine] + THAW_S
-        if fence < highest.get(subject, 0) and not excused:
-            broken.append(f"ONE: {machine} sent token {fence} for {subject} at {at:.3f} s after {highest[subject]}")
-        highest[subject] = max(fence, highest.get(subject, 0))
-    return broken
+    ends = {machine.name: len(machine.ended_by_itself) for machine in fleet.machines}
+    print("processes that ended by themselves:", ends)
+    print("kept connections closed without an answer while a sound worker ran the request:", len(lost))
+    return [f"LOST: {len(lost)} requests"] if len(lost) > MOST_LOST else []
 
 
 kit.run(HERE, case)
--- a/review/kit/fleet.py
+++ b/review/kit/fleet.py
@@ -285,6 +285,7 @@
         self.settings = os.path.join(fleet.folder, f"{self.name}.json")
         self.log = open(os.path.join(fleet.folder, f"{self.name}.log"), "ab")
         self.process, self.stopping = None, False
+        self.signalled = False  # The case sent a signal that ends the process; it is started again all the same.
         self.ended_by_itself = []  # (second, exit status)
 
     def write_settings(self, first_start):
@@ -313,7 +314,7 @@
 
     async def start(self, first_start=False):
         self.write_settings(first_start)
-        self.stopping = False
+        self.stopping = self.signalled = False
         self.process = await asyncio.create_subprocess_exec(
             PROGRAM, f"--settings={self.settings}", cwd=ROOT, stdout=self.log, stderr=self.log)
         self.fleet.record.add("started", machine=self.name, pid=self.process.pid)
@@ -321,14 +322,21 @@
 
     async def watch(self, process):
         status = await process.wait()
-        self.fleet.record.add("ended", machine=self.name, status=status, expected=self.stopping)
+        self.fleet.record.add("ended", machine=self.name, status=status, expected=self.stopping or self.signalled)
         if self.stopping or self.fleet.stopping:
             return
-        self.ended_by_itself.append((self.fleet.record.now(), status))
+        if not self.signalled:
+            self.ended_by_itself.append((self.fleet.record.now(), status))
         await asyncio.sleep(RESTART_DELAY_S)
         if not self.fleet.stopping:
             await self.start()
 
+    def end(self, number):
+        """Sends a signal that ends the process; it is started again after the end."""
+        self.signalled = True
+        self.fleet.record.add("signal", machine=self.name, number=int(number))
+        self.signal(number)
+
     def signal(self, number):
         if self.process.returncode is None:
             self.process.send_signal(number)
@@ -394,6 +402,12 @@
         return {X + "Attempt-Id": attempt, X + "Server-Seal": f"{self.name}.{random.getrandbits(32):08x}",
                 X + "Server-Load": f"{self.running},0,{self.slots}"}
 
+    def end(self, headers):
+        """Records that the worker works on a request no longer."""
+        attempt = headers.get((X + "Attempt-Id").lower(), "")
+        self.fleet.record.add("end", id=attempt, worker=self.name)
+        self.fleet.ends[(attempt, self.name)] = self.fleet.record.now()
+
     def not_run(self, headers):
         """Returns the refusal of a request that was meant for another worker, or None."""
         meant = headers.get((X + "Expect-Instance").lower(), self.name)
@@ -430,7 +444,7 @@
 
 FIRST_EVENT_S = 0.1  # A design-brief: 12,000 prompt tokens at 157 a millisecond, and 26 ms (SYSTEM.md, the site file).
 EVENT_GAP_S = 0.018  # Five tokens, 3.55 ms each (SYSTEM.md, "Engines").
-EVENTS = 20
+EVENTS = 76  # SYSTEM.md: a design-brief has 76 events.
 
 
 def event(attempt, number):
@@ -460,6 +474,8 @@
         await asyncio.sleep(FIRST_EVENT_S)
         writer.write(stream_head(answer))
         for number in range(int(headers.get("last-event-id", "0")) + 1, EVENTS + 1):
+            if reader.at_eof() or writer.transport.is_closing():
+                return False  # PROTOCOL.md: "Most workers drop a request when its connection closes."
             writer.write(chunk(event(answer[X + "Attempt-Id"], number)))
             await writer.drain()
             await asyncio.sleep(EVENT_GAP_S)
@@ -467,6 +483,7 @@
         await writer.drain()
     finally:
         worker.running -= 1
+        worker.end(headers)
     return True
 
 
@@ -487,7 +504,8 @@
         self.net, self.ports = free_net(self.random)
         self.store = Store()
         self.duties = []  # (second, holder, fence, path, document)
-        self.runs = {}
+        self.runs = {}  # By id: (second, worker) of each run.
+        self.ends = {}  # By id and worker: the second at which the worker stopped to work on it.
         self.workers, self.services, self.routes = [], [], []
         self.version = 0
         self.keys = dict(KEYS)
@@ -689,6 +707,8 @@
 
     async def play():
         fleet = Fleet(folder, machines)
+        # A run that is stopped early still ends the processes that it started.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         try:
             broken = await case(fleet, trouble)
         finally:
@@ -701,9 +721,11 @@
             print("broken:", line)
         return 1 if broken else 0
 
+    # Connections that are still open at the end complain when they are collected after the loop.
+    sys.unraisablehook = lambda _: None
     try:
         status = asyncio.run(play())
-    except Exception as error:  # The case could not run, whatever the cause.
+    except (Exception, asyncio.CancelledError) as error:  # The case could not run, whatever the cause.
         print("could not run:", repr(error))
         sys.exit(COULD_NOT_RUN)
     print("the rule was broken" if status else "the rule held")
