--- a/review/3/case.py
+++ b/review/3/case.py
@@ -10,7 +10,6 @@
 CUT_S = 12.0  # The site file's `node_cut`: share = 0.35, for_s = 12.0; here 1 machine of 3.
 THAW_S = 0.3  # SYSTEM.md: thaw_ms.
 CONTACT_S = 4.0  # SYSTEM.md: contact_ms.
-LEAD_S = 10.0  # SYSTEM.md, "Machines": traffic starts 10 s after the machines do.
 BEFORE_ORDER_S = 0.5  # The cut begins this long before the holder orders again.
 REORDER_S = 6.0  # So often the system repeats an order that had no effect (src/entry/size_orderer.cc).
 SETTLE_S = 14.0
@@ -39,7 +38,7 @@
         kept.close()
 
     clients = [asyncio.ensure_future(client(machine)) for machine in fleet.machines for _ in range(4)]
-    await asyncio.sleep(LEAD_S)
+    await asyncio.sleep(kit.LEAD_S)
     orders = [duty for duty in fleet.duties if duty[3] == "/scale"]
     while not orders or fleet.record.now() - orders[-1][0] < REORDER_S - BEFORE_ORDER_S:
         await asyncio.sleep(0.02)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -12,7 +12,6 @@
 GAP_S = 1.0  # The site file's `roll_term` with how = "busy": gap_s = 1.0.
 KILL_AFTER_S = 0.1
 AFTER_REPORT_S = 0.3
-LEAD_S = 10.0  # SYSTEM.md, "Machines": traffic starts 10 s after the machines do.
 CALM_S = 13.0  # Between two rounds; longer than any cooldown.
 ROUNDS = 5
 MACHINES = 2
@@ -24,7 +23,7 @@
     for number in range(3):
         kit.Worker(fleet, f"i-{number:08x}", "order-desk")
     await fleet.start()
-    await asyncio.sleep(LEAD_S)
+    await asyncio.sleep(kit.LEAD_S)
     for _ in range(ROUNDS):
         reports = len(fleet.duties)
         while len(fleet.duties) == reports:
--- a/review/kit/fleet.py
+++ b/review/kit/fleet.py
@@ -32,6 +32,7 @@
           "recovery_s": 12, "pass_ms": 300, "reuse_window_s": 9.8}
 ZONES = {"stgo-a": "santiago", "stgo-b": "santiago", "conce-a": "concepcion"}
 MEMORY_MB = 260  # SYSTEM.md, "Machines".
+LEAD_S = 10.0  # SYSTEM.md, "Machines": traffic starts 10 s after the machines do.
 RESTART_DELAY_S = 0.5  # DEPLOY.md, "Ends": "restarted after a short delay".
 HOST = "shop.example"
 KEYS = {"key-one": "tenant-one", "key-two": "tenant-two"}
@@ -284,7 +285,7 @@
                                 (f"{fleet.net}.1", fleet.ports + 1))
         self.settings = os.path.join(fleet.folder, f"{self.name}.json")
         self.log = open(os.path.join(fleet.folder, f"{self.name}.log"), "ab")
-        self.process, self.stopping = None, False
+        self.process = None
         self.signalled = False  # The case sent a signal that ends the process; it is started again all the same.
         self.ended_by_itself = []  # (second, exit status)
 
@@ -314,7 +315,7 @@
 
     async def start(self, first_start=False):
         self.write_settings(first_start)
-        self.stopping = self.signalled = False
+        self.signalled = False
         self.process = await asyncio.create_subprocess_exec(
             PROGRAM, f"--settings={self.settings}", cwd=ROOT, stdout=self.log, stderr=self.log)
         self.fleet.record.add("started", machine=self.name, pid=self.process.pid)
@@ -322,8 +323,8 @@
 
     async def watch(self, process):
         status = await process.wait()
-        self.fleet.record.add("ended", machine=self.name, status=status, expected=self.stopping or self.signalled)
-        if self.stopping or self.fleet.stopping:
+        self.fleet.record.add("ended", machine=self.name, status=status, expected=self.signalled)
+        if self.fleet.stopping:
             return
         if not self.signalled:
             self.ended_by_itself.append((self.fleet.record.now(), status))
@@ -341,11 +342,6 @@
         if self.process.returncode is None:
             self.process.send_signal(number)
 
-    async def kill(self):
-        self.stopping = True
-        self.signal(signal.SIGKILL)
-        await self.process.wait()
-
     async def is_ready(self):
         try:
             reader, writer = await asyncio.wait_for(
@@ -563,7 +559,7 @@
         """A case may replace this."""
         return 200, {}
 
-    async def start(self, seconds=10):
+    async def start(self):
         self.servers = [
             await asyncio.start_server(self.serve_store, f"{self.net}.1", self.ports, limit=1 << 22),
             await asyncio.start_server(self.serve_cloud, f"{self.net}.1", self.ports + 1, limit=1 << 22)]
@@ -574,11 +570,11 @@
             await machine.store_link.start()
             await machine.cloud_link.start()
             await machine.start(first_start=True)
-        end = time.monotonic() + seconds
+        end = time.monotonic() + LEAD_S
         for machine in self.machines:
             while not await machine.is_ready():
                 if time.monotonic() > end:
-                    raise RuntimeError(f"{machine.name} is not ready after {seconds} s")
+                    raise RuntimeError(f"{machine.name} is not ready after {LEAD_S} s")
                 await asyncio.sleep(0.1)
 
     async def stop(self):
@@ -593,37 +589,6 @@
     def new_id(self):
         return f"{self.random.getrandbits(64):016x}"
 
-    async def call(self, machine, method, target, body=b"", deadline_ms=1000, key="key-one", more=None, attempt=None):
-        """Sends one client attempt on a new connection and returns what the client saw."""
-        attempt = attempt or self.new_id()
-        headers = {"Host": HOST, X + "Attempt-Id": attempt, X + "Deadline-Ms": str(deadline_ms),
-                   "Authorization": f"Token {key}", **(more or {})}
-        self.record.add("sent", id=attempt, machine=machine.name, target=target, bytes=len(body))
-        try:
-            answer = await asyncio.wait_for(self.exchange(machine, method, target, headers, body), deadline_ms / 1000)
-        except asyncio.TimeoutError:
-            answer = Answer(note="deadline")
-        except (OSError, asyncio.IncompleteReadError) as error:
-            answer = Answer(note=type(error).__name__)
-        self.record.add("answered", id=attempt, status=answer.status, bytes=len(answer.body), note=answer.note)
-        answer.attempt = attempt
-        return answer
-
-    async def exchange(self, machine, method, target, headers, body):
-        reader, writer = await asyncio.open_connection(machine.ip, self.ports, limit=1 << 22)
-        try:
-            writer.write(message(f"{method} {target} HTTP/1.1", headers, body))
-            await writer.drain()
-            head = await read_head(reader)
-            if head is None:
-                return Answer(note="closed without an answer")
-            status, fields = int(head[0].split()[1]), head[1]
-            if fields.get("transfer-encoding") == "chunked":
-                return Answer(status, fields, await read_chunks(reader))
-            return Answer(status, fields, await reader.readexactly(int(fields.get("content-length", "0"))))
-        finally:
-            writer.close()
-
 
 class KeptClient:
     """A client that keeps its connection to one machine open for many requests."""
