Check response heads more strictly than h2o parses them

Cause: the guard before h2o's client accepted other heads than h2o's parser. It took a head with bare line feeds for incomplete, trimmed blanks that h2o keeps, and missed interim responses with two blanks or another minor version. After a long request it was installed up to 1 ms late, so an early answer was not checked. h2o asserts on an invalid length or transfer encoding in such a head.

Ruled out: that a body ends the process; 3,000 mutated answers did not.

Change: CheckResponseHead() accepts only CRLF lines without folding, a final status and one statement of the length, and h2o gets complete heads only. The guard is installed in the callback of the written request.

--- a/src/io/http_client.cc
+++ b/src/io/http_client.cc
@@ -11,6 +11,7 @@
 
 #include "fmt/format.h"
 #include "io/h2o.h"
+#include "io/response_head.h"
 #include "io/socket_address.h"
 #include "oleander/result_code.h"
 
@@ -21,10 +22,6 @@
 // instead, with a different timeout for each phase of a call.
 constexpr uint64_t kNever = uint64_t{1} << 40;  // Milliseconds.
 
-// The interval for checking whether h2o has written the request and reads the
-// response.
-constexpr Duration kHeadCheckPeriod = std::chrono::milliseconds(1);
-
 // Usual response heads have a few hundred bytes. Longer heads than this are
 // rejected.
 constexpr size_t kMaxHeadBytes = size_t{64} << 10;
@@ -149,62 +146,6 @@
   return head;
 }
 
-bool IsNumber(std::string_view text) {
-  constexpr size_t kMaxDigits = 18;
-  return !text.empty() && text.size() <= kMaxDigits &&
-         std::ranges::all_of(text, [](char c) { return c >= '0' && c <= '9'; });
-}
-
-std::string_view Trimmed(std::string_view text) {
-  constexpr std::string_view kBlanks = " \t\r";
-  const size_t first = text.find_first_not_of(kBlanks);
-  return first == std::string_view::npos
-             ? std::string_view()
-             : text.substr(first, text.find_last_not_of(kBlanks) + 1 - first);
-}
-
-// Returns whether h2o's client can handle the header line.
-bool IsHeaderLineValid(std::string_view line) {
-  const size_t colon = std::min(line.find(':'), line.size());
-  std::string name(line.substr(0, colon));
-  std::ranges::transform(name, name.begin(), [](char c) {
-    return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
-  });
-  const std::string_view value =
-      Trimmed(line.substr(std::min(colon + 1, line.size())));
-  if (name == "content-length") {
-    return IsNumber(value);
-  }
-  return name != "transfer-encoding" || value == "chunked";
-}
-
-constexpr std::string_view kHeadEnd = "\r\n\r\n";
-
-bool Contains(std::string_view text, std::string_view part) {
-  return text.find(part) != std::string_view::npos;
-}
-
-// Returns whether h2o's client can handle the response head in `bytes`. It
-// aborts the process if the content length is not a number, if the transfer
-// encoding is unknown, and if the response is cut off after an interim (1xx)
-// response. A head that isn't complete yet counts as valid.
-bool IsHeadValid(std::string_view bytes) {
-  constexpr std::string_view kInterim = "HTTP/1.1 1";
-  if (bytes.starts_with(kInterim) || bytes.starts_with("HTTP/1.0 1")) {
-    return false;
-  }
-  const size_t end = bytes.find(kHeadEnd);
-  std::string_view head = bytes.substr(0, end);
-  while (end != std::string_view::npos && !head.empty()) {
-    const std::string_view line = head.substr(0, head.find('\n'));
-    head.remove_prefix(std::min(line.size() + 1, head.size()));
-    if (!IsHeaderLineValid(line)) {
-      return false;
-    }
-  }
-  return true;
-}
-
 Headers CopyHeaders(const h2o_header_t* headers, size_t count) {
   Headers copied;
   copied.reserve(count);
@@ -342,10 +283,10 @@
     return call->BodyArrived(client, error) ? 0 : -1;
   }
 
-  // Wraps h2o's read callback to check the response head first. h2o starts to
-  // read once the request is written, in the current round or a later one, so
-  // the check is repeated until then; no response can arrive before.
-  void CheckHeadFirst() {
+  // Wraps h2o's callbacks, so that the response head is checked before h2o
+  // parses it. h2o sets its read callback when the request is written, and the
+  // server may respond before.
+  void GuardHead() {
     loop_.Post([weak = weak_from_this()] {
       const auto call = weak.lock();
       if (call == nullptr || call->client_ == nullptr ||
@@ -353,31 +294,55 @@
         return;
       }
       h2o_socket_t* socket = call->client_->sock;
-      if (socket->_cb.read == nullptr) {
-        // A long body is still being written.
-        call->head_check_ = call->loop_.After(
-            kHeadCheckPeriod, [raw = call.get()] { raw->CheckHeadFirst(); });
-      } else if (socket->_cb.read != OnReadHead) {
-        call->read_head_ = socket->_cb.read;
-        socket->_cb.read = OnReadHead;
+      if (socket->_cb.read != nullptr) {
+        call->WrapHeadReader();
+        return;
       }
+      call->request_written_ = socket->_cb.write;
+      socket->_cb.write = OnRequestWritten;
     });
   }
 
+  static void OnRequestWritten(h2o_socket_t* socket, const char* error) {
+    Call& call = Of(static_cast<h2o_http1client_t*>(socket->data));
+    const std::shared_ptr<Call> keep = call.shared_from_this();
+    call.request_written_(socket, error);
+    if (call.client_ != nullptr) {
+      call.WrapHeadReader();
+    }
+  }
+
+  void WrapHeadReader() {
+    read_head_ = std::exchange(client_->sock->_cb.read, OnReadHead);
+  }
+
   static void OnReadHead(h2o_socket_t* socket, const char* error) {
     Call& call = Of(static_cast<h2o_http1client_t*>(socket->data));
     const std::shared_ptr<Call> keep = call.shared_from_this();
-    const std::string_view bytes(socket->input->bytes, socket->input->size);
-    const bool too_long = bytes.size() > kMaxHeadBytes &&
-                          !Contains(bytes.substr(0, kMaxHeadBytes), kHeadEnd);
-    if (error != nullptr || (!too_long && IsHeadValid(bytes))) {
+    if (error != nullptr) {
       call.read_head_(socket, error);
       return;
     }
-    call.Close();
-    call.EndWith(call.AnswerError(too_long
-                                      ? "its head does not end, parse given up"
-                                      : "its head does not parse"));
+    const std::string_view bytes(socket->input->bytes, socket->input->size);
+    switch (CheckResponseHead(bytes.substr(0, kMaxHeadBytes))) {
+      case HeadState::kComplete:
+        call.read_head_(socket, nullptr);
+        return;
+      case HeadState::kIncomplete:
+        if (bytes.size() < kMaxHeadBytes) {
+          return;
+        }
+        call.EndMalformed("its head does not end, parse given up");
+        return;
+      case HeadState::kMalformed:
+        call.EndMalformed("its head does not parse");
+        return;
+    }
+  }
+
+  void EndMalformed(std::string_view reason) {
+    Close();
+    EndWith(AnswerError(reason));
   }
 
   // h2o treats any end of the connection as the end of a response without a
@@ -430,7 +395,7 @@
     if (options_.probe_after > Duration::zero()) {
       EnableKeepAlive(h2o_socket_get_fd(client->sock), options_.probe_after);
     }
-    CheckHeadFirst();
+    GuardHead();
     iovecs_[0] = {.base = head_.data(), .len = head_.size()};
     iovecs_[1] = {.base = body_.data(), .len = body_.size()};
     *bufs = iovecs_;
@@ -628,12 +593,12 @@
   Duration timeout_ = Duration::zero();
   Time last_progress_;
   Timer timer_;
-  Timer head_check_;
   Time timer_due_;
   bool sent_ = false;
   bool paused_ = false;
   BodyEnd body_end_ = BodyEnd::kLength;
-  // h2o's read callbacks, while they are wrapped.
+  // h2o's callbacks, while they are wrapped.
+  h2o_socket_cb request_written_ = nullptr;
   h2o_socket_cb read_head_ = nullptr;
   h2o_socket_cb read_until_end_ = nullptr;
   bool reset_ = false;  // The connection was reset or failed.
--- /dev/null
+++ b/src/io/response_head.h
@@ -0,0 +1,30 @@
+// Checks the head of an HTTP response before h2o's client parses it.
+//
+//   switch (CheckResponseHead(received)) {
+//     case HeadState::kIncomplete: ...  // Wait for more bytes.
+//     case HeadState::kComplete: ...    // h2o can handle it.
+//     case HeadState::kMalformed: ...   // Close the connection.
+//   }
+//
+// h2o's client aborts the process on some heads that its parser accepts: a
+// content length that is not a number, an unknown transfer encoding, an interim
+// (1xx) response that is cut off. It also stores a content length over the
+// state of its chunk decoder. The check is therefore stricter than the parser,
+// and h2o gets a head only once it is complete.
+#ifndef OLEANDER_IO_RESPONSE_HEAD_H_
+#define OLEANDER_IO_RESPONSE_HEAD_H_
+
+#include <string_view>
+
+namespace oleander::io {
+
+enum class HeadState { kIncomplete, kComplete, kMalformed };
+
+// `bytes` begins with the status line and may end anywhere. A line that ends
+// without a carriage return, a folded line, an interim response, and a head
+// that states its length twice are malformed.
+HeadState CheckResponseHead(std::string_view bytes);
+
+}  // namespace oleander::io
+
+#endif  // OLEANDER_IO_RESPONSE_HEAD_H_
--- a/test/error/http_bad_answer_test.cc
+++ b/test/error/http_bad_answer_test.cc
@@ -1,23 +1,31 @@
 // A response that violates the protocol ends its call with an error, does not
 // abort the process, and is not taken for a complete response.
 #include <boost/test/unit_test.hpp>
+#include <random>
 #include <string>
+#include <vector>
 
 #include "io/http_client.h"
 #include "oleander/result_code.h"
 #include "support/io_fixture.h"
+#include "support/mutant.h"
 #include "support/scripted_server.h"
 
 namespace oleander::io {
 namespace {
 
-HttpAnswer FetchFrom(EventLoop& loop, uint16_t port) {
+// A head without its last line.
+const std::string kChunkedHead =
+    "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n";
+
+HttpAnswer FetchFrom(EventLoop& loop, uint16_t port, std::string body = "") {
   HttpClient client(loop, std::chrono::seconds(5));
   bool done = false;
   HttpAnswer answer;
   HttpCallRequest request;
   request.address = kTestAddress;
   request.port = port;
+  request.body = std::move(body);
   client.Fetch(std::move(request), [&](HttpAnswer got) {
     answer = std::move(got);
     done = true;
@@ -45,8 +53,20 @@
       "HTTP/1.1 200 OK\r\ntransfer-encoding: gzip\r\n\r\n",
       "HTTP/1.1 100 Continue\r\n\r\n",
       "HTTP/1.1 103 Early Hints\r\n\r\nnot HTTP\r\n\r\n",
+      "HTTP/1.1  100 Continue\r\n\r\n",
+      "HTTP/1.2 100 Continue\r\n\r\n",
       "not HTTP at all\r\n\r\n",
       "HTTP/1.1 200",
+      // h2o's parser accepts these.
+      "HTTP/1.1 200 OK\ncontent-length: many\n\n",
+      "HTTP/1.1 200 OK\r\ncontent-length: 20C\n\r\n",
+      "HTTP/1.1 200 OK\r\ncontent-length: 20C\n\n",
+      "HTTP/1.1 200 OK\r\ntransfer-encoding: gzip\n\n",
+      "HTTP/1.1 200 OK\r\ncontent-length: 5 \r\n\r\nhello",
+      "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked \r\n\r\n0\r\n\r\n",
+      "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n 6\r\n\r\nhello",
+      "HTTP/1.1 200 OK\r\ncontent-length: 5\r\ncontent-length: 3\r\n\r\nhello",
+      kChunkedHead + "content-length: 5\r\n\r\n0\r\n\r\n",
   };
   for (const std::string& head : heads) {
     BOOST_TEST_CONTEXT(head) {
@@ -58,6 +78,83 @@
   }
 }
 
+// The server responds before the request is written.
+BOOST_AUTO_TEST_CASE(ends_the_call_while_the_request_is_being_sent) {
+  constexpr size_t kBodyBytes = size_t{8} << 20;
+  for (int round = 0; round < 20; ++round) {
+    EventLoop loop;
+    ScriptedServer server(loop, kTestAddress, [](const std::string&) {
+      return ScriptedAnswer{.bytes =
+                                "HTTP/1.1 413 Too Large\r\n"
+                                "content-length: 2C\r\n\r\n"};
+    });
+    const HttpAnswer answer =
+        FetchFrom(loop, server.port(), std::string(kBodyBytes, 'x'));
+    BOOST_TEST(!answer.end.status.ok());
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(mutated_answers)
+
+const std::string kSound[] = {
+    "HTTP/1.1 200 OK\r\nx-id: 7\r\ncontent-length: 5\r\n\r\nhello",
+    kChunkedHead +
+        "\r\n5\r\nhello\r\n3;name=value\r\nyou\r\n0\r\nx-trailer: 1\r\n\r\n",
+    "HTTP/1.0 200 OK\r\ncontent-type: text/plain\r\n\r\nhello",
+    "HTTP/1.1 503 Full\r\nretry-after: 1\r\ncontent-length: 0\r\n\r\n",
+    "HTTP/1.1 204 None\r\n\r\n",
+    "HTTP/1.1 103 Hints\r\n\r\n" + kChunkedHead + "\r\n0\r\n\r\n",
+};
+
+// Gives each answer to one call and expects that every call ends.
+void FetchAll(const std::vector<std::string>& answers) {
+  constexpr size_t kCallsAtOnce = 50;
+  EventLoop loop;
+  size_t next = 0;
+  ScriptedServer server(loop, kTestAddress, [&](const std::string&) {
+    return ScriptedAnswer{.bytes = answers[next++],
+                          .after = AfterAnswer::kClose};
+  });
+  HttpClient client(loop, std::chrono::seconds(5));
+  for (size_t begin = 0; begin < answers.size(); begin += kCallsAtOnce) {
+    const size_t calls = std::min(kCallsAtOnce, answers.size() - begin);
+    size_t ended = 0;
+    for (size_t call = 0; call < calls; ++call) {
+      HttpCallRequest request;
+      request.address = kTestAddress;
+      request.port = server.port();
+      client.Fetch(std::move(request), [&](const HttpAnswer&) { ++ended; });
+    }
+    BOOST_TEST_REQUIRE(RunUntil(loop, [&] { return ended == calls; }));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(end_no_process_with_one_byte_changed) {
+  std::vector<std::string> answers;
+  for (const std::string& sound : kSound) {
+    for (size_t at = 0; at < sound.size(); ++at) {
+      for (const char other : {'C', '\n', '\r', ' ', ':', '\0', '\xff'}) {
+        answers.push_back(sound);
+        answers.back()[at] = other;
+      }
+    }
+  }
+  FetchAll(answers);
+}
+
+BOOST_AUTO_TEST_CASE(end_no_process_with_several_bytes_changed) {
+  std::mt19937_64 gen(1);
+  std::vector<std::string> answers;
+  for (int round = 0; round < 500; ++round) {
+    for (const std::string& sound : kSound) {
+      answers.push_back(Mutant(sound, gen));
+    }
+  }
+  FetchAll(answers);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(an_answer_without_a_length)
--- a/test/support/scripted_server.h
+++ b/test/support/scripted_server.h
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <array>
 #include <boost/test/unit_test.hpp>
+#include <cerrno>
 #include <functional>
 #include <memory>
 #include <string>
@@ -56,6 +57,8 @@
   // connection while they were being sent.
   size_t repeated_bytes_sent() const { return repeated_bytes_sent_; }
   bool caller_closed() const { return caller_closed_; }
+  // The number of connections that callers reset.
+  int resets() const { return resets_; }
   const std::vector<std::string>& requests() const { return requests_; }
 
  private:
@@ -96,6 +99,7 @@
     const ssize_t count =
         recv(connection.fd, buffer.data(), buffer.size(), MSG_DONTWAIT);
     if (count <= 0) {
+      resets_ += count < 0 && errno == ECONNRESET ? 1 : 0;
       caller_closed_ = caller_closed_ || connection.repeat_timer.active();
       connection.repeat_timer.Cancel();
       connection.watch.reset();
@@ -138,6 +142,7 @@
   int accepted_ = 0;
   size_t repeated_bytes_sent_ = 0;
   bool caller_closed_ = false;
+  int resets_ = 0;
   std::unique_ptr<EventLoop::FdWatch> watch_;
   std::vector<std::shared_ptr<Connection>> connections_;
   std::vector<std::string> requests_;
