Keep a restarted instance from taking its duty back at once

Cause: the cooldown after a turn lived in the memory of the process; the store had no record of earlier holders.

Ruled out: two holders at once. The fencing numbers rise with each turn, and each lease was given up before the next was granted.

Change: a holder writes the names of the last eight holders in the transaction that takes the duty. A new process that finds itself there behind another holder waits for the cooldown from its own start. After a restore from an older copy, which may lack a turn, a process that started in the new era waits a cooldown after the last possible turn of the era before. No call is added; an ordinary take-over and a restart of the last holder take no longer than before (takes_it_at_once_...).

--- a/include/oleander/leases.h
+++ b/include/oleander/leases.h
@@ -19,6 +19,11 @@
 // restored from an older copy and reuses revisions. That copy may lack the key
 // of a holder that still acts, so no instance takes the duty until an era has
 // lasted as long as a lease.
+//
+// A second key, without a lease, names the last holders. From it a new process
+// of an instance learns that its predecessor held the duty, and that another
+// instance has held it since. It then doesn't take the duty back before the
+// cooldown has passed since its own start.
 #ifndef OLEANDER_LEASES_H_
 #define OLEANDER_LEASES_H_
 
@@ -48,7 +53,9 @@
   // Between two checks whether the duty is free, which cost one read each.
   Duration retry_interval = std::chrono::seconds(2);
   // After this instance gave the duty up or lost it, it doesn't try again for
-  // this long, so that two instances don't alternate in quick succession.
+  // this long, so that two instances don't alternate in quick succession. Also
+  // applies across a restart of the process, if another instance has held the
+  // duty meanwhile.
   Duration cooldown = Duration::zero();
 };
 
@@ -63,7 +70,14 @@
   std::string reason;
 };
 
-using LeaseAction = std::variant<StoreRequest, LeaseTaken, LeaseDropped>;
+// The duty is free, but this instance must not take it yet: an earlier process
+// of it may have held the duty right before the last holder.
+struct LeaseDeferred {
+  Duration wait{};
+};
+
+using LeaseAction =
+    std::variant<StoreRequest, LeaseTaken, LeaseDropped, LeaseDeferred>;
 
 // The state machine of one instance's lease on one duty. It does no I/O:
 // TakeActions() returns the requests to send to the key-value service.
@@ -131,6 +145,9 @@
   Time earliest_check() const {
     return std::max(cooldown_until_, era_safe_from_);
   }
+  // Returns the end of the cooldown of an earlier process of this instance,
+  // given the last holders of this era, newest first.
+  Time PredecessorCooldownEnd(const std::vector<InstanceId>& holders) const;
   // Reads the key back to find out whether a lost creation took effect.
   void ReadHolder();
   void OnRenewed(const absl::StatusOr<StoreLeaseAnswer>& answer, Time now);
@@ -147,6 +164,11 @@
 
   LeaseOptions options_;
   std::string key_;
+  std::string holders_key_;  // Names the last holders.
+  // The content of that key when it was last read.
+  std::vector<InstanceId> last_holders_;
+  int64_t holders_revision_ = 0;  // 0 if the key didn't exist.
+  Time started_;                  // When this process started.
   std::mt19937_64 gen_;
   bool wanted_ = false;
   Phase phase_ = Phase::kIdle;
@@ -157,7 +179,8 @@
   Time sent_at_;      // When the pending grant or renewal was sent.
   Time next_;
   Time cooldown_until_;
-  int64_t era_ = 0;     // The era that the service names, or 0.
+  int64_t era_ = 0;               // The era that the service names, or 0.
+  Time era_began_ = Time::min();  // At the latest.
   Time era_safe_from_;  // From then on no holder of an earlier era acts.
   StoreCall call_ = 0;
   StoreCall pending_ = 0;
--- a/src/entry/duty_lease.cc
+++ b/src/entry/duty_lease.cc
@@ -97,18 +97,27 @@
   keeper_.Tick(loop_.now());
   for (const LeaseAction& action : keeper_.TakeActions()) {
     std::visit(
-        Overloaded{[this](const StoreRequest& request) { Send(request); },
-                   [this](const LeaseTaken& taken) {
-                     io::Log(io::LogLevel::kInfo, "duty.taken",
-                             {{"key", keeper_.key()}, {"fence", taken.fence}});
-                     on_taken_();
-                   },
-                   [this](const LeaseDropped& dropped) {
-                     io::Log(io::LogLevel::kInfo, "duty.dropped",
-                             {{"key", keeper_.key()},
-                              {"fence", dropped.fence},
-                              {"reason", dropped.reason}});
-                   }},
+        Overloaded{
+            [this](const StoreRequest& request) { Send(request); },
+            [this](const LeaseTaken& taken) {
+              io::Log(io::LogLevel::kInfo, "duty.taken",
+                      {{"key", keeper_.key()}, {"fence", taken.fence}});
+              on_taken_();
+            },
+            [this](const LeaseDropped& dropped) {
+              io::Log(io::LogLevel::kInfo, "duty.dropped",
+                      {{"key", keeper_.key()},
+                       {"fence", dropped.fence},
+                       {"reason", dropped.reason}});
+            },
+            [this](const LeaseDeferred& deferred) {
+              io::Log(
+                  io::LogLevel::kInfo, "duty.deferred",
+                  {{"key", keeper_.key()},
+                   {"ms", std::chrono::duration_cast<std::chrono::milliseconds>(
+                              deferred.wait)
+                              .count()}});
+            }},
         action);
   }
   const Time due = keeper_.next_due();
--- a/src/node/capacity_driver.cc
+++ b/src/node/capacity_driver.cc
@@ -129,6 +129,14 @@
   planners_.clear();
 }
 
+void CapacityDriver::Perform(const LeaseDeferred& deferred) {
+  io::Log(io::LogLevel::kInfo, "lease.deferred",
+          {{"duty", lease_.key()},
+           {"ms",
+            std::chrono::duration_cast<std::chrono::milliseconds>(deferred.wait)
+                .count()}});
+}
+
 void CapacityDriver::Run(const StoreRange& request) {
   parts_.store.Range(StoreClass::kLease, request,
                      [this, call = request.call](
--- a/src/node/capacity_driver.h
+++ b/src/node/capacity_driver.h
@@ -57,6 +57,7 @@
   void Perform(const StoreRequest& request);
   void Perform(const LeaseTaken& taken);
   void Perform(const LeaseDropped& dropped);
+  void Perform(const LeaseDeferred& deferred);
   void Run(const StoreRange& request);
   void Run(const StoreCas& request);
   void Run(const StoreLeaseGrant& request);
--- a/src/parts/leases.cc
+++ b/src/parts/leases.cc
@@ -3,7 +3,9 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <iterator>
 #include <random>
+#include <sstream>
 #include <utility>
 
 #include "oleander/invariant.h"
@@ -16,6 +18,9 @@
 // A fencing number is the era, shifted left by this, plus a revision. The sum
 // stays exact in a reader that stores numbers as doubles.
 constexpr int kRevisionBits = 40;
+// The holders that the service remembers. Holders alternate no faster than once
+// per round trip, so in a cooldown there may be several.
+constexpr size_t kRememberedHolders = 8;
 
 // Returns the value of the duty's key. It has the lease besides the holder's
 // id, so that a read after a lost reply distinguishes this try of the instance
@@ -28,11 +33,46 @@
   return InstanceId(value.substr(0, value.find(' ')));
 }
 
+// The value of the key that names the last holders: their ids, newest first,
+// separated by spaces.
+std::string HoldersValue(const std::vector<InstanceId>& holders) {
+  std::vector<std::string> names;
+  std::ranges::transform(holders, std::back_inserter(names),
+                         &InstanceId::value);
+  return fmt::format("{}", fmt::join(names, " "));
+}
+
+std::vector<InstanceId> HoldersIn(const std::string& value) {
+  std::vector<InstanceId> holders;
+  std::istringstream names(value);
+  for (std::string name; names >> name;) {
+    holders.emplace_back(name);
+  }
+  return holders;
+}
+
+// Returns `holders` with `newest` in front, without its earlier place.
+std::vector<InstanceId> WithNewest(const InstanceId& newest,
+                                   std::vector<InstanceId> holders) {
+  std::erase(holders, newest);
+  holders.insert(holders.begin(), newest);
+  holders.resize(std::min(holders.size(), kRememberedHolders));
+  return holders;
+}
+
+const StoreEntry* FindEntry(const std::vector<StoreEntry>& entries,
+                            const std::string& key) {
+  const auto found = std::ranges::find(entries, key, &StoreEntry::key);
+  return found == entries.end() ? nullptr : &*found;
+}
+
 }  // namespace
 
 LeaseKeeper::LeaseKeeper(LeaseOptions options, uint64_t seed, Time now)
     : options_(std::move(options)),
       key_("/oleander/leases/" + options_.duty),
+      holders_key_(key_ + "/holders"),
+      started_(now),
       gen_(seed),
       next_(now) {}
 
@@ -70,13 +110,17 @@
   valid_until_ = sent_at_ + answer->ttl;
   phase_ = Phase::kTaking;
   pending_ = NextCall();
-  SendStoreRequest(
-      StoreCas{.call = pending_,
-               .compares = {{.key = key_, .mod_revision = 0}},
-               .puts = {{.key = key_,
-                         .value = HolderValue(options_.self, lease_),
-                         .lease = lease_}},
-               .deletes = {}});
+  SendStoreRequest(StoreCas{
+      .call = pending_,
+      .compares = {{.key = key_, .mod_revision = 0},
+                   {.key = holders_key_, .mod_revision = holders_revision_}},
+      .puts = {{.key = key_,
+                .value = HolderValue(options_.self, lease_),
+                .lease = lease_},
+               {.key = holders_key_,
+                .value =
+                    HoldersValue(WithNewest(options_.self, last_holders_))}},
+      .deletes = {}});
 }
 
 void LeaseKeeper::OnRenewed(const absl::StatusOr<StoreLeaseAnswer>& answer,
@@ -108,11 +152,15 @@
     OnAcquired(answer->revision, now);
     return;
   }
-  if (!answer->current.empty()) {
-    holder_ = HolderIn(answer->current.front().value);
-  }
+  const StoreEntry* holder = FindEntry(answer->current, key_);
   Revoke();
   ScheduleRetry(now);
+  if (holder != nullptr) {
+    holder_ = HolderIn(holder->value);
+  } else {
+    // Another instance held the duty since the check, and gave it up.
+    CheckNow(now);
+  }
 }
 
 void LeaseKeeper::OnRange(StoreCall call,
@@ -150,19 +198,48 @@
 
 void LeaseKeeper::OnChecked(const absl::StatusOr<StoreRangeAnswer>& answer,
                             Time now) {
-  if (answer.ok() && answer->entries.empty()) {
-    Grant(now);
+  if (!answer.ok()) {
+    ScheduleRetry(now);
     return;
   }
-  if (answer.ok()) {
-    holder_ = HolderIn(answer->entries.front().value);
+  if (const StoreEntry* holder = FindEntry(answer->entries, key_)) {
+    holder_ = HolderIn(holder->value);
+    ScheduleRetry(now);
+    return;
   }
+  const StoreEntry* holders = FindEntry(answer->entries, holders_key_);
+  last_holders_ = holders == nullptr ? std::vector<InstanceId>()
+                                     : HoldersIn(holders->value);
+  holders_revision_ = holders == nullptr ? 0 : holders->mod_revision;
+  const Time cooldown_end = PredecessorCooldownEnd(last_holders_);
+  if (now >= cooldown_end) {
+    Grant(now);
+    return;
+  }
+  actions_.emplace_back(LeaseDeferred{.wait = cooldown_end - now});
   ScheduleRetry(now);
+  next_ = cooldown_end;
+}
+
+Time LeaseKeeper::PredecessorCooldownEnd(
+    const std::vector<InstanceId>& holders) const {
+  const auto found = std::ranges::find(holders, options_.self);
+  if (found != holders.end() && found != holders.begin()) {
+    return started_ + options_.cooldown;
+  }
+  // A holder of the earlier era, which this one has no record of, may have
+  // acted until its lease ran out. A process that is older than the era knows
+  // its own turns.
+  const Time last_unrecorded_turn =
+      std::min(started_, era_began_ + options_.ttl);
+  return started_ < era_began_ ? Time::min()
+                               : last_unrecorded_turn + options_.cooldown;
 }
 
 void LeaseKeeper::OnEra(int64_t era, Duration age, Time now) {
   const bool era_changed = era_ != 0 && era != era_;
   era_ = era;
+  era_began_ = now - age;
   era_safe_from_ = now + std::max(Duration::zero(), options_.ttl - age);
   if (era_changed) {
     // The restored service may have issued the lease's id to another instance,
@@ -306,7 +383,7 @@
   phase_ = Phase::kChecking;
   pending_ = NextCall();
   next_ = now + Jittered(options_.ttl);
-  SendStoreRequest(StoreRange{.call = pending_, .key = key_, .prefix = false});
+  SendStoreRequest(StoreRange{.call = pending_, .key = key_, .prefix = true});
 }
 
 void LeaseKeeper::Grant(Time now) {
