Reset the connection of a call that is given up

Cause: a call that timed out was closed in the ordinary way, so the kernel went on delivering its bytes after the lease had ended.

Ruled out: orders after the end of the lease. The holder's log has none.

Change: the client resets the connection of each call that it gives up, so undelivered bytes are dropped. Calls with a token or an effect (orders, usage reports, the store's transactions and leases, and the same in src/io for src/node) also set SO_LINGER and TCP_USER_TIMEOUT, which act when the process is killed or suspended.

Why it works: the timeout of such a call, and at most 0.5 s to connect, end before the lease (at least 1 s and a margin of 1.2 s), and nothing that was given up is delivered later.

--- a/src/io/cloud_client.cc
+++ b/src/io/cloud_client.cc
@@ -144,6 +144,7 @@
   request.options.connect_timeout = kTimeout;
   request.options.head_timeout = kTimeout;
   request.options.progress_timeout = kTimeout;
+  request.options.drop_undelivered = request.method != "GET";
   return request;
 }
 
--- a/src/io/engine_client.cc
+++ b/src/io/engine_client.cc
@@ -39,6 +39,7 @@
   request.body = std::move(body);
   request.options.head_timeout = timeout;
   request.options.progress_timeout = timeout;
+  request.options.drop_undelivered = request.method != "GET";
   return request;
 }
 
--- a/src/io/http_client.cc
+++ b/src/io/http_client.cc
@@ -185,6 +185,22 @@
   setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &missing, sizeof missing);
 }
 
+// Makes the end of the connection a reset, which drops what was not delivered.
+// An orderly close would leave it to the kernel to deliver it later.
+void ResetAtEnd(int fd) {
+  const linger none = {.l_onoff = 1, .l_linger = 0};
+  setsockopt(fd, SOL_SOCKET, SO_LINGER, &none, sizeof none);
+}
+
+// Makes the kernel end the connection if sent bytes aren't acknowledged in
+// time.
+void LimitDelivery(int fd, Duration bound) {
+  const auto milliseconds = static_cast<unsigned int>(
+      std::chrono::ceil<std::chrono::milliseconds>(bound).count());
+  setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds,
+             sizeof milliseconds);
+}
+
 // One call. h2o destroys its client object after the callback that ends it, so
 // such callbacks set `client_` to null. A call that is cancelled inside a
 // callback ends through the callback's result instead of h2o's cancel function.
@@ -392,8 +408,13 @@
     sent_ = true;
     phase_ = Phase::kHead;
     StartTimeout(options_.head_timeout);
+    const int fd = h2o_socket_get_fd(client->sock);
     if (options_.probe_after > Duration::zero()) {
-      EnableKeepAlive(h2o_socket_get_fd(client->sock), options_.probe_after);
+      EnableKeepAlive(fd, options_.probe_after);
+    }
+    if (options_.drop_undelivered) {
+      ResetAtEnd(fd);
+      LimitDelivery(fd, options_.head_timeout);
     }
     GuardHead();
     iovecs_[0] = {.base = head_.data(), .len = head_.size()};
@@ -542,11 +563,19 @@
   void Close() {
     timer_.Cancel();
     if (client_ != nullptr && !in_callback_) {
+      ResetConnection();
       h2o_http1client_cancel(std::exchange(client_, nullptr));
       ReleaseShared();
     }
   }
 
+  void ResetConnection() {
+    // There is no socket while the call connects.
+    if (client_ != nullptr && client_->sock != nullptr) {
+      ResetAtEnd(h2o_socket_get_fd(client_->sock));
+    }
+  }
+
   // h2o uses the pool and the context after the callback that ends the call, so
   // they are released in the next round.
   void ReleaseShared() {
@@ -569,6 +598,7 @@
     ~InCallback() {
       call_.in_callback_ = false;
       if (call_.ended_) {
+        call_.ResetConnection();
         call_.client_ = nullptr;
       }
     }
--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -29,6 +29,11 @@
   Duration head_timeout = std::chrono::seconds(30);
   // Between two pieces of the response's body.
   Duration progress_timeout = std::chrono::seconds(30);
+  // A call that is given up resets its connection, so that bytes which a cut
+  // link held up can't arrive later. With this set, the operating system also
+  // drops such bytes if the process is killed, or is suspended for longer than
+  // `head_timeout`. For calls that must not arrive late.
+  bool drop_undelivered = false;
 };
 
 struct HttpCallRequest {
@@ -61,8 +66,8 @@
   std::function<void(const HttpCallEnd& end)> on_end;
 };
 
-// The handle of a call. Destroying it cancels the call: the connection is
-// closed and no further callback is called.
+// The handle of a call. Destroying it cancels the call: the connection is reset
+// and no further callback is called.
 class HttpCall {
  public:
   virtual ~HttpCall() = default;
--- a/src/io/kv_client.cc
+++ b/src/io/kv_client.cc
@@ -276,6 +276,7 @@
   request.options.connect_timeout = timeout_;
   request.options.head_timeout = timeout_;
   request.options.progress_timeout = timeout_;
+  request.options.drop_undelivered = true;
   return request;
 }
 
