Test answers that stop at any byte, and chunks without end

Two reports of other operators: bytes that are no answer, without end, in a head or a body; and a head that stops and closes, passed on as a whole answer. Neither happens here.

- an_answer_that_stops cuts an answer with a length, one without, one in chunks and a stream at every byte of head and body.
Each is 502 or a stream that is broken off, never whole.
- between_chunks_and_after_the_last_are_no_answer sends endless chunk sizes, extensions and trailers.

--- a/test/error/answer_claims_test.cc
+++ b/test/error/answer_claims_test.cc
@@ -98,6 +98,58 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// A server that stops inside its answer and closes the connection.
+BOOST_AUTO_TEST_SUITE(an_answer_that_stops)
+
+std::string RequestCutAt(const std::string& path, const std::string& whole,
+                         size_t cut) {
+  EntryFixture entry;
+  entry.AddServer([&](const std::string&) -> ScriptedAnswer {
+    return {.bytes = whole.substr(0, cut), .after = AfterAnswer::kClose};
+  });
+  return entry.Request(path);
+}
+
+BOOST_AUTO_TEST_CASE(at_any_byte_of_its_head_or_body_is_no_answer) {
+  const std::string whole = SealedAnswer("done");
+  for (size_t cut = 0; cut < whole.size(); ++cut) {
+    BOOST_TEST_REQUIRE(StatusOf(RequestCutAt("/once/a", whole, cut)) == 502,
+                       "cut at byte " << cut);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(at_any_byte_of_a_head_without_a_length_is_no_answer) {
+  const std::string head = HeadWithoutLength();
+  for (size_t cut = 0; cut < head.size(); ++cut) {
+    BOOST_TEST_REQUIRE(StatusOf(RequestCutAt("/once/a", head, cut)) == 502,
+                       "cut at byte " << cut);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(at_any_byte_of_a_chunked_body_is_no_answer) {
+  const std::string head = StreamHead().replace(
+      StreamHead().find("text/event-stream"), 17, "application/json");
+  const std::string whole = head + Chunk("do") + Chunk("ne") + kLastChunk;
+  for (size_t cut = 0; cut < whole.size(); ++cut) {
+    BOOST_TEST_REQUIRE(StatusOf(RequestCutAt("/once/a", whole, cut)) == 502,
+                       "cut at byte " << cut);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(at_any_byte_of_a_stream_is_passed_on_as_broken) {
+  const std::string whole =
+      StreamHead() + Chunk(Event(1)) + Chunk(Event(2)) + kLastChunk;
+  for (size_t cut = 0; cut < whole.size(); ++cut) {
+    const std::string answer = RequestCutAt("/stream/a", whole, cut);
+    const bool began = cut >= StreamHead().size() + Chunk(Event(1)).size() - 2;
+    BOOST_TEST_REQUIRE(StatusOf(answer) == (began ? 200 : 502),
+                       "cut at byte " << cut);
+    BOOST_TEST_REQUIRE(!answer.ends_with(kLastChunk), "cut at byte " << cut);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(an_answer_that_ends_with_its_connection)
 
 BOOST_AUTO_TEST_CASE(is_complete_if_the_connection_was_closed) {
--- a/test/error/forwarded_call_test.cc
+++ b/test/error/forwarded_call_test.cc
@@ -259,6 +259,24 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(between_chunks_and_after_the_last_are_no_answer) {
+  const std::string begins[] = {"5;", "5", "0;",
+                                "0\r\nx-trailer: ", "0\r\nx-trailer: a\r\n"};
+  for (const std::string& begin : begins) {
+    EntryFixture entry;
+    entry.context.max_answer_bytes = size_t{1} << 20;
+    io::ScriptedServer& server = entry.AddServer(
+        Always({.bytes = StreamHead() + begin, .repeated = kBlock}));
+    const std::string answer = entry.Request("/once/a");
+    BOOST_TEST_CONTEXT(begin) {
+      BOOST_TEST((StatusOf(answer) == 502 || StatusOf(answer) == 504));
+      BOOST_TEST(
+          io::RunUntil(entry.loop, [&] { return server.caller_closed(); }));
+      BOOST_TEST(entry.context.collected_bytes == 0U);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(of_many_answers_share_one_bound) {
   EntryFixture entry;
   entry.context.max_collected_bytes = size_t{64} << 10;
