Answer the calls that are open at the end of a planned stop

Cause: the stop closed every connection, which looks like callers that leave; nothing ended the calls. Ruled out: requests that come late in the grace. They are refused from 2.7 s on, on kept and new connections.

Change: at the end of the grace each open call gets its final answer: 502 with an unknown outcome if a byte of it has left, 503 if not, a broken stream if it has begun. CallContext keeps the open calls instead of their number. entry.stopping logs how many were given up.

--- a/src/entry/call_context.h
+++ b/src/entry/call_context.h
@@ -7,6 +7,7 @@
 #include <limits>
 #include <memory>
 
+#include "absl/container/flat_hash_set.h"
 #include "entry/entry_metrics.h"
 #include "entry/quota_gate.h"
 #include "entry/region_placer.h"
@@ -26,6 +27,8 @@
 
 namespace oleander::entry {
 
+class ForwardedCall;
+
 struct CallContext {
   io::EventLoop& loop;
   io::HttpClient& servers_client;
@@ -49,7 +52,7 @@
   UsageWindows usage;
   QuotaGate quotas;
   std::shared_ptr<const ServingConfig> config = nullptr;  // Null until read.
-  size_t open_calls = 0;  // Accepted and not finished.
+  absl::flat_hash_set<ForwardedCall*> open_calls = {};
   size_t max_calls = std::numeric_limits<size_t>::max();
   // Bytes of all answers that are being buffered in full, and the limits for
   // one answer and for all.
--- a/src/entry/call_handler.cc
+++ b/src/entry/call_handler.cc
@@ -4,6 +4,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "entry/poison_guard.h"
@@ -97,6 +98,15 @@
   }
 }
 
+size_t CallHandler::EndOpenCalls() {
+  std::vector<std::shared_ptr<ForwardedCall>> calls;
+  std::ranges::transform(
+      context_.open_calls, std::back_inserter(calls),
+      [](ForwardedCall* call) { return call->shared_from_this(); });
+  std::ranges::for_each(calls, &ForwardedCall::OnStop);
+  return calls.size();
+}
+
 void CallHandler::Process(std::shared_ptr<io::HttpExchange> exchange,
                           Time arrived) {
   AcceptedCall call;
@@ -139,7 +149,7 @@
 }
 
 absl::Status CallHandler::Accept(AcceptedCall& call) const {
-  if (context_.open_calls >= context_.max_calls) {
+  if (context_.open_calls.size() >= context_.max_calls) {
     return Unready(ResultCode::kMemoryFull,
                    "This instance has as many open requests as its memory "
                    "allows.");
--- a/src/entry/call_handler.h
+++ b/src/entry/call_handler.h
@@ -22,6 +22,9 @@
   // Processes the parked requests if the configuration and the servers are now
   // known.
   void Resume();
+  // Sends each open call its final answer, because the process is about to end.
+  // Returns their number.
+  size_t EndOpenCalls();
 
  private:
   // A request that arrived before the configuration and the servers were known.
--- a/src/entry/entry_node.cc
+++ b/src/entry/entry_node.cc
@@ -468,6 +468,8 @@
     const bool idle =
         callers_->open_exchanges() == 0 && callers_->open_connections() == 0;
     if (idle || loop_.now() >= stop_by_) {
+      io::Log(io::LogLevel::kInfo, "entry.stopping",
+              {{"calls_given_up", handler_.EndOpenCalls()}});
       duty_timer_ = loop_.After(kLastWriteTimeout, [this] { loop_.Stop(); });
       records_.WriteLast([this] { loop_.Stop(); });
       return;
--- a/src/entry/forwarded_call.cc
+++ b/src/entry/forwarded_call.cc
@@ -63,11 +63,11 @@
       call_(std::move(call)),
       placement_request_(PlacementRequestFor(call_)),
       cutter_(kMaxEventBytes) {
-  ++context_.open_calls;
+  context_.open_calls.insert(this);
 }
 
 ForwardedCall::~ForwardedCall() {
-  --context_.open_calls;
+  context_.open_calls.erase(this);
   ClearCollectedBody();
   if (server_) {
     context_.placement.OnEnded(context_.loop.now(), *server_, placement_call_);
@@ -519,11 +519,7 @@
   if (finished_) {
     return;
   }
-  const bool sent = server_call_ != nullptr && server_call_->sent();
-  EndAttempt(/*failed=*/false);
-  if (stream_started()) {
-    AbortStream("the deadline passed");
-  } else if (sent || attempts_.may_have_run > 0) {
+  if (GiveUpAttempt()) {
     Fail(ResultCode::kDeadlinePassed, "The request's deadline passed.");
   } else {
     Refuse(ResultCode::kDeadlineUnreachable,
@@ -531,6 +527,25 @@
   }
 }
 
+void ForwardedCall::OnStop() {
+  if (finished_) {
+    return;
+  }
+  if (GiveUpAttempt()) {
+    Fail(ResultCode::kAnswerLost,
+         "This instance stops before the server has answered.");
+  } else {
+    Refuse(ResultCode::kDraining,
+           "This instance stops before the request was sent to a server.");
+  }
+}
+
+bool ForwardedCall::GiveUpAttempt() {
+  const bool sent = server_call_ != nullptr && server_call_->sent();
+  EndAttempt(/*failed=*/false);
+  return sent || attempts_.may_have_run > 0;
+}
+
 void ForwardedCall::FinishAttempt(SendOutcome outcome,
                                   std::string_view reason) {
   const bool failed =
--- a/src/entry/forwarded_call.h
+++ b/src/entry/forwarded_call.h
@@ -48,6 +48,9 @@
   // Starts the deadline timer and the first attempt. From then on the exchange
   // owns the call.
   void Start();
+  // The process is about to end: sends the final answer, if the call isn't
+  // finished.
+  void OnStop();
 
  private:
   // How the body of the current attempt's answer is handled.
@@ -80,6 +83,8 @@
   void OnEnd(const io::HttpCallEnd& end);
   void OnCallerDisconnected();
   void OnDeadline();
+  // Ends the current attempt. Returns whether any attempt may have run.
+  bool GiveUpAttempt();
   void StartStream();
   void ForwardEvents(std::string_view chunk);
   void DiscardBody();
--- a/test/error/forwarded_call_test.cc
+++ b/test/error/forwarded_call_test.cc
@@ -451,7 +451,7 @@
   entry.RequestAndLeave("/stream/a",
                         [&] { return !server.requests().empty(); });
   BOOST_TEST(io::RunUntil(entry.loop, [&] { return server.caller_closed(); }));
-  BOOST_TEST(entry.context.open_calls == 0U);
+  BOOST_TEST(entry.context.open_calls.empty());
 }
 
 // GONE on tortared-large: a busy instance reads request and close at once.
@@ -464,7 +464,38 @@
   }
   io::RunFor(entry.loop, std::chrono::milliseconds(200));
   BOOST_TEST(server.requests().size() == 1U);
-  BOOST_TEST(entry.context.open_calls == 0U);
+  BOOST_TEST(entry.context.open_calls.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+// The end of a planned stop closed connections without an answer.
+BOOST_AUTO_TEST_SUITE(a_call_that_the_stop_of_the_process_finds)
+
+BOOST_AUTO_TEST_CASE(gets_its_final_answer) {
+  EntryFixture entry;
+  io::ScriptedServer& server = entry.AddServer(Always({.bytes = ""}));
+  const io::Timer stop = entry.loop.Every(std::chrono::milliseconds(1), [&] {
+    if (!server.requests().empty()) {
+      entry.handler().EndOpenCalls();
+    }
+  });
+  const Time sent_at = entry.loop.now();
+  const std::string answer = entry.Request("/once/a");
+  BOOST_TEST(StatusOf(answer) == 502);
+  BOOST_TEST(Holds(answer, "\"ran\":\"unknown\""));
+  BOOST_TEST((entry.loop.now() - sent_at < std::chrono::seconds(1)));
+  BOOST_TEST(entry.context.open_calls.empty());
+}
+
+BOOST_AUTO_TEST_CASE(ends_as_broken_if_its_stream_has_begun) {
+  EntryFixture entry;
+  entry.AddServer(Always({.bytes = StreamHead() + Chunk(Event(1))}));
+  const io::Timer stop = entry.loop.After(
+      std::chrono::milliseconds(100), [&] { entry.handler().EndOpenCalls(); });
+  const std::string answer = entry.Request("/stream/a");
+  BOOST_TEST(Holds(answer, Event(1)));
+  BOOST_TEST(!answer.ends_with(kLastChunk));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
@@ -480,7 +511,7 @@
   entry.context.max_calls = 1;
   BOOST_TEST(StatusOf(entry.Request("/once/a")) == 200);
   BOOST_TEST(StatusOf(entry.Request("/once/a")) == 200);
-  BOOST_TEST(entry.context.open_calls == 0U);
+  BOOST_TEST(entry.context.open_calls.empty());
 }
 
 BOOST_AUTO_TEST_CASE(a_leaving_server_gets_no_call) {
--- a/test/support/entry_fixture.h
+++ b/test/support/entry_fixture.h
@@ -139,6 +139,7 @@
   }
 
   EntryMetrics& metrics() { return metrics_; }
+  CallHandler& handler() { return handler_; }
 
   io::EventLoop loop;
 
