--- a/src/parts/leases.cc
+++ b/src/parts/leases.cc
@@ -227,9 +227,10 @@
   if (found != holders.end() && found != holders.begin()) {
     return started_ + options_.cooldown;
   }
-  // A holder of the earlier era, which this one has no record of, may have
-  // acted until its lease ran out. A process that is older than the era knows
-  // its own turns.
+  // The predecessor may have been the holder in the earlier era, which this one
+  // has no record of, until its lease ran out. A process that is older than the
+  // era knows its own turns. One that doesn't know the era's age seems older,
+  // but doesn't take the duty before a lease has passed since its start.
   const Time last_unrecorded_turn =
       std::min(started_, era_began_ + options_.ttl);
   return started_ < era_began_ ? Time::min()
--- a/test/correctness/leases_test.cc
+++ b/test/correctness/leases_test.cc
@@ -344,7 +344,8 @@
     machine.process =
         std::make_unique<Holder>(name, store_, now_, kCooldown, gen_());
     machine.ends_at = Time::max();
-    const Duration age = first ? Duration::max() : now_ - era_began_;
+    const Duration known_age = Chance(2) ? now_ - era_began_ : Duration::zero();
+    const Duration age = first ? Duration::max() : known_age;
     machine.process->keeper.OnEra(era_, age, now_);
     machine.seen_era = era_;
     machine.process->keeper.Want(true, now_);
