Guard the head of an answer that comes before its request

Cause: the guard was installed one round after the request was written. On a kept connection h2o writes at once and polls the socket before that round, so bytes that had arrived since the connection was chosen (an answer without a request) reached h2o's parser unchecked and could abort the process.

Ruled out: new connections. There h2o writes in the round that connects, and reads after the next poll.

Change: the guard is installed right after the call that connects; on a new connection, and where a long request is still being written, as before.

Evidence: ends_the_call_if_it_arrives_before_the_request aborted with the version before (SIGABRT) and passes now, three runs of the suite. The server of the test sends nothing for an empty script, since the client has reset the connection by then.

--- a/src/io/http_client.cc
+++ b/src/io/http_client.cc
@@ -233,6 +233,9 @@
     StartTimeout(options_.connect_timeout);
     h2o_http1client_connect_with_pool(&client_, this, context_->raw(),
                                       pool_->raw(), OnConnect);
+    // On a kept connection the request was written just now. On a new one
+    // Connected() sees to it.
+    GuardHead();
   }
 
   void Cancel() {
@@ -301,22 +304,19 @@
 
   // Wraps h2o's callbacks, so that the response head is checked before h2o
   // parses it. h2o sets its read callback when the request is written, and the
-  // server may respond before.
+  // server may respond before. Must be called after h2o began to write, and
+  // before the loop polls the socket; further calls have no effect.
   void GuardHead() {
-    loop_.Post([weak = weak_from_this()] {
-      const auto call = weak.lock();
-      if (call == nullptr || call->client_ == nullptr ||
-          call->phase_ != Phase::kHead) {
-        return;
-      }
-      h2o_socket_t* socket = call->client_->sock;
-      if (socket->_cb.read != nullptr) {
-        call->WrapHeadReader();
-        return;
-      }
-      call->request_written_ = socket->_cb.write;
-      socket->_cb.write = OnRequestWritten;
-    });
+    if (ended_ || phase_ != Phase::kHead || head_guarded_) {
+      return;
+    }
+    head_guarded_ = true;
+    h2o_socket_t* socket = client_->sock;
+    if (socket->_cb.read != nullptr) {
+      WrapHeadReader();
+    } else {
+      request_written_ = std::exchange(socket->_cb.write, OnRequestWritten);
+    }
   }
 
   static void OnRequestWritten(h2o_socket_t* socket, const char* error) {
@@ -416,7 +416,12 @@
       ResetAtEnd(fd);
       LimitDelivery(fd, options_.head_timeout);
     }
-    GuardHead();
+    // h2o begins to write after this function, and reads in a later round.
+    loop_.Post([weak = weak_from_this()] {
+      if (const auto call = weak.lock()) {
+        call->GuardHead();
+      }
+    });
     iovecs_[0] = {.base = head_.data(), .len = head_.size()};
     iovecs_[1] = {.base = body_.data(), .len = body_.size()};
     *bufs = iovecs_;
@@ -627,6 +632,7 @@
   bool sent_ = false;
   bool paused_ = false;
   BodyEnd body_end_ = BodyEnd::kLength;
+  bool head_guarded_ = false;
   // h2o's callbacks, while they are wrapped.
   h2o_socket_cb request_written_ = nullptr;
   h2o_socket_cb read_head_ = nullptr;
--- a/test/error/http_bad_answer_test.cc
+++ b/test/error/http_bad_answer_test.cc
@@ -1,6 +1,7 @@
 // A response that violates the protocol ends its call with an error, does not
 // abort the process, and is not taken for a complete response.
 #include <boost/test/unit_test.hpp>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -94,6 +95,32 @@
   }
 }
 
+// The bytes arrive after the kept connection was chosen.
+BOOST_AUTO_TEST_CASE(ends_the_call_if_it_arrives_before_the_request) {
+  EventLoop loop;
+  std::string answer = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+  ScriptedServer server(loop, kTestAddress, [&](const std::string&) {
+    return ScriptedAnswer{.bytes = std::exchange(answer, "")};
+  });
+  HttpClient client(loop, std::chrono::seconds(5));
+  HttpCallRequest request;
+  request.address = kTestAddress;
+  request.port = server.port();
+  bool kept = false;
+  client.Fetch(request, [&](const HttpAnswer&) { kept = true; });
+  BOOST_TEST_REQUIRE(RunUntil(loop, [&] { return kept; }));
+  std::optional<HttpCallEnd> end;
+  HttpCallCallbacks callbacks;
+  callbacks.on_sent = [&] {
+    server.SendUnasked("HTTP/1.1 200 OK\ncontent-length: 2C\n\n");
+  };
+  callbacks.on_end = [&](const HttpCallEnd& got) { end = got; };
+  const auto call = client.Start(request, callbacks);
+  BOOST_TEST_REQUIRE(RunUntil(loop, [&] { return end.has_value(); }));
+  BOOST_TEST(!end->status.ok());
+  BOOST_TEST(server.accepted() == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(mutated_answers)
--- a/test/support/scripted_server.h
+++ b/test/support/scripted_server.h
@@ -51,6 +51,12 @@
     close(listener_);
   }
 
+  // Sends bytes that no request asked for, on the newest connection.
+  void SendUnasked(const std::string& bytes) {
+    BOOST_REQUIRE(send(connections_.back()->fd, bytes.data(), bytes.size(),
+                       MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size()));
+  }
+
   uint16_t port() const { return port_; }
   int accepted() const { return accepted_; }
   // The bytes of `repeated` that were sent, and whether a caller closed the
@@ -111,9 +117,10 @@
     }
     requests_.push_back(std::exchange(connection.received, {}));
     const ScriptedAnswer answer = script_(requests_.back());
-    BOOST_REQUIRE(send(connection.fd, answer.bytes.data(), answer.bytes.size(),
+    BOOST_REQUIRE(answer.bytes.empty() ||
+                  send(connection.fd, answer.bytes.data(), answer.bytes.size(),
                        MSG_NOSIGNAL) ==
-                  static_cast<ssize_t>(answer.bytes.size()));
+                      static_cast<ssize_t>(answer.bytes.size()));
     if (!answer.repeated.empty()) {
       connection.repeat_timer =
           loop_.Every(answer.repeat_interval, [this, &connection, answer] {
