--- a/test/correctness/store_feed_test.cc
+++ b/test/correctness/store_feed_test.cc
@@ -4,6 +4,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "entry.pb.h"
+#include "entry/record_keeper.h"
 #include "oleander/result_code.h"
 #include "platform/catalog_codec.h"
 #include "support/entry_fixture.h"
@@ -60,6 +62,61 @@
   int changes = 0;
 };
 
+// An instance that serves beside three readers with more cores, which are not
+// reachable over the mesh.
+struct MemberFixture : FeedFixture {
+  MemberFixture()
+      : FeedFixture("member"),
+        records(
+            entry.context, store, settings, "run", [] { return false; },
+            [this] { feed.OnRecords(records); }) {
+    for (const char* reader : kReaders) {
+      entrywire::EntryRecord record;
+      record.set_instance(reader);
+      record.set_domain(reader);
+      record.set_cores(4);
+      store.Write(std::string("/oleander/members/") + reader + "/run",
+                  record.SerializeAsString());
+    }
+  }
+
+  // Starts the instance and waits until it knows the readers.
+  void Start() {
+    feed.Start();
+    records.Start();
+    BOOST_TEST_REQUIRE(Until([this] {
+      return version() == 1 && ready() == 1 && records.live_instances() == 4;
+    }));
+  }
+  // Answers all queries so far: `version` was proven to be the newest just now.
+  void TellVersion(int64_t version) {
+    constexpr uint64_t kRounds = 40;
+    for (uint64_t round = 1; round <= kRounds; ++round) {
+      mesh::Envelope reply;
+      reply.mutable_store_tell()->set_round(round);
+      reply.mutable_store_tell()->set_config_version(version);
+      reply.mutable_store_tell()->set_proof_age_us(0);
+      feed.OnMessage(InstanceId(kReaders[round % kReaders.size()]), reply);
+    }
+  }
+  Duration proof_age() { return entry.context.proof.age(entry.loop.now()); }
+
+  static constexpr std::array<const char*, 3> kReaders = {"a", "b", "c"};
+  RecordKeeper records;
+};
+
+std::string ConfigWithRoutes(int64_t version, int routes) {
+  std::string text = "{\"version\":" + std::to_string(version);
+  text += ",\"routes\":[";
+  for (int i = 0; i < routes; ++i) {
+    text += i == 0 ? "" : ",";
+    text += R"({"name":"r)" + std::to_string(i) + R"(","host":"a.example",)" +
+            R"("path_prefix":"/r)" + std::to_string(i) +
+            R"(/","service":"service"})";
+  }
+  return text + "]}";
+}
+
 BOOST_AUTO_TEST_SUITE(store_feed)
 
 BOOST_AUTO_TEST_CASE(learns_configuration_and_servers_and_follows_both) {
@@ -154,6 +211,48 @@
       [&] { return instance.version() == 1 && instance.ready() == 1; }));
 }
 
+// CONFIG on cairnlea-oleander-grown: copies of the configuration filled the
+// link of a region.
+BOOST_AUTO_TEST_SUITE(a_large_configuration)
+
+constexpr int kRoutes = 1400;
+
+BOOST_AUTO_TEST_CASE(is_confirmed_by_a_reader_without_being_read_again) {
+  FeedFixture instance("one");
+  instance.store.Write("op/config", ConfigWithRoutes(1, kRoutes));
+  instance.feed.Start();
+  BOOST_TEST_REQUIRE(instance.Until(
+      [&] { return instance.version() == 1 && instance.ready() == 1; }));
+  const size_t bytes = instance.store.value_bytes;
+  io::RunFor(instance.entry.loop, milliseconds(2500));
+  BOOST_TEST(instance.store.value_bytes == bytes);
+  const Time now = instance.entry.loop.now();
+  BOOST_TEST((instance.entry.context.proof.age(now) < milliseconds(1500)));
+}
+
+BOOST_AUTO_TEST_CASE(is_confirmed_while_no_reader_answers_without_being_read) {
+  MemberFixture member;
+  member.store.Write("op/config", ConfigWithRoutes(1, kRoutes));
+  member.Start();
+  const size_t bytes = member.store.value_bytes;
+  io::RunFor(member.entry.loop, milliseconds(3500));
+  BOOST_TEST((member.proof_age() < milliseconds(2000)));
+  BOOST_TEST(member.store.value_bytes - bytes < kRoutes);
+}
+
+BOOST_AUTO_TEST_CASE(is_not_read_from_the_store_by_all_who_hear_of_it) {
+  MemberFixture member;
+  member.Start();
+  io::RunFor(member.entry.loop, milliseconds(500));
+  member.store.Write("op/config", ConfigWithRoutes(2, kRoutes));
+  const size_t bytes = member.store.value_bytes;
+  member.TellVersion(2);
+  io::RunFor(member.entry.loop, milliseconds(100));
+  BOOST_TEST(member.store.value_bytes == bytes);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(a_readers_word)
 
 mesh::Envelope StoreQuery(uint64_t round, int64_t revision) {
--- a/test/support/memory_store.h
+++ b/test/support/memory_store.h
@@ -72,6 +72,7 @@
     for (const auto& [key, entry] : entries_) {
       if (request.prefix ? key.starts_with(request.key) : key == request.key) {
         answer.entries.push_back(entry);
+        value_bytes += entry.value.size();
       }
     }
     Reply(std::move(done), std::move(answer));
@@ -132,6 +133,7 @@
   }
 
   int reads = 0;
+  size_t value_bytes = 0;  // In the replies to reads and waiting calls.
   int waits = 0;
   int writes = 0;
   int renewals = 0;
@@ -226,6 +228,9 @@
     const bool answers =
         !down_ && (!changes.changes.empty() || loop_.now() >= until);
     if (answers) {
+      for (const ports::StoreChange& change : changes.changes) {
+        value_bytes += change.entry.value.size();
+      }
       ObserveEra(era_);
       done(changes);
       return;
