Prove a configuration with the reply that brings it

An instance that started beside a fleet got the configuration from its parent, but no proof with it: its first round found the proof missing and read the whole document from the store. After a restart of all instances that is one document each, the same load on the links that the tree is there to avoid.

--- a/src/entry/config_feed.cc
+++ b/src/entry/config_feed.cc
@@ -322,6 +322,7 @@
   query.set_version(whole ? 0 : context_.config->version());
   query.set_target(parcel_.target());
   query.set_offset(parcel_.received());
+  asked_at_ = context_.loop.now();
   peers_.Send(peer, envelope);
 }
 
@@ -347,6 +348,8 @@
   if (context_.config != nullptr) {
     steps_.WritePart(query, *context_.config, reply);
   }
+  reply.set_store_era(context_.era.current());
+  WriteWord(reply);
   peers_.Send(from, envelope);
 }
 
@@ -360,6 +363,9 @@
     follower_.OnNothingNewer(now, from);
   } else if (parcel_.is_complete()) {
     OnParcel(from);
+    if (reply.store_era() == context_.era.current()) {
+      OnPeerWord(from, ReadWord(reply, asked_at_));
+    }
   } else {
     follower_.OnProgress(now);
     Ask(from);
@@ -386,6 +392,8 @@
   }
   steps_.OnReceived(*steps);
   context_.metrics.CountConfigBytes("peer", bytes);
+  // Replies of peers will confirm this version without a call of the store.
+  call_sent_at_ = context_.loop.now();
   Apply(*config, from.value(), bytes);
 }
 
--- a/src/entry/config_feed.h
+++ b/src/entry/config_feed.h
@@ -67,9 +67,12 @@
   // Handles an announcement, a query or a reply about configurations.
   void OnMessage(const InstanceId& from, const mesh::Envelope& message);
 
-  // Returns what this instance can tell about the newest configuration; empty
-  // if nothing.
-  std::optional<PeerWord> word() const;
+  // Writes what this instance knows of the newest configuration, and reads what
+  // a peer wrote in reply to a query that was sent at `asked_at`.
+  template <typename Reply>
+  void WriteWord(Reply& reply) const;
+  template <typename Reply>
+  static PeerWord ReadWord(const Reply& reply, Time asked_at);
   // When the last successful store call of this instance was sent.
   std::optional<Time> last_read_sent_at() const { return last_read_sent_at_; }
 
@@ -86,6 +89,7 @@
   // One polling round: confirms the version in force if that is due.
   void Poll();
   bool is_stale() const;
+  std::optional<PeerWord> word() const;
   bool IsConfirmationDue() const;
   // Asks for changes after the last sighting; without one reads the
   // configuration.
@@ -138,7 +142,8 @@
   ConfigSteps steps_;
   // The configuration that is being received.
   ConfigParcel parcel_;
-  uint64_t round_ = 0;        // Replies to earlier queries are ignored.
+  uint64_t round_ = 0;  // Replies to earlier queries are ignored.
+  Time asked_at_;
   bool needs_whole_ = false;  // A change from a peer could not be applied.
 
   bool calling_ = false;  // A store call is in progress.
@@ -152,6 +157,32 @@
   io::Timer follow_timer_;
 };
 
+template <typename Reply>
+void ConfigFeed::WriteWord(Reply& reply) const {
+  const auto known = word();
+  if (!known) {
+    return;
+  }
+  reply.set_config_version(known->version);
+  reply.set_config_revision(known->revision);
+  if (known->proven_at) {
+    reply.set_proof_age_us((context_.loop.now() - *known->proven_at).count());
+  }
+}
+
+// The peer proved the version at most `proof_age_us` before it replied, so no
+// earlier than that long before the query was sent.
+template <typename Reply>
+ConfigFeed::PeerWord ConfigFeed::ReadWord(const Reply& reply, Time asked_at) {
+  PeerWord word{.version = reply.config_version(),
+                .revision = reply.config_revision(),
+                .proven_at = {}};
+  if (reply.has_proof_age_us()) {
+    word.proven_at = asked_at - Duration(reply.proof_age_us());
+  }
+  return word;
+}
+
 }  // namespace oleander::entry
 
 #endif  // OLEANDER_ENTRY_CONFIG_FEED_H_
--- a/src/entry/store_feed.cc
+++ b/src/entry/store_feed.cc
@@ -332,7 +332,7 @@
   WriteNews(context_.poison.News(now), *reply.mutable_crash_news());
   reply.set_store_era(context_.era.current());
   reply.set_era_age_us(context_.era.reported_age(now).count());
-  WriteConfigWord(reply);
+  config_.WriteWord(reply);
   // Only an instance with an open waiting call at a reachable store knows that
   // nothing else has changed.
   const std::optional<Time> read_sent_at = config_.last_read_sent_at();
@@ -358,18 +358,6 @@
   peers_.Send(peer, envelope);
 }
 
-void StoreFeed::WriteConfigWord(entrywire::StoreTell& reply) const {
-  const auto word = config_.word();
-  if (!word) {
-    return;
-  }
-  reply.set_config_version(word->version);
-  reply.set_config_revision(word->revision);
-  if (word->proven_at) {
-    reply.set_proof_age_us((context_.loop.now() - *word->proven_at).count());
-  }
-}
-
 void StoreFeed::OnReply(const InstanceId& from,
                         const entrywire::StoreTell& reply) {
   const auto query =
@@ -391,15 +379,7 @@
   if (!same_era) {
     return;  // The remaining fields are from another era.
   }
-  // The reader proved the version at most `proof_age_us` before it replied, so
-  // no earlier than that long before the query was sent.
-  config_.OnPeerWord(
-      from, {.version = reply.config_version(),
-             .revision = reply.config_revision(),
-             .proven_at =
-                 reply.has_proof_age_us()
-                     ? std::optional(sent_at - Duration(reply.proof_age_us()))
-                     : std::nullopt});
+  config_.OnPeerWord(from, ConfigFeed::ReadWord(reply, sent_at));
   if (reply.servers_revision() != 0) {
     SetStoreUnreachable(false, "reader", "reported by a reader");
     if (reply.store_steady()) {
--- a/src/entry/store_feed.h
+++ b/src/entry/store_feed.h
@@ -88,8 +88,6 @@
   // Sends a query to the next reader, round robin.
   void PollReader();
   void SendCrashNews();
-  // Writes what this instance knows of the newest configuration.
-  void WriteConfigWord(entrywire::StoreTell& reply) const;
   // Answers the query of a peer.
   void Reply(const InstanceId& peer, const entrywire::StoreAsk& query);
   // Applies the reply to a query of this instance; ignores any other reply.
--- a/test/correctness/store_feed_test.cc
+++ b/test/correctness/store_feed_test.cc
@@ -279,6 +279,29 @@
   BOOST_TEST(member.store.value_bytes == bytes);
 }
 
+BOOST_AUTO_TEST_CASE(is_proven_by_the_peer_that_sends_it_to_a_new_instance) {
+  MemberFixture member;
+  member.store.Write("op/config", ConfigWithRoutes(2, kRoutes));
+  member.feed.Start();
+  member.records.Start();
+  BOOST_TEST_REQUIRE(
+      member.Until([&] { return member.records.live_instances() == 4; }));
+  const size_t bytes = member.store.value_bytes;
+  const auto config = ServingConfig::Create(
+      *member.catalog.ReadConfig(*member.store.Find("op/config")));
+  mesh::Envelope reply;
+  entrywire::ConfigTell& tell = *reply.mutable_config_tell();
+  ConfigSteps().WritePart({}, *config, tell);
+  tell.set_round(1);
+  tell.set_config_version(2);
+  tell.set_proof_age_us(100);
+  member.feed.OnMessage(InstanceId("a"), reply);
+  BOOST_TEST_REQUIRE(member.version() == 2);
+  BOOST_TEST((member.proof_age() < milliseconds(1000)));
+  io::RunFor(member.entry.loop, milliseconds(500));
+  BOOST_TEST(member.store.value_bytes - bytes < kRoutes);
+}
+
 BOOST_AUTO_TEST_CASE(is_read_from_the_store_if_no_peer_sends_it) {
   MemberFixture member;
   member.Start();
