--- a/src/entry/config_feed.cc
+++ b/src/entry/config_feed.cc
@@ -62,7 +62,7 @@
 
 void ConfigFeed::OnNewEra() {
   AbandonCall();
-  sighting_ = {};
+  observed_ = {};
   document_revision_ = 0;
   last_read_sent_at_.reset();
 }
@@ -102,22 +102,22 @@
     return since_last >= (is_stale() ? kRetry : kReaderPeriod);
   }
   return is_stale() && !follower_.is_behind() &&
-         since_last >= (sighting_.revision == 0 ? kWholeReadPeriod : kRetry);
+         since_last >= (observed_.revision == 0 ? kWholeReadPeriod : kRetry);
 }
 
 void ConfigFeed::Confirm() {
-  // Changes after the sighting don't include what it showed.
-  const bool has_sighted =
-      sighting_.revision != 0 && context_.config != nullptr &&
-      sighting_.version.value_or(0) <= context_.config->version();
-  if (!has_sighted) {
+  // Changes after the observation don't include what it showed.
+  const bool has_observed =
+      observed_.revision != 0 && context_.config != nullptr &&
+      observed_.version.value_or(0) <= context_.config->version();
+  if (!has_observed) {
     Read();
     return;
   }
   const Time sent_at = context_.loop.now();
   const uint64_t round = BeginCall();
   store_.Wait({.prefix = catalog_.config_key(),
-               .after_revision = sighting_.revision,
+               .after_revision = observed_.revision,
                .max_wait = Duration::zero()},
               [this, sent_at,
                round](const absl::StatusOr<ports::StoreChanges>& answer) {
@@ -172,8 +172,8 @@
     return;
   }
   ReadDocument(answer->entries.front());
-  sighting_.revision = answer->revision;
-  OnSighted(sent_at);
+  observed_.revision = answer->revision;
+  OnObserved(sent_at);
 }
 
 void ConfigFeed::OnChanges(Time sent_at,
@@ -181,7 +181,7 @@
   on_store_call_("config_changes", answer.status());
   if (!answer.ok()) {
     if (CodeOf(answer.status()) == ResultCode::kStoreRevisionCompacted) {
-      sighting_.revision = 0;
+      observed_.revision = 0;
       Read();
     }
     return;
@@ -192,23 +192,23 @@
                              return change.entry.key == catalog_.config_key();
                            });
   if (last != answer->changes.rend() && last->removed) {
-    sighting_ = {};
+    observed_ = {};
     document_revision_ = 0;
     return;
   }
   if (last != answer->changes.rend()) {
     ReadDocument(last->entry);
   }
-  sighting_.revision = std::max(sighting_.revision, answer->revision);
-  OnSighted(sent_at);
+  observed_.revision = std::max(observed_.revision, answer->revision);
+  OnObserved(sent_at);
 }
 
-void ConfigFeed::OnSighted(Time sent_at) {
+void ConfigFeed::OnObserved(Time sent_at) {
   last_read_sent_at_ = sent_at;
   // A document that cannot be parsed proves nothing; neither does one that is
   // older than the configuration in force.
   const bool newest = context_.config != nullptr &&
-                      sighting_.version == context_.config->version();
+                      observed_.version == context_.config->version();
   if (newest && AreOperatorWritesRestored(sent_at)) {
     context_.proof.Prove(sent_at);
     follower_.OnConfirmed(sent_at);
@@ -226,7 +226,7 @@
     return;
   }
   document_revision_ = entry.mod_revision;
-  sighting_.version.reset();
+  observed_.version.reset();
   auto parts = catalog_.ReadConfig(entry);
   if (!parts.ok()) {
     io::Log(io::LogLevel::kError, "config.unreadable",
@@ -234,7 +234,7 @@
              {"reason", std::string(parts.status().message())}});
     return;
   }
-  sighting_.version = parts->version;
+  observed_.version = parts->version;
   const ServingConfigPtr before = context_.config;
   if (before == nullptr || before->version() < parts->version) {
     const ServingConfigPtr config = ServingConfig::Create(*std::move(parts));
@@ -254,37 +254,38 @@
   }
 }
 
-void ConfigFeed::OnPeerWord(const InstanceId& from, const PeerWord& word) {
+void ConfigFeed::OnPeerReport(const InstanceId& from,
+                              const PeerReport& report) {
   const int64_t in_force =
       context_.config == nullptr ? 0 : context_.config->version();
-  if (word.version > in_force) {
-    LogHeard(word.version, from);
-    follower_.OnHeard(context_.loop.now(), word.version, from);
+  if (report.version > in_force) {
+    LogHeard(report.version, from);
+    follower_.OnHeard(context_.loop.now(), report.version, from);
     Follow();
     return;
   }
   // The version in force here is at least as new as the one that was proven.
-  if (word.proven_at) {
-    context_.proof.Prove(*word.proven_at);
+  if (report.proven_at) {
+    context_.proof.Prove(*report.proven_at);
   }
-  if (word.version == in_force && word.revision > sighting_.revision) {
-    sighting_ = {.revision = word.revision, .version = word.version};
+  if (report.version == in_force && report.revision > observed_.revision) {
+    observed_ = {.revision = report.revision, .version = report.version};
   }
 }
 
-std::optional<ConfigFeed::PeerWord> ConfigFeed::word() const {
+std::optional<ConfigFeed::PeerReport> ConfigFeed::report() const {
   if (context_.config == nullptr) {
     return std::nullopt;
   }
-  PeerWord word{.version = context_.config->version(), .proven_at = {}};
-  if (sighting_.version == word.version) {
-    word.revision = sighting_.revision;
+  PeerReport report{.version = context_.config->version(), .proven_at = {}};
+  if (observed_.version == report.version) {
+    report.revision = observed_.revision;
   }
   if (!is_stale()) {
     const Time now = context_.loop.now();
-    word.proven_at = now - context_.proof.age(now);
+    report.proven_at = now - context_.proof.age(now);
   }
-  return word;
+  return report;
 }
 
 void ConfigFeed::LogHeard(int64_t version, const InstanceId& from) const {
@@ -303,7 +304,7 @@
   const auto source = follower_.SourceDue(now);
   if (source && !source->peer.empty()) {
     follower_.OnAsked(now, *source);
-    parcel_ = {};
+    transfer_ = {};
     Ask(source->peer);
   } else if (source && !calling_) {
     follower_.OnAsked(now, *source);
@@ -320,8 +321,8 @@
   entrywire::ConfigAsk& query = *envelope.mutable_config_ask();
   query.set_round(++round_);
   query.set_version(whole ? 0 : context_.config->version());
-  query.set_target(parcel_.target());
-  query.set_offset(parcel_.received());
+  query.set_target(transfer_.target());
+  query.set_offset(transfer_.received());
   asked_at_ = context_.loop.now();
   peers_.Send(peer, envelope);
 }
@@ -349,7 +350,7 @@
     steps_.WritePart(query, *context_.config, reply);
   }
   reply.set_store_era(context_.era.current());
-  WriteWord(reply);
+  WriteReport(reply);
   peers_.Send(from, envelope);
 }
 
@@ -359,12 +360,12 @@
     return;
   }
   const Time now = context_.loop.now();
-  if (reply.target() == 0 || !parcel_.Add(reply)) {
+  if (reply.target() == 0 || !transfer_.Add(reply)) {
     follower_.OnNothingNewer(now, from);
-  } else if (parcel_.is_complete()) {
-    OnParcel(from);
+  } else if (transfer_.is_complete()) {
+    OnTransfer(from);
     if (reply.store_era() == context_.era.current()) {
-      OnPeerWord(from, ReadWord(reply, asked_at_));
+      OnPeerReport(from, ReadReport(reply, asked_at_));
     }
   } else {
     follower_.OnProgress(now);
@@ -372,13 +373,13 @@
   }
 }
 
-void ConfigFeed::OnParcel(const InstanceId& from) {
-  const size_t bytes = parcel_.received();
-  const auto steps = parcel_.Steps();
+void ConfigFeed::OnTransfer(const InstanceId& from) {
+  const size_t bytes = transfer_.received();
+  const auto steps = transfer_.Steps();
   const auto config = steps.ok()
                           ? ApplySteps(context_.config, *steps)
                           : absl::StatusOr<ServingConfigPtr>(steps.status());
-  parcel_ = {};
+  transfer_ = {};
   needs_whole_ = !config.ok();
   if (!config.ok()) {
     io::Log(io::LogLevel::kWarning, "config.refused",
--- a/src/entry/config_feed.h
+++ b/src/entry/config_feed.h
@@ -56,29 +56,29 @@
   void SetFleet(std::vector<InstanceId> readers, const ConfigTree& tree);
 
   // What a peer replied about the newest configuration.
-  struct PeerWord {
+  struct PeerReport {
     int64_t version = 0;
     // The version is the newest up to this revision of the store; 0: unknown.
     int64_t revision = 0;
     // When the version was proven to be the newest, if it was.
     std::optional<Time> proven_at;
   };
-  void OnPeerWord(const InstanceId& from, const PeerWord& word);
+  void OnPeerReport(const InstanceId& from, const PeerReport& report);
   // Handles an announcement, a query or a reply about configurations.
   void OnMessage(const InstanceId& from, const mesh::Envelope& message);
 
   // Writes what this instance knows of the newest configuration, and reads what
   // a peer wrote in reply to a query that was sent at `asked_at`.
   template <typename Reply>
-  void WriteWord(Reply& reply) const;
+  void WriteReport(Reply& reply) const;
   template <typename Reply>
-  static PeerWord ReadWord(const Reply& reply, Time asked_at);
+  static PeerReport ReadReport(const Reply& reply, Time asked_at);
   // When the last successful store call of this instance was sent.
   std::optional<Time> last_read_sent_at() const { return last_read_sent_at_; }
 
  private:
   // The configuration as of a revision of the store.
-  struct Sighting {
+  struct Observation {
     int64_t revision = 0;            // 0: none in this era.
     std::optional<int64_t> version;  // Empty: it cannot be parsed.
   };
@@ -89,9 +89,9 @@
   // One polling round: confirms the version in force if that is due.
   void Poll();
   bool is_stale() const;
-  std::optional<PeerWord> word() const;
+  std::optional<PeerReport> report() const;
   bool IsConfirmationDue() const;
-  // Asks for changes after the last sighting; without one reads the
+  // Asks for changes after the last observation; without one reads the
   // configuration.
   void Confirm();
   void Read();
@@ -104,8 +104,8 @@
   void OnRead(Time sent_at, const absl::StatusOr<StoreRangeAnswer>& answer);
   void OnChanges(Time sent_at,
                  const absl::StatusOr<ports::StoreChanges>& answer);
-  // The last sighting was made by a call that was sent at `sent_at`.
-  void OnSighted(Time sent_at);
+  // The last observation was made by a call that was sent at `sent_at`.
+  void OnObserved(Time sent_at);
   // Parses the stored configuration and puts it in force if its version is
   // higher than that of the one in force.
   void ReadDocument(const StoreEntry& entry);
@@ -121,7 +121,7 @@
   void OnAsk(const InstanceId& from, const entrywire::ConfigAsk& query);
   void OnTell(const InstanceId& from, const entrywire::ConfigTell& reply);
   // Puts the received configuration in force.
-  void OnParcel(const InstanceId& from);
+  void OnTransfer(const InstanceId& from);
 
   // Puts a newer configuration in force and announces it to the children.
   void Apply(ServingConfigPtr config, std::string_view source, size_t bytes);
@@ -141,7 +141,7 @@
   ConfigFollower follower_;
   ConfigSteps steps_;
   // The configuration that is being received.
-  ConfigParcel parcel_;
+  ConfigTransfer transfer_;
   uint64_t round_ = 0;  // Replies to earlier queries are ignored.
   Time asked_at_;
   bool needs_whole_ = false;  // A change from a peer could not be applied.
@@ -149,7 +149,7 @@
   bool calling_ = false;  // A store call is in progress.
   uint64_t call_round_ = 0;
   Time call_sent_at_;
-  Sighting sighting_;
+  Observation observed_;
   int64_t document_revision_ = 0;  // Of the last document that was parsed.
   std::optional<Time> last_read_sent_at_;
   io::Timer poll_timer_;
@@ -158,8 +158,8 @@
 };
 
 template <typename Reply>
-void ConfigFeed::WriteWord(Reply& reply) const {
-  const auto known = word();
+void ConfigFeed::WriteReport(Reply& reply) const {
+  const auto known = report();
   if (!known) {
     return;
   }
@@ -173,14 +173,15 @@
 // The peer proved the version at most `proof_age_us` before it replied, so no
 // earlier than that long before the query was sent.
 template <typename Reply>
-ConfigFeed::PeerWord ConfigFeed::ReadWord(const Reply& reply, Time asked_at) {
-  PeerWord word{.version = reply.config_version(),
-                .revision = reply.config_revision(),
-                .proven_at = {}};
+ConfigFeed::PeerReport ConfigFeed::ReadReport(const Reply& reply,
+                                              Time asked_at) {
+  PeerReport report{.version = reply.config_version(),
+                    .revision = reply.config_revision(),
+                    .proven_at = {}};
   if (reply.has_proof_age_us()) {
-    word.proven_at = asked_at - Duration(reply.proof_age_us());
+    report.proven_at = asked_at - Duration(reply.proof_age_us());
   }
-  return word;
+  return report;
 }
 
 }  // namespace oleander::entry
--- a/src/entry/config_steps.cc
+++ b/src/entry/config_steps.cc
@@ -15,8 +15,8 @@
 constexpr size_t kMaxStepBytes = size_t{1} << 20;
 // A slow link passes several parts within the time for a reply.
 constexpr size_t kPartBytes = size_t{64} << 10;
-constexpr size_t kMaxParcels = 3;
-constexpr size_t kMaxParcelBytes = size_t{64} << 20;
+constexpr size_t kMaxTransfers = 3;
+constexpr size_t kMaxTransferBytes = size_t{64} << 20;
 
 }  // namespace
 
@@ -66,35 +66,37 @@
   if (query.version() >= config.version()) {
     return;
   }
-  const Parcel& parcel = ParcelFor(query, config);
-  const bool continues =
-      query.target() == parcel.version && query.offset() < parcel.bytes.size();
+  const Transfer& transfer = TransferFor(query, config);
+  const bool continues = query.target() == transfer.version &&
+                         query.offset() < transfer.bytes.size();
   const size_t offset = continues ? query.offset() : 0;
-  reply.set_target(parcel.version);
+  reply.set_target(transfer.version);
   reply.set_offset(offset);
-  reply.set_size(parcel.bytes.size());
-  reply.set_part(parcel.bytes.substr(offset, kPartBytes));
+  reply.set_size(transfer.bytes.size());
+  reply.set_part(transfer.bytes.substr(offset, kPartBytes));
 }
 
 // A transfer that has begun goes on, also after a newer version is in force.
-const ConfigSteps::Parcel& ConfigSteps::ParcelFor(
+const ConfigSteps::Transfer& ConfigSteps::TransferFor(
     const entrywire::ConfigAsk& query, const ServingConfig& config) {
   const int64_t target =
       query.target() != 0 ? query.target() : config.version();
-  const auto known = std::ranges::find_if(parcels_, [&](const Parcel& parcel) {
-    return parcel.base_version == query.version() && parcel.version == target;
-  });
-  if (known != parcels_.end()) {
+  const auto known =
+      std::ranges::find_if(transfers_, [&](const Transfer& transfer) {
+        return transfer.base_version == query.version() &&
+               transfer.version == target;
+      });
+  if (known != transfers_.end()) {
     return *known;
   }
-  parcels_.push_back(
+  transfers_.push_back(
       {.base_version = query.version(),
        .version = config.version(),
        .bytes = StepsSince(query.version(), config).SerializeAsString()});
-  if (parcels_.size() > kMaxParcels) {
-    parcels_.pop_front();
+  if (transfers_.size() > kMaxTransfers) {
+    transfers_.pop_front();
   }
-  return parcels_.back();
+  return transfers_.back();
 }
 
 entrywire::ConfigStepList ConfigSteps::StepsSince(
@@ -114,10 +116,10 @@
   return list;
 }
 
-bool ConfigParcel::Add(const entrywire::ConfigTell& part) {
+bool ConfigTransfer::Add(const entrywire::ConfigTell& part) {
   if (part.offset() == 0) {
     target_ = part.target();
-    size_ = std::min<size_t>(part.size(), kMaxParcelBytes);
+    size_ = std::min<size_t>(part.size(), kMaxTransferBytes);
     bytes_.clear();
   }
   if (part.target() != target_ || part.offset() != bytes_.size() ||
@@ -128,7 +130,7 @@
   return true;
 }
 
-absl::StatusOr<entrywire::ConfigStepList> ConfigParcel::Steps() const {
+absl::StatusOr<entrywire::ConfigStepList> ConfigTransfer::Steps() const {
   entrywire::ConfigStepList list;
   if (!list.ParseFromString(bytes_)) {
     return MakeError(
--- a/src/entry/config_steps.h
+++ b/src/entry/config_steps.h
@@ -40,25 +40,25 @@
 
  private:
   // Encoded steps from one version to another, as they are being sent.
-  struct Parcel {
+  struct Transfer {
     int64_t base_version = 0;
     int64_t version = 0;
     std::string bytes;
   };
 
   void Retain(entrywire::ConfigStep step);
-  const Parcel& ParcelFor(const entrywire::ConfigAsk& query,
-                          const ServingConfig& config);
+  const Transfer& TransferFor(const entrywire::ConfigAsk& query,
+                              const ServingConfig& config);
   entrywire::ConfigStepList StepsSince(int64_t version,
                                        const ServingConfig& config) const;
 
   std::deque<entrywire::ConfigStep> steps_;  // Each continues the one before.
   size_t bytes_ = 0;
-  std::deque<Parcel> parcels_;  // The newest last.
+  std::deque<Transfer> transfers_;  // The newest last.
 };
 
 // Puts together the parts of one transfer.
-class ConfigParcel {
+class ConfigTransfer {
  public:
   // Adds a part. Returns false if it doesn't continue the transfer.
   bool Add(const entrywire::ConfigTell& part);
--- a/src/entry/store_feed.cc
+++ b/src/entry/store_feed.cc
@@ -332,7 +332,7 @@
   WriteNews(context_.poison.News(now), *reply.mutable_crash_news());
   reply.set_store_era(context_.era.current());
   reply.set_era_age_us(context_.era.reported_age(now).count());
-  config_.WriteWord(reply);
+  config_.WriteReport(reply);
   // Only an instance with an open waiting call at a reachable store knows that
   // nothing else has changed.
   const std::optional<Time> read_sent_at = config_.last_read_sent_at();
@@ -379,7 +379,7 @@
   if (!same_era) {
     return;  // The remaining fields are from another era.
   }
-  config_.OnPeerWord(from, ConfigFeed::ReadWord(reply, sent_at));
+  config_.OnPeerReport(from, ConfigFeed::ReadReport(reply, sent_at));
   if (reply.servers_revision() != 0) {
     SetStoreUnreachable(false, "reader", "reported by a reader");
     if (reply.store_steady()) {
--- a/test/correctness/config_steps_test.cc
+++ b/test/correctness/config_steps_test.cc
@@ -88,20 +88,20 @@
 // parts.
 entrywire::ConfigStepList StepsSince(ConfigSteps& steps, int64_t version,
                                      const ServingConfig& config) {
-  ConfigParcel parcel;
+  ConfigTransfer transfer;
   do {
     entrywire::ConfigAsk query;
     query.set_version(version);
-    query.set_target(parcel.target());
-    query.set_offset(parcel.received());
+    query.set_target(transfer.target());
+    query.set_offset(transfer.received());
     entrywire::ConfigTell reply;
     steps.WritePart(query, config, reply);
     if (reply.target() == 0) {
       return {};
     }
-    BOOST_TEST_REQUIRE(parcel.Add(reply));
-  } while (!parcel.is_complete());
-  return *parcel.Steps();
+    BOOST_TEST_REQUIRE(transfer.Add(reply));
+  } while (!transfer.is_complete());
+  return *transfer.Steps();
 }
 
 // Sends the configuration in force, `config`, to an instance with `known`.
@@ -201,20 +201,20 @@
   entrywire::ConfigTell reply;
   steps.WritePart(query, *config, reply);
   BOOST_TEST_REQUIRE(reply.part().size() < reply.size());
-  ConfigParcel parcel;
-  BOOST_TEST(parcel.Add(reply));
+  ConfigTransfer transfer;
+  BOOST_TEST(transfer.Add(reply));
   const ServingConfigPtr newer = ConfigOf(4, 10);
-  query.set_target(parcel.target());
-  query.set_offset(parcel.received());
+  query.set_target(transfer.target());
+  query.set_offset(transfer.received());
   reply.Clear();
   steps.WritePart(query, *newer, reply);
   BOOST_TEST(reply.target() == 3);
   // A part that was lost or came twice.
-  ConfigParcel other;
+  ConfigTransfer other;
   BOOST_TEST(!other.Add(reply));
-  BOOST_TEST(parcel.Add(reply));
-  BOOST_TEST(!parcel.Add(reply));
-  BOOST_TEST(!parcel.is_complete());
+  BOOST_TEST(transfer.Add(reply));
+  BOOST_TEST(!transfer.Add(reply));
+  BOOST_TEST(!transfer.is_complete());
 }
 
 BOOST_AUTO_TEST_CASE(are_bounded_in_number) {
