Read the configuration as soon as an instance knows that it is a reader

After a restart of all instances everyone waits for the readers, and these waited for their next polling round, up to 0.25 s.

--- a/src/entry/config_feed.cc
+++ b/src/entry/config_feed.cc
@@ -77,7 +77,7 @@
   follower_.SetFleet({.is_reader = is_reader_,
                       .parent = tree.ParentOf(self_),
                       .readers = std::move(other_readers)});
-  Follow();
+  Poll();
 }
 
 void ConfigFeed::Poll() {
