Log a configuration as heard of only if it is newer than the one in force

Cause: readers announce to each other, so each of them was told of versions that it had put in force itself, logged config.heard with in_force equal to version, and set oleander_entry_config_heard to the version announced, also an older one. On-call engineers are told to compare that metric with the version in force.

Change: compare with the version in force, too.

--- a/include/oleander/config_follower.h
+++ b/include/oleander/config_follower.h
@@ -23,6 +23,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <utility>
 #include <vector>
 
 #include "oleander/types.h"
--- a/src/entry/config_feed.cc
+++ b/src/entry/config_feed.cc
@@ -289,12 +289,12 @@
 }
 
 void ConfigFeed::LogHeard(int64_t version, const InstanceId& from) const {
-  if (version > follower_.heard()) {
-    io::Log(io::LogLevel::kInfo, "config.heard",
-            {{"version", version},
-             {"in_force",
-              context_.config == nullptr ? 0 : context_.config->version()},
-             {"from", from.value()}});
+  const int64_t in_force =
+      context_.config == nullptr ? 0 : context_.config->version();
+  if (version > std::max(follower_.heard(), in_force)) {
+    io::Log(
+        io::LogLevel::kInfo, "config.heard",
+        {{"version", version}, {"in_force", in_force}, {"from", from.value()}});
     context_.metrics.SetConfigHeard(version);
   }
 }
--- a/test/correctness/store_feed_test.cc
+++ b/test/correctness/store_feed_test.cc
@@ -328,6 +328,32 @@
   BOOST_TEST((reader.proof_age() < milliseconds(1500)));
 }
 
+// After a restart of all instances everyone waits for the readers.
+BOOST_AUTO_TEST_CASE(is_read_as_soon_as_an_instance_is_a_reader) {
+  MemberFixture reader;
+  StoreFeed feed(reader.entry.context, reader.store, reader.catalog,
+                 reader.peers, InstanceId("a"), [] {});
+  reader.records.Start();
+  BOOST_TEST_REQUIRE(
+      reader.Until([&] { return reader.records.live_instances() == 4; }));
+  feed.Start();
+  feed.OnRecords(reader.records);
+  io::RunFor(reader.entry.loop, milliseconds(100));
+  BOOST_TEST(reader.version() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(is_no_news_if_it_is_older_than_the_one_in_force) {
+  FeedFixture instance("one");
+  instance.store.Write("op/config", ConfigWithRoutes(5, 10));
+  instance.feed.Start();
+  BOOST_TEST_REQUIRE(instance.Until([&] { return instance.version() == 5; }));
+  mesh::Envelope news;
+  news.mutable_config_news()->set_version(4);
+  instance.feed.OnMessage(InstanceId("a"), news);
+  BOOST_TEST(Holds(instance.entry.metrics().Text(),
+                   "oleander_entry_config_heard 5\n"));
+}
+
 BOOST_AUTO_TEST_CASE(is_not_older_than_the_one_in_force) {
   MemberFixture member;
   member.store.Write("op/config", ConfigWithRoutes(5, 10));
