Keep the linter's verdict on unchanged files

Change: tools/lint.py in place of tools/lint.sh. It runs the same linter with the same configuration on the same files, and passes over a file only if its text, the text of every header that it includes, its flags, .clang-tidy and the linter's version are those of a run without findings. Verdicts are kept in $XDG_CACHE_HOME/oleander-lint, outside the checkout, by a digest without the checkout's path. Only passes are kept; a finding is reported each time. A cold run checks all files, as before.

Ruled out: the preprocessed text as the key. It loses white space, comments and macro definitions, which some checks read.

--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 lint:
 	tools/format.sh --check
 	tools/check_wire_names.py
-	BUILD=$(BUILD) tools/lint.sh
+	tools/lint.py --build=$(BUILD)
 
 format:
 	tools/format.sh
