Don't call a request "not run" after its answer was lost

What callers saw: a request that may be repeated was sent, its answer was lost, and before the next attempt the configuration could not be confirmed any more. It got 503 with code 2111 and "ran": "no", though its first attempt may have run.

Cause: of the three reasons for which a call isn't sent on (configuration not confirmed, credential revoked, prompt suspected), the first one didn't look at earlier attempts.

Change: ForwardedCall::GiveUp() answers for all three: 502, "unknown", if an attempt may have run, otherwise the refusal.

Evidence: may_have_run_though_the_configuration_is_outdated_now failed on the code before (503, "ran": "no"; 2 of 3 checks) and holds now. Ruled out: calls that may run once are not sent on after a lost answer, so they don't get here.

--- a/src/entry/forwarded_call.cc
+++ b/src/entry/forwarded_call.cc
@@ -107,36 +107,36 @@
 
 bool ForwardedCall::MaySend() {
   if (!call_.route->is_public && !context_.proof.holds(context_.loop.now())) {
-    Refuse(ResultCode::kConfigUnproven,
+    GiveUp(ResultCode::kConfigUnproven,
            "The configuration has not been confirmed recently, so credentials "
            "can't be trusted.");
     return false;
   }
   if (!IsStillAllowed()) {
-    if (attempts_.may_have_run > 0) {
-      Fail(ResultCode::kAnswerLost,
-           "The answer was lost, and the request's credential was revoked.");
-    } else {
-      Refuse(ResultCode::kUnknownCredential,
-             "The request's credential was revoked while the request waited.");
-    }
+    GiveUp(ResultCode::kUnknownCredential,
+           "The request's credential was revoked while the request waited.");
     return false;
   }
   if (const absl::Status status =
           CheckPrompt(context_, call_.intake, call_.shared_parts);
       !status.ok()) {
-    const std::string reason(status.message());
-    if (attempts_.may_have_run > 0) {
-      Fail(ResultCode::kAnswerLost,
-           fmt::format("The answer was lost. {}", reason));
-    } else {
-      Refuse(ResultCode::kPoisonPrompt, reason, DetailsOf(status).retry_after);
-    }
+    GiveUp(ResultCode::kPoisonPrompt, std::string(status.message()),
+           DetailsOf(status).retry_after);
     return false;
   }
   return true;
 }
 
+void ForwardedCall::GiveUp(ResultCode code, std::string_view reason,
+                           std::optional<Duration> known_retry_after) {
+  if (attempts_.may_have_run > 0) {
+    Fail(ResultCode::kAnswerLost,
+         fmt::format("The answer was lost. {}", reason));
+  } else {
+    Refuse(code, reason, known_retry_after);
+  }
+}
+
 void ForwardedCall::OnChosen(const RegionPlacer::Placed& placed) {
   const ListedServer* server =
       placed.server ? context_.listed.Find(*placed.server) : nullptr;
--- a/src/entry/forwarded_call.h
+++ b/src/entry/forwarded_call.h
@@ -104,6 +104,9 @@
   void Refuse(ResultCode code, std::string_view message,
               std::optional<Duration> known_retry_after = std::nullopt);
   void RefuseWithoutServer();
+  // Refuses the call unless an earlier attempt may have run it.
+  void GiveUp(ResultCode code, std::string_view reason,
+              std::optional<Duration> known_retry_after = std::nullopt);
   // Returns whether the current configuration still has the call's credential.
   bool IsStillAllowed() const;
   void Fail(ResultCode code, std::string_view message);
--- a/test/error/forwarded_call_test.cc
+++ b/test/error/forwarded_call_test.cc
@@ -141,6 +141,22 @@
 
 BOOST_AUTO_TEST_SUITE(a_call_that_may_repeat)
 
+// Guards against "not run" for a call whose answer was lost before the
+// configuration could not be confirmed any more.
+BOOST_AUTO_TEST_CASE(may_have_run_though_the_configuration_is_outdated_now) {
+  EntryFixture entry;
+  const auto lose = [&](const std::string&) {
+    entry.context.proof = ConfigProof({.bound = std::chrono::seconds(5)});
+    return kLost;
+  };
+  io::ScriptedServer& first = entry.AddServer(lose);
+  io::ScriptedServer& second = entry.AddServer(lose);
+  const std::string answer = entry.Request("/repeat/a");
+  BOOST_TEST(StatusOf(answer) == 502);
+  BOOST_TEST(Holds(answer, "\"ran\":\"unknown\""));
+  BOOST_TEST(first.requests().size() + second.requests().size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(is_tried_at_another_server_after_any_failure) {
   const ScriptedAnswer failures[] = {
       kLost,
