Refuse requests on an instance whose configuration is superseded

Change: an instance that has known of a newer version for 2.5 s, and was told of it within the last 2 s, refuses requests at once (2111, not run, time to come back), doesn't send on those that wait, and isn't ready. One that is told no more, since it is cut off from all that know better, serves what it can. Logged as config.superseded and config.current; entry.readiness says it.

Ruled out: to refuse by the age of the proof alone. A domain that is cut off from the store would serve nothing then.

Evidence: is_not_served_by_a_configuration_outdated_meanwhile failed with the check left out (sent to a second server); supersedes_the_one_in_force_if_it_cannot_be_obtained, is_superseded_if_it_stays_behind_others_within_reach and goes_on_with_its_own_version_once_it_is_cut_off name a state that the code before didn't have.

--- a/include/oleander/config_follower.h
+++ b/include/oleander/config_follower.h
@@ -46,6 +46,11 @@
   size_t tries_alone = 3;  // Unanswered ones, after which peers are silent.
   // Between two reads of the service by an instance that stays behind.
   Duration read_retry = std::chrono::milliseconds(1500);
+  // Operators expect a change to be in force everywhere within this time.
+  Duration superseded_after = std::chrono::milliseconds(2500);
+  // A newer version is known to be in force elsewhere for this long after it
+  // was mentioned.
+  Duration mention_validity = std::chrono::milliseconds(2000);
 };
 
 class ConfigFollower {
@@ -89,6 +94,10 @@
   // Returns since when a newer version is known that is not in force here;
   // empty if there is none, or before the first configuration.
   std::optional<Time> behind_since() const;
+  // Returns whether the version in force should have been replaced by now: an
+  // instance within reach has a newer one, which this instance could not get in
+  // time. An instance that is cut off from all others goes on with its own.
+  bool is_superseded(Time now) const;
   // Returns whether there is no configuration in force or a newer one is known.
   bool is_behind() const { return in_force_ == 0 || heard_ > in_force_; }
   int64_t heard() const { return heard_; }
@@ -105,6 +114,7 @@
   int64_t heard_ = 0;
   InstanceId heard_from_;
   Time heard_at_;
+  Time mentioned_at_;  // When a newer version was last mentioned by anyone.
   Time behind_since_;
   Time next_try_;          // No peer is asked earlier.
   Time awaits_until_;      // A peer may still reply.
--- a/src/entry/call_context.h
+++ b/src/entry/call_context.h
@@ -52,6 +52,8 @@
   UsageWindows usage;
   QuotaGate quotas;
   std::shared_ptr<const ServingConfig> config = nullptr;  // Null until read.
+  // A newer version is in force elsewhere and could not be obtained in time.
+  bool config_superseded = false;
   absl::flat_hash_set<ForwardedCall*> open_calls = {};
   size_t max_calls = std::numeric_limits<size_t>::max();
   // Bytes of all answers that are being buffered in full, and the limits for
--- a/src/entry/call_handler.cc
+++ b/src/entry/call_handler.cc
@@ -170,6 +170,10 @@
     return Unready(ResultCode::kNoConfiguration,
                    "This instance has not read a configuration yet.");
   }
+  if (context_.config_superseded) {
+    return Unready(ResultCode::kConfigUnproven,
+                   "A newer configuration is in force elsewhere.");
+  }
   if (absl::Status status = FindRoute(call); !status.ok()) {
     return status;
   }
--- a/src/entry/config_feed.cc
+++ b/src/entry/config_feed.cc
@@ -299,7 +299,20 @@
   }
 }
 
+void ConfigFeed::UpdateSuperseded() {
+  const bool superseded = follower_.is_superseded(context_.loop.now());
+  if (superseded == context_.config_superseded) {
+    return;
+  }
+  context_.config_superseded = superseded;
+  io::Log(
+      superseded ? io::LogLevel::kWarning : io::LogLevel::kInfo,
+      superseded ? "config.superseded" : "config.current",
+      {{"in_force", context_.config->version()}, {"heard", follower_.heard()}});
+}
+
 void ConfigFeed::Follow() {
+  UpdateSuperseded();
   const Time now = context_.loop.now();
   const auto source = follower_.SourceDue(now);
   if (source && !source->peer.empty()) {
@@ -412,6 +425,7 @@
   }
   const int64_t version = context_.config->version();
   follower_.OnApplied(now, version);
+  UpdateSuperseded();
   context_.metrics.SetConfigVersion(version);
   context_.metrics.SetConfigHeard(std::max(version, follower_.heard()));
   io::Log(io::LogLevel::kInfo, "config.applied",
--- a/src/entry/config_feed.h
+++ b/src/entry/config_feed.h
@@ -115,6 +115,8 @@
 
   // Gets a newer configuration from where ConfigFollower says.
   void Follow();
+  // Tells the calls whether the version in force may still be acted on.
+  void UpdateSuperseded();
   void LogHeard(int64_t version, const InstanceId& from) const;
   // Asks for the first or the next part of a configuration.
   void Ask(const InstanceId& peer);
--- a/src/entry/entry_node.cc
+++ b/src/entry/entry_node.cc
@@ -366,7 +366,7 @@
 
   bool ready() const {
     return !context_.draining && context_.config != nullptr &&
-           context_.listed.has_listing() &&
+           context_.listed.has_listing() && !context_.config_superseded &&
            context_.proof.age(loop_.now()) < kMaxReadyProofAge;
   }
 
@@ -378,6 +378,7 @@
               {{"ready", is_ready},
                {"draining", context_.draining},
                {"config", context_.config != nullptr},
+               {"superseded", context_.config_superseded},
                {"proof_age_ms",
                 std::chrono::duration_cast<std::chrono::milliseconds>(
                     context_.proof.age(loop_.now()))
--- a/src/entry/forwarded_call.cc
+++ b/src/entry/forwarded_call.cc
@@ -106,6 +106,11 @@
 }
 
 bool ForwardedCall::MaySend() {
+  if (context_.config_superseded) {
+    GiveUp(ResultCode::kConfigUnproven,
+           "A newer configuration is in force elsewhere.");
+    return false;
+  }
   if (!call_.route->is_public && !context_.proof.holds(context_.loop.now())) {
     GiveUp(ResultCode::kConfigUnproven,
            "The configuration has not been confirmed recently, so credentials "
--- a/src/parts/config_follower.cc
+++ b/src/parts/config_follower.cc
@@ -9,6 +9,7 @@
   if (version <= in_force_) {
     return;
   }
+  mentioned_at_ = now;
   if (!is_behind()) {
     behind_since_ = now;
     tries_ = 0;
@@ -91,6 +92,12 @@
                                        : std::nullopt;
 }
 
+bool ConfigFollower::is_superseded(Time now) const {
+  return behind_since().has_value() &&
+         now - behind_since_ >= options_.superseded_after &&
+         now - mentioned_at_ < options_.mention_validity;
+}
+
 bool ConfigFollower::IsReadDue(Time now) const {
   if (fleet_.is_reader) {
     return false;
--- a/src/parts/result_code.cc
+++ b/src/parts/result_code.cc
@@ -74,7 +74,8 @@
     {kNoConfiguration, "no_configuration", 503, Canonical::kUnavailable,
      Ran::kNo, "The instance knows no configuration yet."},
     {kConfigUnproven, "config_unproven", 503, Canonical::kUnavailable, Ran::kNo,
-     "The configuration could not be confirmed within the operators' bound."},
+     "The configuration could not be confirmed within the operators' bound, or "
+     "a newer one is in force elsewhere."},
     {kQuotaSpent, "quota_spent", 429, Canonical::kResourceExhausted, Ran::kNo,
      "The workspace has used what its quota allows for now."},
     {kPoisonPrompt, "poison_prompt", 503, Canonical::kUnavailable, Ran::kNo,
--- a/test/correctness/config_follower_test.cc
+++ b/test/correctness/config_follower_test.cc
@@ -140,6 +140,26 @@
   BOOST_TEST(!follower.SourceDue(now).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(is_superseded_if_it_stays_behind_others_within_reach) {
+  for (int i = 0; i < 8; ++i) {
+    BOOST_TEST(!follower.is_superseded(now));
+    follower.OnHeard(now, 8, kReader);
+    RunFor(milliseconds(320));
+  }
+  BOOST_TEST(follower.is_superseded(now));
+  follower.OnApplied(now, 8);
+  BOOST_TEST(!follower.is_superseded(now));
+}
+
+BOOST_AUTO_TEST_CASE(goes_on_with_its_own_version_once_it_is_cut_off) {
+  follower.OnHeard(now, 8, kReader);
+  RunFor(milliseconds(400));
+  follower.OnHeard(now, 8, kReader);
+  RunFor(milliseconds(2100));
+  BOOST_TEST(follower.is_behind());
+  BOOST_TEST(!follower.is_superseded(now));
+}
+
 BOOST_AUTO_TEST_CASE(leaves_reading_to_the_schedule_of_a_reader) {
   follower.SetFleet({.is_reader = true, .readers = {kReader}});
   follower.OnAnnounced(now, 8, kReader);
--- a/test/correctness/store_feed_test.cc
+++ b/test/correctness/store_feed_test.cc
@@ -302,6 +302,26 @@
   BOOST_TEST(member.store.value_bytes - bytes < kRoutes);
 }
 
+// An instance that knew of a newer configuration went on acting on its own.
+BOOST_AUTO_TEST_CASE(supersedes_the_one_in_force_if_it_cannot_be_obtained) {
+  MemberFixture member;
+  member.Start();
+  member.store.SetDown(true);
+  member.store.Write("op/config", ConfigWithRoutes(2, kRoutes));
+  const auto hears_for = [&](Duration duration) {
+    const io::Timer tells = member.entry.loop.Every(
+        milliseconds(300), [&] { member.TellVersion(2); });
+    io::RunFor(member.entry.loop, duration);
+  };
+  hears_for(milliseconds(2000));
+  BOOST_TEST(!member.entry.context.config_superseded);
+  hears_for(milliseconds(1500));
+  BOOST_TEST(member.entry.context.config_superseded);
+  member.store.SetDown(false);
+  BOOST_TEST(member.Until([&] { return member.version() == 2; }));
+  BOOST_TEST(!member.entry.context.config_superseded);
+}
+
 BOOST_AUTO_TEST_CASE(is_read_from_the_store_if_no_peer_sends_it) {
   MemberFixture member;
   member.Start();
--- a/test/error/forwarded_call_test.cc
+++ b/test/error/forwarded_call_test.cc
@@ -95,6 +95,36 @@
   BOOST_TEST(first.requests().size() + second.requests().size() == 1U);
 }
 
+// A configuration that is known to be outdated may route a request to the wrong
+// service.
+BOOST_AUTO_TEST_CASE(is_not_served_once_a_newer_configuration_stays_away) {
+  EntryFixture entry;
+  io::ScriptedServer& server = entry.AddServer(Always(kGood));
+  entry.context.config_superseded = true;
+  for (const char* path : {"/open/a", "/once/a", "/none/a"}) {
+    const std::string answer = entry.Request(path);
+    BOOST_TEST(StatusOf(answer) == 503);
+    BOOST_TEST(Holds(answer, "\"code\":2111"));
+    BOOST_TEST(Holds(answer, "\"ran\":\"no\""));
+    BOOST_TEST(Holds(answer, "retry-after: 0."));
+  }
+  BOOST_TEST(server.requests().empty());
+}
+
+BOOST_AUTO_TEST_CASE(is_not_served_by_a_configuration_outdated_meanwhile) {
+  EntryFixture entry;
+  const auto script = [&](const std::string&) {
+    entry.context.config_superseded = true;
+    return NotRun(503);
+  };
+  io::ScriptedServer& first = entry.AddServer(script);
+  io::ScriptedServer& second = entry.AddServer(script);
+  const std::string answer = entry.Request("/open/a");
+  BOOST_TEST(StatusOf(answer) == 503);
+  BOOST_TEST(Holds(answer, "\"code\":2111"));
+  BOOST_TEST(first.requests().size() + second.requests().size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(is_not_known_without_any_configuration) {
   EntryFixture entry;
   entry.context.config = nullptr;
--- a/test/support/entry_fixture.h
+++ b/test/support/entry_fixture.h
@@ -84,8 +84,8 @@
     context.proof.Prove(loop.now());
   }
 
-  // Configures the routes /once/, /repeat/, /stream/ and /resume/ to the one
-  // service.
+  // Configures the routes /once/, /repeat/, /stream/, /resume/ and the public
+  // one /open/ to the one service.
   void SetConfig(const std::string& credential = "key") {
     ServingConfigParts parts;
     parts.version = 7;
@@ -93,7 +93,9 @@
     parts.routes = {RouteOf("/once/", CallKind::kOnce, false),
                     RouteOf("/repeat/", CallKind::kRepeatable, false),
                     RouteOf("/stream/", CallKind::kStream, false),
-                    RouteOf("/resume/", CallKind::kStream, true)};
+                    RouteOf("/resume/", CallKind::kStream, true),
+                    RouteOf("/open/", CallKind::kOnce, false)};
+    parts.routes.back().is_public = true;
     Workspace workspace;
     workspace.id = WorkspaceId("bakery");
     workspace.credentials = {credential};
