--- a/Makefile
+++ b/Makefile
@@ -6,6 +6,10 @@
 MINUTES ?= 5
 JOBS ?= $(shell nproc)
 
+# Lets ccache share objects between checkouts in different folders.
+export CCACHE_BASEDIR := $(CURDIR)
+export CCACHE_NOHASHDIR := 1
+
 .PHONY: all deps build test lint format demo experiment bench capacity soak soak-processes fuzz clean
 
 all: build
--- a/test/soak/topology.py
+++ b/test/soak/topology.py
@@ -72,6 +72,15 @@
             ledger.add(ledger.did_not_end, f"{self.name} after {seconds} s")
             self.process.kill()
             self.process.wait()
+            print(f"{self.name} was killed {seconds} s after its signal; its log since then:",
+                  *self.log_since("event=entry.draining"), sep="\n    ")
+
+    def log_since(self, event):
+        """Returns the lines of the log from the last one with `event` on."""
+        with open(self.log.name, encoding="utf-8", errors="replace") as stream:
+            lines = stream.read().splitlines()
+        start = max((number for number, line in enumerate(lines) if event in line), default=len(lines))
+        return lines[start:]
 
     def ready(self):
         import http.client
