Let a new instance read a short configuration at once

Cause: a new instance waited for the tree also where the document is no longer than a message of a peer.

Change: a new instance reads the document from the store at once if it has 32 KB at most. The HTTP client ends a call whose head tells of a longer body, so a long document costs a first window of TCP. The read is used once the store is known not to have been restored shortly before it, since peers may have a newer version than a restored store; until then the instance goes on asking them.

Ruled out: receiving up to 32 KB of a long document.

--- a/include/oleander/store.h
+++ b/include/oleander/store.h
@@ -40,6 +40,7 @@
   StoreCall call = 0;
   std::string key;
   bool prefix = false;
+  size_t max_bytes = 0;  // Of the reply; 0: any. Not for a prefix.
 };
 
 // True if the key has this mod_revision; zero means that the key doesn't exist.
@@ -96,6 +97,7 @@
 struct StoreRangeAnswer {
   int64_t revision = 0;  // Revision of the whole store at the read.
   std::vector<StoreEntry> entries;
+  bool too_large = false;  // The reply had more than max_bytes.
 };
 
 // The reply to a StoreCas.
--- a/src/entry/config_feed.cc
+++ b/src/entry/config_feed.cc
@@ -25,6 +25,8 @@
 // While the store discards its history, it answers only reads. So a reader
 // whose call for changes gets no answer reads the configuration.
 constexpr Duration kConfirmTimeout = std::chrono::milliseconds(400);
+// A document that takes no more of a link than a few messages of peers.
+constexpr size_t kShortDocumentBytes = size_t{32} << 10;
 constexpr Duration kReadSpread = std::chrono::milliseconds(1200);
 // An instance whose proof is older than this calls the store itself.
 constexpr Duration kMaxProofAge = std::chrono::milliseconds(1500);
@@ -57,6 +59,7 @@
 
 void ConfigFeed::Start() {
   follower_.Start(context_.loop.now());
+  ReadIfShort();
   Poll();
 }
 
@@ -64,6 +67,7 @@
   AbandonCall();
   observed_ = {};
   document_revision_ = 0;
+  short_read_.reset();
   last_read_sent_at_.reset();
 }
 
@@ -81,6 +85,7 @@
 }
 
 void ConfigFeed::Poll() {
+  UseShortRead();
   if (IsConfirmationDue()) {
     Confirm();
   }
@@ -145,6 +150,36 @@
                });
 }
 
+void ConfigFeed::ReadIfShort() {
+  const Time sent_at = context_.loop.now();
+  store_.Range({.call = 0,
+                .key = catalog_.config_key(),
+                .prefix = false,
+                .max_bytes = kShortDocumentBytes},
+               [this, sent_at, round = BeginCall()](
+                   const absl::StatusOr<StoreRangeAnswer>& answer) {
+                 if (!EndCall(round)) {
+                   return;
+                 }
+                 if (!answer.ok()) {
+                   on_store_call_("config", answer.status());
+                 } else if (!answer->too_large) {
+                   short_read_ = {.sent_at = sent_at, .answer = *answer};
+                 }
+                 Poll();
+               });
+}
+
+void ConfigFeed::UseShortRead() {
+  if (!short_read_ || !AreOperatorWritesRestored(short_read_->sent_at)) {
+    return;
+  }
+  const ShortRead read = *std::exchange(short_read_, std::nullopt);
+  if (context_.config == nullptr) {
+    OnRead(read.sent_at, read.answer);
+  }
+}
+
 uint64_t ConfigFeed::BeginCall() {
   calling_ = true;
   call_sent_at_ = context_.loop.now();
--- a/src/entry/config_feed.h
+++ b/src/entry/config_feed.h
@@ -95,6 +95,12 @@
   // configuration.
   void Confirm();
   void Read();
+  // Reads the configuration unless it is long, so that a new instance doesn't
+  // have to wait for its peers.
+  void ReadIfShort();
+  // Uses that read once it is known that the store was not restored shortly
+  // before it: peers may have a newer version than a restored store.
+  void UseShortRead();
   // Returns the round of a new call.
   uint64_t BeginCall();
   // Returns whether the call of this round is still in progress, and ends it.
@@ -154,6 +160,11 @@
   Observation observed_;
   int64_t document_revision_ = 0;  // Of the last document that was parsed.
   std::optional<Time> last_read_sent_at_;
+  struct ShortRead {
+    Time sent_at;
+    StoreRangeAnswer answer;
+  };
+  std::optional<ShortRead> short_read_;
   io::Timer poll_timer_;
   io::Timer confirm_timer_;
   io::Timer follow_timer_;
--- a/src/io/http_client.cc
+++ b/src/io/http_client.cc
@@ -9,6 +9,7 @@
 #include <map>
 #include <utility>
 
+#include "absl/strings/numbers.h"
 #include "fmt/format.h"
 #include "io/h2o.h"
 #include "io/response_head.h"
@@ -27,7 +28,6 @@
 constexpr size_t kMaxHeadBytes = size_t{64} << 10;
 // Fetch() buffers the whole response; a page of the platform's listings has
 // 1 MB.
-constexpr size_t kMaxFetchedBytes = size_t{16} << 20;
 
 // The pool of connections to one server. A fresh connection gets a separate
 // pool, which is destroyed with the call.
@@ -683,7 +683,7 @@
     std::unique_ptr<HttpCall> call;
     HttpAnswer answer;
     std::function<void(HttpAnswer)> done;
-    bool too_large = false;
+    size_t max_bytes = 0;
   };
 
   Impl(EventLoop& event_loop, Duration bound)
@@ -718,21 +718,34 @@
   // connection.
   void AddToFetch(std::list<PendingFetch>::iterator fetch,
                   std::string_view chunk) {
-    if (fetch->too_large) {
+    if (fetch->answer.too_large) {
       return;
     }
     fetch->answer.body.append(chunk);
-    if (fetch->answer.body.size() <= kMaxFetchedBytes) {
-      return;
+    if (fetch->answer.body.size() > fetch->max_bytes) {
+      EndTooLarge(fetch);
+    }
+  }
+
+  // A body whose length is known to be too long isn't received at all.
+  void CheckLength(std::list<PendingFetch>::iterator fetch) {
+    const auto text = FindHeader(fetch->answer.headers, "content-length");
+    size_t length = 0;
+    if (text && absl::SimpleAtoi(std::string(*text), &length) &&
+        length > fetch->max_bytes) {
+      EndTooLarge(fetch);
     }
-    fetch->too_large = true;
+  }
+
+  void EndTooLarge(std::list<PendingFetch>::iterator fetch) {
+    fetch->answer.too_large = true;
     fetch->answer.body.clear();
     loop.Post([this, fetch] {
       EndFetch(fetch,
                {.status = MakeError(ResultCode::kBadAnswer,
                                     fmt::format("The response is longer than "
                                                 "{} bytes.",
-                                                kMaxFetchedBytes)),
+                                                fetch->max_bytes)),
                 .sent = true});
     });
   }
@@ -793,18 +806,20 @@
                        std::function<void(HttpAnswer)> done) {
   Impl* impl = impl_.get();
   const auto fetch = impl->fetches.emplace(impl->fetches.end());
+  fetch->max_bytes = request.options.max_fetched_bytes;
   HttpCallCallbacks callbacks;
-  callbacks.on_head = [fetch](int status, const Headers& headers) {
+  callbacks.on_head = [impl, fetch](int status, const Headers& headers) {
     fetch->answer.status = status;
     fetch->answer.headers = headers;
+    impl->CheckLength(fetch);
   };
   fetch->done = std::move(done);
   callbacks.on_body = [impl, fetch](std::string_view chunk) {
     impl->AddToFetch(fetch, chunk);
   };
   callbacks.on_end = [impl, fetch](const HttpCallEnd& end) {
-    // A response that is too large was ended by AddToFetch().
-    if (!fetch->too_large) {
+    // A response that is too large is ended by EndTooLarge().
+    if (!fetch->answer.too_large) {
       impl->EndFetch(fetch, end);
     }
   };
--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -29,6 +29,8 @@
   Duration head_timeout = std::chrono::seconds(30);
   // Between two pieces of the response's body.
   Duration progress_timeout = std::chrono::seconds(30);
+  // Fetch() ends a call whose response has a longer body.
+  size_t max_fetched_bytes = size_t{16} << 20;
   // A call that is given up resets its connection, so that bytes which a cut
   // link held up can't arrive later. With this set, the operating system also
   // drops such bytes if the process is killed, or is suspended for longer than
@@ -87,6 +89,7 @@
   int status = 0;
   Headers headers;
   std::string body;
+  bool too_large = false;  // The body was longer than max_fetched_bytes.
 };
 
 class HttpClient {
--- a/test/correctness/store_client_test.cc
+++ b/test/correctness/store_client_test.cc
@@ -96,6 +96,29 @@
   BOOST_TEST(store.List().ok());
 }
 
+BOOST_AUTO_TEST_CASE(does_not_receive_a_key_that_is_longer_than_asked_for) {
+  const std::string item = R"({"key":"op/config","rev":3,"value":")" +
+                           std::string(4000, 'A') + R"(","at_rev":7})";
+  Store store({"1", "1"});
+  store.bodies = {item, item};
+  const auto read = [&store](size_t max_bytes) {
+    std::optional<absl::StatusOr<StoreRangeAnswer>> answer;
+    store.store.Range({.key = "op/config", .max_bytes = max_bytes},
+                      [&answer](const auto& got) { answer = got; });
+    BOOST_TEST_REQUIRE(
+        io::RunUntil(store.loop, [&] { return answer.has_value(); }));
+    return *answer;
+  };
+  const auto too_large = read(1000);
+  BOOST_TEST_REQUIRE(too_large.ok());
+  BOOST_TEST(too_large->too_large);
+  BOOST_TEST(too_large->entries.empty());
+  const auto whole = read(8000);
+  BOOST_TEST_REQUIRE(whole.ok());
+  BOOST_TEST(!whole->too_large);
+  BOOST_TEST(whole->entries.at(0).value.size() == 3000U);
+}
+
 BOOST_AUTO_TEST_CASE(ignores_a_missing_or_malformed_header) {
   Store store({"3", "", "many", "-1", "99999999999"});
   for (int call = 0; call < 5; ++call) {
--- a/test/correctness/store_feed_test.cc
+++ b/test/correctness/store_feed_test.cc
@@ -365,6 +365,22 @@
   BOOST_TEST(reader.version() == 1);
 }
 
+// After the loss of all instances everyone waited for the tree, also where the
+// document is short (cairnlea-oleander-grown trouble-1).
+BOOST_AUTO_TEST_CASE(is_waited_for_only_if_it_is_long) {
+  for (const int routes : {10, kRoutes}) {
+    MemberFixture member;
+    member.store.Write("op/config", ConfigWithRoutes(2, routes));
+    member.feed.Start();
+    member.records.Start();
+    io::RunFor(member.entry.loop, milliseconds(200));
+    BOOST_TEST(member.version() == (routes == kRoutes ? 0 : 2));
+    BOOST_TEST((member.store.value_bytes("op/config") == 0) ==
+               (routes == kRoutes));
+    BOOST_TEST(member.Until([&] { return member.version() == 2; }));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(is_no_news_if_it_is_older_than_the_one_in_force) {
   FeedFixture instance("one");
   instance.store.Write("op/config", ConfigWithRoutes(5, 10));
--- a/test/random/config_fleet_test.cc
+++ b/test/random/config_fleet_test.cc
@@ -207,6 +207,19 @@
   });
 }
 
+// After the loss of all instances a short configuration came along the tree.
+BOOST_AUTO_TEST_CASE(
+    is_in_force_at_once_after_a_restart_of_all_if_it_is_short) {
+  ForEachFleet([](const ConfigFleetOptions& options) {
+    SettledFleet fleet(options, 50);
+    for (size_t i = 0; i < fleet.size(); ++i) {
+      fleet.Restart(i);
+    }
+    const Duration took = fleet.TimeToEverywhere(fleet.now(), kGiveUp);
+    BOOST_TEST((took < milliseconds(500)));
+  });
+}
+
 BOOST_AUTO_TEST_CASE(never_goes_back_to_an_older_version_in_a_process) {
   ForEachFleet([](const ConfigFleetOptions& options) {
     SettledFleet fleet(options, 2800);
--- a/test/support/config_fleet.h
+++ b/test/support/config_fleet.h
@@ -113,6 +113,7 @@
     instance.follower = ConfigFollower();
     instance.follower.Start(now());
     const int run = instance.run;
+    After(i, Duration(0), [this, i] { ReadIfShort(i); });
     // The records that name the readers take a moment.
     After(i, draw_.Between(milliseconds(20), milliseconds(200)),
           [this, i] { SetFleet(i); });
@@ -171,6 +172,8 @@
   static constexpr size_t kChangeBytes = 15;
   static constexpr double kApplyMicros = 1.5;
   static constexpr size_t kPartBytes = size_t{64} << 10;
+  static constexpr size_t kShortDocumentBytes = size_t{32} << 10;
+  static constexpr size_t kFirstWindowBytes = 14600;
   static constexpr size_t kMessageBytes = 40;
 
   struct Instance {
@@ -292,6 +295,32 @@
     });
   }
 
+  // The head of a long document tells its length; by then the service has sent
+  // its first window of TCP.
+  void ReadIfShort(size_t i) {
+    ++service_calls_;
+    if (service_fault_ != ServiceFault::kNone || version_ == 0) {
+      return;
+    }
+    const Duration way = IsFar(instances_[i]) ? kFar : kNear;
+    After(i, way * 2 + kServiceDelay, [this, i] {
+      Instance& instance = instances_[i];
+      const size_t bytes = routes_ * kDocumentBytes;
+      const bool is_short = bytes <= kShortDocumentBytes;
+      const size_t received = is_short ? bytes : kFirstWindowBytes;
+      Time at = now();
+      at = IsFar(instance) ? between_regions_.Pass(at, received) : at;
+      at = instance.link.Pass(at, received);
+      if (is_short) {
+        After(i, at - now(),
+              [this, i, version = version_,
+               micros = MicrosOf(routes_, kParseMicros)] {
+                Apply(i, version, micros);
+              });
+      }
+    });
+  }
+
   static double MicrosOf(size_t routes, double each) {
     return static_cast<double>(routes) * each;
   }
--- a/test/support/memory_store.h
+++ b/test/support/memory_store.h
@@ -70,6 +70,13 @@
 
   void Range(const StoreRange& request, Done<StoreRangeAnswer> done) override {
     ++reads;
+    if (const StoreEntry* entry = Find(request.key);
+        request.max_bytes != 0 && entry != nullptr &&
+        entry->value.size() > request.max_bytes) {
+      Reply(std::move(done),
+            StoreRangeAnswer{.entries = {}, .too_large = true});
+      return;
+    }
     StoreRangeAnswer answer{.revision = revision_, .entries = {}};
     for (const auto& [key, entry] : entries_) {
       if (request.prefix ? key.starts_with(request.key) : key == request.key) {
