Test that a new instance doesn't use a store that may just be restored

is_not_used_at_the_start_right_after_a_restore: the short document that a new instance reads is put in force only once the store's era is known to have begun 2 s before the read; without that check it would be in force within the 300 ms of the test.

--- a/test/correctness/store_feed_test.cc
+++ b/test/correctness/store_feed_test.cc
@@ -381,6 +381,24 @@
   }
 }
 
+// Peers may have a newer version than a store that was restored from a copy.
+BOOST_AUTO_TEST_CASE(is_not_used_at_the_start_right_after_a_restore) {
+  MemberFixture member;
+  StoreEra& era = member.entry.context.era;
+  member.store.OnEra([&](int64_t named) {
+    return era.Observe(member.entry.loop.now(), named);
+  });
+  member.store.Write("op/config", ConfigWithRoutes(2, 10));
+  member.feed.Start();
+  member.records.Start();
+  io::RunFor(member.entry.loop, milliseconds(300));
+  BOOST_TEST(member.version() == 0);
+  era.OnReportedAge(member.entry.loop.now(), era.current(),
+                    std::chrono::seconds(10));
+  io::RunFor(member.entry.loop, milliseconds(400));
+  BOOST_TEST(member.version() == 2);
+}
+
 BOOST_AUTO_TEST_CASE(is_no_news_if_it_is_older_than_the_one_in_force) {
   FeedFixture instance("one");
   instance.store.Write("op/config", ConfigWithRoutes(5, 10));
