Take the linter's verdict from its exit status

Cause: tools/lint.py also failed a file for output without an error, which tools/lint.sh only printed; the checks were to stay the same.

Change: the exit status decides; any output is printed, and a file with output is checked again next time. Evidence: config_follower.cc with a misnamed variable added fails twice in a row (readability-identifier-naming), though the file as it is had passed before; two files of src/parts pass from their kept verdicts; lint_test holds.

--- a/tools/lint.py
+++ b/tools/lint.py
@@ -91,10 +91,10 @@
     if key is not None and cache.has_passed(key):
         return True, "", True
     run = subprocess.run([LINTER, "-p", build, "--quiet", path], cwd=ROOT, capture_output=True, text=True, check=False)
-    good = run.returncode == 0 and not run.stdout.strip()
-    if good and key is not None:
+    good = run.returncode == 0
+    if good and key is not None and not run.stdout.strip():
         cache.add_pass(key)
-    return good, run.stdout if run.stdout.strip() or good else run.stderr, False
+    return good, run.stdout if good or run.stdout.strip() else run.stderr, False
 
 
 def default_cache_folder():
@@ -120,9 +120,9 @@
         for run in concurrent.futures.as_completed(runs):
             good, output, was_kept = run.result()
             kept += was_kept
+            print(output, end="", flush=True)
             if not good:
                 failed.append(runs[run])
-                print(output, end="", flush=True)
     print(f"linter: {len(files)} files, {kept} unchanged since they passed, {len(failed)} with findings"
           + "".join(f"\n  {file}" for file in sorted(failed)))
     return 1 if failed else 0
