--- a/test/error/answer_claims_test.cc
+++ b/test/error/answer_claims_test.cc
@@ -60,6 +60,94 @@
   BOOST_TEST(!Holds(answer, "\"ran\":\"no\""));
 }
 
+// Only its id tells the answer to a call from a late copy of another's.
+BOOST_AUTO_TEST_SUITE(a_refusal_without_the_calls_id)
+
+std::string RefusalWithoutId(int status) {
+  return "HTTP/1.1 " + std::to_string(status) +
+         " Refused\r\nx-oleanderfield-not-run: 1\r\n"
+         "content-length: 0\r\n\r\n";
+}
+
+constexpr int kPromisingStatuses[] = {400, 408, 421, 429, 503};
+
+BOOST_AUTO_TEST_CASE(is_no_promise_that_a_call_did_not_run) {
+  for (const int status : kPromisingStatuses) {
+    EntryFixture entry;
+    entry.AddServer([&](const std::string&) -> ScriptedAnswer {
+      return {.bytes = RefusalWithoutId(status)};
+    });
+    const std::string answer = entry.Request("/once/a");
+    BOOST_TEST_CONTEXT(status) {
+      BOOST_TEST(StatusOf(answer) == 502);
+      BOOST_TEST(!Holds(answer, "\"ran\":\"no\""));
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(sends_no_call_that_must_run_once_to_a_second_server) {
+  for (const int status : kPromisingStatuses) {
+    EntryFixture entry;
+    int run = 0;
+    const auto script = [&](const std::string&) -> ScriptedAnswer {
+      return {.bytes =
+                  run++ == 0 ? RefusalWithoutId(status) : SealedAnswer("done")};
+    };
+    entry.AddServer(script);
+    entry.AddServer(script);
+    entry.Request("/once/a");
+    BOOST_TEST_CONTEXT(status) { BOOST_TEST(run == 1); }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(counts_against_the_attempts_of_a_call_that_may_repeat) {
+  EntryFixture entry;
+  int run = 0;
+  const auto script = [&](const std::string&) -> ScriptedAnswer {
+    ++run;
+    return {.bytes = RefusalWithoutId(503)};
+  };
+  for (int server = 0; server < 4; ++server) {
+    entry.AddServer(script);
+  }
+  BOOST_TEST(StatusOf(entry.Request("/repeat/a")) == 502);
+  BOOST_TEST(run == 2);  // The route's max_attempts.
+}
+
+// The copy follows a whole answer, as the answer to the connection's next call.
+BOOST_AUTO_TEST_CASE(written_late_on_a_kept_connection_is_not_believed) {
+  EntryFixture entry;
+  io::ScriptedServer& server =
+      entry.AddServer([&](const std::string&) -> ScriptedAnswer {
+        return {.bytes = entry.attempt == kAttempt ? SealedAnswer("done")
+                                                   : RefusalWithoutId(503)};
+      });
+  BOOST_TEST(StatusOf(entry.Request("/once/a")) == 200);
+  entry.attempt = "another";
+  const std::string answer = entry.Request("/once/b");
+  BOOST_TEST(server.accepted() == 1);
+  BOOST_TEST(StatusOf(answer) == 502);
+}
+
+BOOST_AUTO_TEST_CASE(says_nothing_about_its_server) {
+  EntryFixture entry;
+  entry.AddServer([&](const std::string&) -> ScriptedAnswer {
+    return {.bytes =
+                "HTTP/1.1 503 Full\r\nx-oleanderfield-not-run: 1\r\n"
+                "server-leaving: 1\r\nretry-after: 60\r\nserver-limit: 1\r\n"
+                "content-length: 0\r\n\r\n"};
+  });
+  const ServerId server("server-1");
+  entry.Request("/once/a");
+  const Time now = entry.loop.now();
+  ServerNotices& notices = entry.context.placement.notices();
+  BOOST_TEST(!notices.leaving(server, 0));
+  BOOST_TEST(!notices.pause_until(now, server, 0).has_value());
+  BOOST_TEST(entry.context.placement.limits().RecentReports(now).empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(a_stream_that_broke_off)
 
 BOOST_AUTO_TEST_CASE(contains_no_error_of_the_next_server_and_does_not_end) {
--- a/test/support/entry_fixture.h
+++ b/test/support/entry_fixture.h
@@ -17,7 +17,7 @@
 
 namespace oleander::entry {
 
-// The id that every test request carries.
+// The id that test requests carry unless a test sets another.
 inline constexpr char kAttempt[] = "9c41d07be2a35f68";
 
 // A complete answer of a backend server, with its signature and the header
@@ -144,14 +144,16 @@
   CallHandler& handler() { return handler_; }
 
   io::EventLoop loop;
+  std::string attempt = kAttempt;  // The id of the next requests, if not empty.
 
  private:
-  static std::string RequestBytes(const std::string& path,
-                                  const std::string& key,
-                                  const std::string& more) {
+  std::string RequestBytes(const std::string& path, const std::string& key,
+                           const std::string& more) const {
     return "POST " + path + " HTTP/1.1\r\nhost: a.example\r\n" +
-           "x-oleanderfield-attempt-id: " + kAttempt +
-           "\r\nx-oleanderfield-deadline-ms: 3000\r\n" + more +
+           (attempt.empty()
+                ? ""
+                : "x-oleanderfield-attempt-id: " + attempt + "\r\n") +
+           "x-oleanderfield-deadline-ms: 3000\r\n" + more +
            (key.empty() ? "" : "authorization: Token " + key + "\r\n") +
            "connection: close\r\ncontent-length: 2\r\n\r\nhi";
   }
