Believe an answer only if it bears the call's id

Cause: OnHead() took an answer without an id for this call's if it said "not run". A server writes an earlier refusal once more where the next call's answer is expected; that call is then refused or sent to a second server while it runs. On routes that may be repeated, such a run was not counted against max_attempts. The class: a claim of an answer that is believed before it is known whose answer it is.

Why it works: the id is the only thing that tells a copy from the answer, so without it the outcome is unknown. CloseAfterResponse() goes, since a lost call resets its connection anyway.

--- a/src/entry/forwarded_call.cc
+++ b/src/entry/forwarded_call.cc
@@ -277,20 +277,13 @@
     context_.loads.OnReport(context_.loop.now(), *server_,
                             head.load->running + head.load->waiting);
   }
-  // The answer to a call that ran carries the call's id. An answer without an
-  // id may be a late copy of another call's answer.
-  const bool foreign =
-      head.attempt ? *head.attempt != call_.intake.attempt : !head.not_run;
-  if (foreign) {
+  // An answer without this call's id may be a late copy of another call's.
+  if (head.attempt != call_.intake.attempt) {
     FinishAttempt(SendOutcome::kLost, "the answer belongs to another call");
     return;
   }
   ApplyServerNotices(head);
   if (head.not_run) {
-    if (!head.attempt) {
-      // A copy of this refusal could not be told from the next call's answer.
-      server_call_->CloseAfterResponse();
-    }
     DiscardBody();
     return;
   }
--- a/src/io/http_client.cc
+++ b/src/io/http_client.cc
@@ -246,12 +246,6 @@
 
   bool sent() const { return sent_; }
 
-  void CloseAfterResponse() {
-    if (client_ != nullptr) {
-      client_->sockpool.pool = nullptr;  // h2o closes what has no pool.
-    }
-  }
-
   void Pause() {
     paused_ = true;
     h2o_socket_t* socket = BodySocket();
@@ -652,7 +646,6 @@
   bool sent() const override { return call_->sent(); }
   void Pause() override { call_->Pause(); }
   void Resume() override { call_->Resume(); }
-  void CloseAfterResponse() override { call_->CloseAfterResponse(); }
 
  private:
   std::shared_ptr<Call> call_;
@@ -670,7 +663,6 @@
   bool sent() const override { return false; }
   void Pause() override {}
   void Resume() override {}
-  void CloseAfterResponse() override {}
 
  private:
   std::shared_ptr<bool> alive_;
--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -78,9 +78,6 @@
   // Stop and restart reading, for back pressure.
   virtual void Pause() = 0;
   virtual void Resume() = 0;
-  // Closes the connection after the response instead of keeping it for other
-  // calls. Has an effect until the head has been handled.
-  virtual void CloseAfterResponse() = 0;
 };
 
 // A whole response, for calls that need no streaming.
