Let a millisecond pass between two refusals that count down

refuses_callers_with_the_rest_of_it failed once here (0.597 >= 0.597): two requests within one millisecond get the same Retry-After, which has whole milliseconds. Cause shown by the failing pair: proof_age_ms 3 and 3, calls less than 1 ms apart on x86-64. The check stays strictly falling; the test lets 2 ms pass between the requests.

--- a/test/error/forwarded_call_test.cc
+++ b/test/error/forwarded_call_test.cc
@@ -707,6 +707,9 @@
     BOOST_TEST(remaining <= 0.6);
     BOOST_TEST(remaining < before);
     before = remaining;
+    // The time is given in whole milliseconds.
+    const Time next_at = entry.loop.now() + std::chrono::milliseconds(2);
+    io::RunUntil(entry.loop, [&] { return entry.loop.now() >= next_at; });
   }
   // The pause outlasts a new listing and ends after its time.
   ListedServer listed = *entry.context.listed.Find(ServerId("server-1"));
