Take a server's load only from this call's answer

Second fault of the class: the load that an answer reports was applied before it was known whose answer it is. A late copy therefore replaced the newest report of its server, here and, by the readers, on all instances.

Evidence: answer_claims/another_calls_answer_tells_no_load failed before (98 calls estimated and 99 reported, where nothing is known). What callers saw of it was not measured. The load is now applied with the other notices of the answer, below the check.

--- a/src/entry/forwarded_call.cc
+++ b/src/entry/forwarded_call.cc
@@ -271,12 +271,6 @@
 
 void ForwardedCall::OnHead(int status, const io::Headers& headers) {
   const ports::AnswerHead head = context_.codec.ReadAnswer(status, headers);
-  if (head.load) {
-    context_.placement.OnLoad(context_.loop.now(), *server_, head.load->running,
-                              head.load->waiting);
-    context_.loads.OnReport(context_.loop.now(), *server_,
-                            head.load->running + head.load->waiting);
-  }
   // An answer without this call's id may be a late copy of another call's.
   if (head.attempt != call_.intake.attempt) {
     FinishAttempt(SendOutcome::kLost, "the answer belongs to another call");
@@ -316,6 +310,12 @@
 void ForwardedCall::ApplyServerNotices(const ports::AnswerHead& head) {
   ServerNotices& notices = context_.placement.notices();
   const Time now = context_.loop.now();
+  if (head.load) {
+    context_.placement.OnLoad(now, *server_, head.load->running,
+                              head.load->waiting);
+    context_.loads.OnReport(now, *server_,
+                            head.load->running + head.load->waiting);
+  }
   if (head.leaving &&
       notices.OnLeaving(
           now, {.server = *server_, .started_ms = server_started_ms_})) {
--- a/test/error/answer_claims_test.cc
+++ b/test/error/answer_claims_test.cc
@@ -148,6 +148,19 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_CASE(another_calls_answer_tells_no_load) {
+  EntryFixture entry;
+  entry.AddServer([](const std::string&) -> ScriptedAnswer {
+    return {.bytes = SealedAnswer("done", 200, "another",
+                                  "x-oleanderfield-server-load: 90,9,96\r\n")};
+  });
+  const ServerId server("server-1");
+  BOOST_TEST(StatusOf(entry.Request("/once/a")) == 502);
+  const Time now = entry.loop.now();
+  BOOST_TEST(entry.context.placement.EstimatedCalls(now, server) == 0);
+  BOOST_TEST(entry.context.loads.CallsAt(now, server) == 0);
+}
+
 BOOST_AUTO_TEST_SUITE(a_stream_that_broke_off)
 
 BOOST_AUTO_TEST_CASE(contains_no_error_of_the_next_server_and_does_not_end) {
