--- a/test/error/poison_parts_test.cc
+++ b/test/error/poison_parts_test.cc
@@ -1,5 +1,5 @@
-// Calls whose prompts contain a part that crashes each server that begins to
-// answer, beside sound calls that share everything else with them.
+// Calls that crash each server that begins to run them, as a whole or by a part
+// of their prompts, beside sound calls that share everything else with them.
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <string>
@@ -116,13 +116,114 @@
 BOOST_AUTO_TEST_CASE(that_is_the_last_one_is_not_blamed) {
   PoisonFixture entry;
   for (int call = 0; call < 4; ++call) {
-    entry.Request("/resume/a", "key",
+    entry.Request("/resume/" + std::to_string(call), "key",
                   "x-oleanderfield-prompt-prefix: bad:50\r\n");
   }
+  BOOST_TEST(entry.reached() >= 4);
   BOOST_TEST(entry.context.poison.suspected_count() == 0U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
 
+struct DeadlyFixture : EntryFixture {
+  DeadlyFixture() {
+    for (int i = 1; i <= kServers; ++i) {
+      const ServerId id("server-" + std::to_string(i));
+      AddServer([this, id](const std::string& request) -> ScriptedAnswer {
+        if (Holds(request, "/deadly ")) {
+          ++reached;
+          Restart(id);
+          return {.bytes = "", .after = AfterAnswer::kClose};
+        }
+        return {.bytes =
+                    Holds(request, "/stream/") || Holds(request, "/resume/")
+                        ? StreamHead() + Chunk(Event(1)) + kLastChunk
+                        : SealedAnswer("done")};
+      });
+    }
+  }
+
+  // Calls that aren't streams have no prompt.
+  std::string Ask(const std::string& route, const std::string& name) {
+    const bool streams = route == "/stream/" || route == "/resume/";
+    return Request(route + name, "key", streams ? PromptOf("part", 1) : "");
+  }
+  std::string AskDeadly(const std::string& route) {
+    return Ask(route, "deadly");
+  }
+  // Lists another run of the server.
+  void Restart(const ServerId& id) {
+    ListedServer server = *context.listed.Find(id);
+    ++server.started_ms;
+    context.listed.Put(loop.now(), server, ++listings_);
+    Publish();
+  }
+
+  int reached = 0;
+
+ private:
+  int64_t listings_ = 1000;
+};
+
+// Three more sends are allowed after the third crash.
+constexpr int kDeadlyCrashesToLearn = 3;
+const std::string kRoutes[] = {"/once/", "/repeat/", "/stream/", "/resume/"};
+
+BOOST_AUTO_TEST_SUITE(a_request_that_crashes_servers)
+
+// BUDGET on cairnlea-oleander and tortared (the users' day `deadly`).
+BOOST_AUTO_TEST_CASE(reaches_no_more_servers_once_it_is_known) {
+  for (const std::string& route : kRoutes) {
+    DeadlyFixture entry;
+    for (int call = 0; call < 20; ++call) {
+      BOOST_TEST(StatusOf(entry.AskDeadly(route)) >= 500);
+      BOOST_TEST(StatusOf(entry.Ask(route, "sound")) == 200);
+    }
+    BOOST_TEST_CONTEXT(route) {
+      BOOST_TEST(entry.reached <= kDeadlyCrashesToLearn + kAllowedLater);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(is_refused_at_once_with_its_evidence) {
+  for (const std::string& route : kRoutes) {
+    DeadlyFixture entry;
+    while (entry.reached < kDeadlyCrashesToLearn) {
+      const std::string answer = entry.AskDeadly(route);
+      BOOST_TEST(StatusOf(answer) == 502);
+      BOOST_TEST(Holds(answer, "\"ran\":\"unknown\""));
+    }
+    const Time asked_at = entry.loop.now();
+    const std::string answer = entry.AskDeadly(route);
+    BOOST_TEST_CONTEXT(route) {
+      BOOST_TEST((entry.loop.now() - asked_at < milliseconds(50)));
+      BOOST_TEST(StatusOf(answer) == 503);
+      BOOST_TEST(Holds(answer, "\"ran\":\"no\""));
+      BOOST_TEST(Holds(answer, "\"code\":2114"));
+      BOOST_TEST(Holds(answer, "3 servers crashed"));
+      BOOST_TEST(Holds(answer, "retry-after: "));
+      BOOST_TEST(entry.reached == kDeadlyCrashesToLearn);
+      BOOST_TEST(
+          Holds(entry.metrics().Text(), "oleander_entry_suspected_requests 1"));
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(brings_nothing_that_shares_its_caller_and_parts_in_doubt) {
+  for (const std::string& route : kRoutes) {
+    DeadlyFixture entry;
+    for (int call = 0; call < 6; ++call) {
+      entry.AskDeadly(route);
+    }
+    BOOST_TEST_CONTEXT(route) {
+      BOOST_TEST(StatusOf(entry.Ask(route, "sound")) == 200);
+      BOOST_TEST(StatusOf(entry.Request(route + "sound", "key",
+                                        PromptOf("part", 2))) == 200);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 }  // namespace
 }  // namespace oleander::entry
