--- a/src/entry/forwarded_call.cc
+++ b/src/entry/forwarded_call.cc
@@ -273,9 +273,9 @@
   const ports::AnswerHead head = context_.codec.ReadAnswer(status, headers);
   // An answer without this call's id may be a late copy of another call's.
   if (head.attempt != call_.intake.attempt) {
-    FinishAttempt(SendOutcome::kLost,
-                  head.attempt ? "the answer belongs to another call"
-                               : "the answer names no call");
+    FinishAttempt(SendOutcome::kLost, head.attempt
+                                          ? "the answer belongs to another call"
+                                          : "the answer names no call");
     return;
   }
   ApplyServerNotices(head);
