Refuse a request that crashes its servers, with or without a prompt

Cause: nothing related a crash to the request as a whole. PoisonParts knew only the parts of a prompt that others share. These are answered on by others and cleared, and a call without a prompt left no evidence.

Change: the request as a whole (caller, method, host, path, query, body, prompt) counts as one more part, marked by the highest bit of its hash. It comes before the parts of its prompt, is blamed whether or not its answer had begun, and its suspicion is never a weak one. Its parts are blamed for one of its crashes only.

Why it works: what a repeated request has in common with itself is exactly its caller, target, body and prompt, and nothing else shares it.

The fleets of poison parts carry requests now and keep their checks.

--- a/include/oleander/poison_parts.h
+++ b/include/oleander/poison_parts.h
@@ -1,5 +1,8 @@
-// Finds the parts of prompts that crash backend servers, so that requests with
-// them are refused before they end one server after the other.
+// Finds the requests, and the parts of prompts, that crash backend servers, so
+// that they are refused before they end one server after the other.
+//
+// A caller may send the same request again and again, and any instance may get
+// it. Each call therefore counts as one more part: the request as a whole.
 //
 // A server runs many requests at once, and each of those that had no event yet
 // may have caused its crash. Three kinds of evidence tell the poison part from
@@ -12,6 +15,10 @@
 // are not suspected, also while nothing is answered because all servers are
 // down.
 //
+// A whole request is the narrowest explanation, so it comes before its parts,
+// and is blamed whether or not its answer had begun. The parts of a suspected
+// request are blamed for one of its crashes only.
+//
 // Each instance sees only a few of the crashes. Instances exchange their
 // evidence and draw the same conclusions from the same evidence.
 //
@@ -19,6 +26,8 @@
 // single requests, at first at one instance of all. An answer to one of them
 // ends the suspicion everywhere; another crash prolongs it several times.
 //
+//   const std::vector<PartHash> parts = {
+//       HashOfRequest({caller, target, body}), HashOfPart("system-prompt")};
 //   PoisonParts poison;
 //   poison.OnCrash(now, {.run = run, .begun = true, .parts = parts});
 //   poison.OnAnswer(now, parts);          // A call's first event arrived.
@@ -29,8 +38,10 @@
 #ifndef OLEANDER_POISON_PARTS_H_
 #define OLEANDER_POISON_PARTS_H_
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
+#include <initializer_list>
 #include <optional>
 #include <string_view>
 #include <utility>
@@ -41,9 +52,14 @@
 
 namespace oleander {
 
-// Identifies a part of a prompt on all instances.
+// Identifies a part of a prompt, or a whole request, on all instances.
 using PartHash = uint64_t;
 PartHash HashOfPart(std::string_view id);
+// Returns the hash of a whole request: of all that is the same when its caller
+// sends it again.
+PartHash HashOfRequest(std::initializer_list<std::string_view> fields);
+// Returns whether the hash is that of a whole request.
+bool IsRequest(PartHash part);
 // Identifies one run of a server: a later start under the same id is another.
 uint64_t HashOfServerRun(const ServerId& server, int64_t started_ms);
 
@@ -83,8 +99,8 @@
   Duration announce_time = std::chrono::seconds(10);
 };
 
-// One run of a server that ended `age` ago, with the parts that other prompts
-// may share of calls that had no event yet.
+// One run of a server that ended `age` ago, with the calls that had no event
+// yet: their requests, and the parts that other prompts may share.
 struct ServerCrash {
   uint64_t run = 0;
   bool begun = false;  // The heads of the answers to these calls had arrived.
@@ -152,7 +168,10 @@
   // Returns the changes since the last call.
   std::vector<SuspicionChange> TakeChanges();
   bool IsSuspected(PartHash part) const;
-  size_t suspected_count() const { return suspects_.size(); }
+  size_t suspected_requests() const;
+  size_t suspected_parts() const {
+    return suspects_.size() - suspected_requests();
+  }
 
  private:
   struct Crash {
@@ -164,8 +183,10 @@
   };
   struct Suspect {
     PartHash part = 0;
-    std::vector<Time> crashes;  // Ascending.
-    bool begun = false;         // In at least one of the crashes.
+    std::vector<uint64_t> runs;  // Server runs that it ended, in order.
+    std::vector<Time> crashes;   // When each of them ended.
+    // A whole request, or an answer had begun in at least one of the crashes.
+    bool strong = false;
     int rounds = 1;
     // Other parts that nearly the same crashes are evidence against.
     std::vector<PartHash> rivals;
@@ -176,13 +197,26 @@
     std::optional<Time> refused_since = std::nullopt;  // Without a pause.
     Time refused_at{};
   };
+  // An answer that peers are told of.
+  struct Exoneration {
+    Time until;       // Peers are told until then.
+    int crashes = 0;  // That the part was blamed for.
+  };
   using Crashes = absl::flat_hash_map<uint64_t, Crash>;
   using BlameCounts = absl::flat_hash_map<PartHash, int>;
 
+  // When the part was last answered on, if that is remembered.
+  std::optional<Time> AnsweredAt(PartHash part) const;
+  void RememberAnswer(PartHash part, Time at);
   // Returns whether an answer shows that the part didn't cause the crash.
   bool IsTrusted(PartHash part, Time crash_at) const;
   // Adds to the evidence of a crash. Returns whether any of it is new.
   bool AddCrash(Time now, const ServerCrash& report, bool local);
+  // Lets peers know of an answer on a part that they may blame for as many
+  // crashes.
+  void Announce(Time now, PartHash part, int crashes);
+  // Returns the number of crashes that are blamed on the part.
+  int BlameOf(PartHash part) const;
   // Records an answer. Returns whether a crash was blamed on the part until
   // now.
   bool Exonerate(PartHash part, Time answered_at);
@@ -191,16 +225,27 @@
 
   // Derives the suspects from the crashes, after these have changed.
   void UpdateSuspects();
-  // Returns the suspect, and removes the crashes that it explains from
-  // `unexplained`.
-  Suspect Explain(PartHash part, std::vector<uint64_t>& unexplained);
-  // Returns the part that most of the crashes are blamed on, and their number.
+  // Returns the whole requests that more than one server crashed under.
+  std::vector<Suspect> RepeatedRequests() const;
+  // Returns the runs without those that one of the requests ended, except the
+  // first one that it ended.
+  std::vector<uint64_t> WithoutRepeats(
+      std::vector<uint64_t> runs, const std::vector<Suspect>& requests) const;
+  // Reports the differences between `suspects_` and its new value.
+  void NoteChanges(const std::vector<Suspect>& suspects);
+  // Returns the suspect with those of the crashes that are blamed on the part.
+  Suspect Explain(PartHash part, const std::vector<uint64_t>& runs) const;
+  // Returns the part of a prompt that most of the crashes are blamed on, and
+  // their number.
   std::pair<PartHash, int> MostBlamed(const std::vector<uint64_t>& runs) const;
   BlameCounts CountBlame(const std::vector<uint64_t>& runs) const;
   std::vector<uint64_t> AllRuns() const;
   // Returns whether the crash is needed to go on suspecting a part.
   bool IsEvidenceOfSuspect(Time now, const Crash& crash) const;
-  // Returns the last crashes under the suspect, blamed on it alone.
+  // Returns the answers that contradict what peers may believe, the most
+  // important ones first.
+  std::vector<AnsweredPart> AnswersInNews(Time now) const;
+  // Returns the last crashes that the suspect explains, blamed on it alone.
   std::vector<ServerCrash> EvidenceAgainst(Time now,
                                            const Suspect& suspect) const;
 
@@ -222,9 +267,16 @@
   InstanceId self_;
   Crashes crashes_;  // By server run.
   absl::flat_hash_map<PartHash, Time> answered_;
-  // Parts that peers may blame though they were answered on, and until when
-  // peers are told.
-  absl::flat_hash_map<PartHash, Time> exonerated_;
+  // Nearly all requests differ, so an answered one is only remembered until
+  // another takes its place.
+  static constexpr size_t kRememberedRequests = 1024;
+  struct AnsweredRequest {
+    PartHash request = 0;
+    Time at;
+  };
+  std::array<AnsweredRequest, kRememberedRequests> answered_requests_ = {};
+  // Parts that peers may blame though they were answered on.
+  absl::flat_hash_map<PartHash, Exoneration> exonerated_;
   absl::flat_hash_map<PartHash, Trial> trials_;
   BlameCounts blamed_;  // Crashes blamed on each part.
   std::vector<Suspect> suspects_;
--- a/include/oleander/result_code.h
+++ b/include/oleander/result_code.h
@@ -48,6 +48,7 @@
   kConfigUnproven = 2111,
   kQuotaSpent = 2112,
   kPoisonPrompt = 2113,
+  kPoisonRequest = 2114,
   // 22xx: failed, and may have run.
   kAnswerLost = 2201,
   kServerFailed = 2202,
--- a/src/entry/call_handler.cc
+++ b/src/entry/call_handler.cc
@@ -180,9 +180,9 @@
   if (absl::Status status = FindWorkspace(call); !status.ok()) {
     return status;
   }
-  call.shared_parts = SharedParts(call.intake.prompt);
-  if (absl::Status status =
-          CheckPrompt(context_, call.intake, call.shared_parts);
+  call.parts =
+      BlamableParts(call.exchange->request(), call.intake, call.workspace);
+  if (absl::Status status = CheckSuspicion(context_, call.intake, call.parts);
       !status.ok()) {
     return status;
   }
--- a/src/entry/entry_metrics.cc
+++ b/src/entry/entry_metrics.cc
@@ -65,6 +65,9 @@
                              "The newest configuration known to exist.")),
       servers_(NewGauge(*registry_, "oleander_entry_ready_servers",
                         "Backend servers that may get new work.")),
+      suspected_requests_(
+          NewGauge(*registry_, "oleander_entry_suspected_requests",
+                   "Whole requests that are suspected of crashing servers.")),
       suspected_parts_(
           NewGauge(*registry_, "oleander_entry_suspected_prompt_parts",
                    "Parts of prompts that are suspected of crashing "
@@ -120,8 +123,9 @@
   servers_.Set(static_cast<double>(ready));
 }
 
-void EntryMetrics::SetSuspectedParts(size_t parts) {
-  suspected_parts_.Set(static_cast<double>(parts));
+void EntryMetrics::SetSuspects(size_t requests, size_t prompt_parts) {
+  suspected_requests_.Set(static_cast<double>(requests));
+  suspected_parts_.Set(static_cast<double>(prompt_parts));
 }
 
 std::string EntryMetrics::Text() const {
--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -40,7 +40,7 @@
   // Counts the bytes of a configuration that came from the store or a peer.
   void CountConfigBytes(std::string_view source, size_t bytes);
   void SetServers(size_t ready);
-  void SetSuspectedParts(size_t parts);
+  void SetSuspects(size_t requests, size_t prompt_parts);
 
   // Returns the metrics in the Prometheus text format.
   std::string Text() const;
@@ -64,6 +64,7 @@
   prometheus::Gauge& config_version_;
   prometheus::Gauge& config_heard_;
   prometheus::Gauge& servers_;
+  prometheus::Gauge& suspected_requests_;
   prometheus::Gauge& suspected_parts_;
 };
 
--- a/src/entry/forwarded_call.cc
+++ b/src/entry/forwarded_call.cc
@@ -123,9 +123,9 @@
     return false;
   }
   if (const absl::Status status =
-          CheckPrompt(context_, call_.intake, call_.shared_parts);
+          CheckSuspicion(context_, call_.intake, call_.parts);
       !status.ok()) {
-    GiveUp(ResultCode::kPoisonPrompt, std::string(status.message()),
+    GiveUp(CodeOf(status), std::string(status.message()),
            DetailsOf(status).retry_after);
     return false;
   }
@@ -215,7 +215,7 @@
              .calls = context_.placement.EstimatedCalls(now, server.id)};
   placement_call_ =
       context_.placement.OnSent(now, server.id, placement_request_.prompt);
-  context_.poison.OnSent(now, call_.shared_parts);
+  context_.poison.OnSent(now, call_.parts);
   // `server_call_` is destroyed with this object, so its callbacks never run
   // without it. They lock a reference because a callback may release the
   // exchange's, which would destroy the object while the callback runs.
@@ -400,7 +400,7 @@
   }
   RecordStart();
   if (!had_event) {
-    RecordAnswer(context_, call_.shared_parts);
+    RecordAnswer(context_, call_.parts);
   }
   StartStream();
   call_.exchange->Write(*whole);
@@ -502,9 +502,9 @@
   RecordServerCrash(context_, call_.intake, *server_,
                     {.run = HashOfServerRun(*server_, server_started_ms_),
                      .begun = mode_ != Mode::kAwaitingHead,
-                     .parts = call_.shared_parts});
+                     .parts = call_.parts});
   attempts_.may_end_servers =
-      !context_.poison.MayRetry(context_.loop.now(), call_.shared_parts);
+      !context_.poison.MayRetry(context_.loop.now(), call_.parts);
 }
 
 void ForwardedCall::OnCallerDisconnected() {
@@ -639,7 +639,7 @@
   }
   if (server_) {
     context_.placement.OnSuccess(*server_);
-    RecordAnswer(context_, call_.shared_parts);
+    RecordAnswer(context_, call_.parts);
   }
   EndAttempt(/*failed=*/false);
   call_.exchange->Respond(status_, std::move(headers_), body_);
--- a/src/entry/forwarded_call.h
+++ b/src/entry/forwarded_call.h
@@ -32,8 +32,8 @@
   WorkspaceId workspace;
   ServiceId service;
   int urgency = 0;
-  // The parts of the prompt that other prompts may share.
-  std::vector<PartHash> shared_parts;
+  // What a crash of its server may be blamed on.
+  std::vector<PartHash> parts;
   Time arrived;
   Time deadline;  // The earlier of the caller's and the route's.
 };
@@ -58,8 +58,8 @@
 
   void SendNext();
   // Returns whether the current configuration allows the call to be sent and
-  // was confirmed recently enough, and no part of its prompt is suspected of
-  // crashing servers. If not, sends the final answer.
+  // was confirmed recently enough, and neither the request nor a part of its
+  // prompt is suspected of crashing servers. If not, sends the final answer.
   bool MaySend();
   void OnChosen(const RegionPlacer::Placed& placed);
   void SendTo(const ListedServer& server);
--- a/src/entry/poison_guard.cc
+++ b/src/entry/poison_guard.cc
@@ -25,19 +25,31 @@
 
 std::string HexOf(PartHash part) { return fmt::format("{:016x}", part); }
 
-// Logs the parts that became suspected or are no longer. Returns whether there
-// are any.
+void LogChange(const SuspicionChange& change) {
+  const io::LogLevel level =
+      change.suspected ? io::LogLevel::kWarning : io::LogLevel::kInfo;
+  if (IsRequest(change.part)) {
+    io::Log(level, change.suspected ? "request.suspected" : "request.cleared",
+            {{"request", HexOf(change.part)}, {"crashes", change.crashes}});
+  } else {
+    io::Log(level,
+            change.suspected ? "prompt_part.suspected" : "prompt_part.cleared",
+            {{"part", HexOf(change.part)}, {"crashes", change.crashes}});
+  }
+}
+
+// Logs the requests and parts that became suspected or are no longer. Returns
+// whether there are any.
 bool ReportChanges(CallContext& context) {
   const std::vector<SuspicionChange> changes = context.poison.TakeChanges();
   if (changes.empty()) {
     return false;
   }
   for (const SuspicionChange& change : changes) {
-    io::Log(change.suspected ? io::LogLevel::kWarning : io::LogLevel::kInfo,
-            change.suspected ? "prompt_part.suspected" : "prompt_part.cleared",
-            {{"part", HexOf(change.part)}, {"crashes", change.crashes}});
+    LogChange(change);
   }
-  context.metrics.SetSuspectedParts(context.poison.suspected_count());
+  context.metrics.SetSuspects(context.poison.suspected_requests(),
+                              context.poison.suspected_parts());
   return true;
 }
 
@@ -50,24 +62,42 @@
 
 }  // namespace
 
-std::vector<PartHash> SharedParts(
-    const std::vector<ports::PromptPart>& prompt) {
-  std::vector<PartHash> parts;
+std::vector<PartHash> BlamableParts(const io::HttpRequest& request,
+                                    const ports::CallIntake& call,
+                                    const WorkspaceId& workspace) {
+  std::string prompt;
+  for (const ports::PromptPart& part : call.prompt) {
+    prompt += part.id + ',';
+  }
+  std::vector<PartHash> parts = {
+      HashOfRequest({workspace.value(), request.method, call.host, request.path,
+                     request.query, request.body, prompt})};
   std::ranges::transform(
-      prompt | std::views::take(std::max<size_t>(prompt.size(), 1) - 1),
+      call.prompt |
+          std::views::take(std::max<size_t>(call.prompt.size(), 1) - 1),
       std::back_inserter(parts),
       [](const ports::PromptPart& part) { return HashOfPart(part.id); });
   return parts;
 }
 
-absl::Status CheckPrompt(CallContext& context, const ports::CallIntake& call,
-                         const std::vector<PartHash>& shared_parts) {
+absl::Status CheckSuspicion(CallContext& context, const ports::CallIntake& call,
+                            const std::vector<PartHash>& parts) {
   const Time now = context.loop.now();
-  const auto suspicion = context.poison.Find(now, shared_parts);
+  const auto suspicion = context.poison.Find(now, parts);
   if (!suspicion) {
     return absl::OkStatus();
   }
-  context.poison.OnRefused(now, shared_parts);
+  context.poison.OnRefused(now, parts);
+  if (IsRequest(suspicion->part)) {
+    return MakeError(
+        {.code = ResultCode::kPoisonRequest,
+         .ran = Ran::kNo,
+         .retry_after = suspicion->retry_after},
+        fmt::format("{} servers crashed when they ran this request ({}), the "
+                    "last one {} ms ago.",
+                    suspicion->crashes, HexOf(suspicion->part),
+                    Milliseconds(suspicion->last_crash_age)));
+  }
   return MakeError(
       {.code = ResultCode::kPoisonPrompt,
        .ran = Ran::kNo,
@@ -88,14 +118,16 @@
           {{"server", server.value()},
            {"call", call.attempt},
            {"begun", crash.begun},
-           {"parts", fmt::format("{:016x}", fmt::join(crash.parts, ","))}});
+           {"request", HexOf(crash.parts.front())},
+           {"parts",
+            fmt::format("{:016x}",
+                        fmt::join(crash.parts | std::views::drop(1), ","))}});
   ReportChanges(context);
   context.on_crash_news();
 }
 
-void RecordAnswer(CallContext& context,
-                  const std::vector<PartHash>& shared_parts) {
-  context.poison.OnAnswer(context.loop.now(), shared_parts);
+void RecordAnswer(CallContext& context, const std::vector<PartHash>& parts) {
+  context.poison.OnAnswer(context.loop.now(), parts);
   if (ReportChanges(context)) {
     context.on_crash_news();
   }
--- a/src/parts/poison_parts.cc
+++ b/src/parts/poison_parts.cc
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <functional>
 #include <iterator>
 #include <ranges>
 #include <tuple>
@@ -12,12 +13,14 @@
 
 // Bounds of the evidence, for days on which most servers crash.
 constexpr size_t kMaxCrashes = 256;
-constexpr size_t kMaxPartsPerCrash = 64;
+constexpr size_t kMaxPartsPerCrash = 256;
 constexpr size_t kMaxAnsweredParts = 4096;
 // Bounds of one message.
 constexpr size_t kMaxCrashesPerSuspectInNews = 6;
 constexpr size_t kMaxRecentCrashesInNews = 16;
 constexpr size_t kMaxAnsweredInNews = 32;
+// Marks the hashes of whole requests.
+constexpr PartHash kRequestBit = PartHash{1} << 63;
 // Keeps the number of instances that may try a request from overflowing.
 constexpr int kMaxDoublings = 20;
 
@@ -28,9 +31,19 @@
 }  // namespace
 
 PartHash HashOfPart(std::string_view id) {
-  return XXH64(id.data(), id.size(), 0);
+  return XXH64(id.data(), id.size(), 0) & ~kRequestBit;
 }
 
+PartHash HashOfRequest(std::initializer_list<std::string_view> fields) {
+  uint64_t hash = 0;
+  for (const std::string_view field : fields) {
+    hash = XXH3_64bits_withSeed(field.data(), field.size(), hash);
+  }
+  return hash | kRequestBit;
+}
+
+bool IsRequest(PartHash part) { return (part & kRequestBit) != 0; }
+
 uint64_t HashOfServerRun(const ServerId& server, int64_t started_ms) {
   return XXH64(server.value().data(), server.value().size(),
                static_cast<uint64_t>(started_ms));
@@ -54,9 +67,10 @@
   DropOldAnswers(now);
   bool exonerated = false;
   for (const PartHash part : parts) {
+    const int crashes = BlameOf(part);
     if (Exonerate(part, now)) {
       exonerated = true;
-      exonerated_[part] = now + options_.announce_time;
+      Announce(now, part, crashes);
     }
   }
   if (exonerated) {
@@ -134,29 +148,43 @@
   std::ranges::sort(recent, {}, &ServerCrash::age);
   std::ranges::copy(recent | std::views::take(kMaxRecentCrashesInNews),
                     std::back_inserter(news.crashes));
-  for (const auto& [part, until] : exonerated_) {
-    const auto answered = answered_.find(part);
-    if (now < until && answered != answered_.end() &&
-        news.answered.size() < kMaxAnsweredInNews) {
-      news.answered.push_back({.part = part, .age = now - answered->second});
+  news.answered = AnswersInNews(now);
+  return news;
+}
+
+std::vector<AnsweredPart> PoisonParts::AnswersInNews(Time now) const {
+  std::vector<std::pair<int, AnsweredPart>> answers;
+  for (const auto& [part, exoneration] : exonerated_) {
+    const auto answered_at = AnsweredAt(part);
+    if (now < exoneration.until && answered_at) {
+      answers.push_back(
+          {exoneration.crashes, {.part = part, .age = now - *answered_at}});
     }
   }
-  return news;
+  // Peers suspect what most crashes were blamed on.
+  std::ranges::sort(answers, [](const auto& a, const auto& b) {
+    return std::pair(-a.first, a.second.part) <
+           std::pair(-b.first, b.second.part);
+  });
+  std::vector<AnsweredPart> told;
+  std::ranges::transform(answers | std::views::take(kMaxAnsweredInNews),
+                         std::back_inserter(told),
+                         [](const auto& answer) { return answer.second; });
+  return told;
 }
 
 std::vector<ServerCrash> PoisonParts::EvidenceAgainst(
     Time now, const Suspect& suspect) const {
   std::vector<ServerCrash> evidence;
-  for (const auto& [run, crash] : crashes_) {
-    if (Contains(crash.parts, suspect.part)) {
-      evidence.push_back({.run = run,
-                          .begun = crash.begun,
-                          .parts = {suspect.part},
-                          .age = now - crash.at});
-    }
-  }
-  std::ranges::sort(evidence, {}, &ServerCrash::age);
-  evidence.resize(std::min(evidence.size(), kMaxCrashesPerSuspectInNews));
+  std::ranges::transform(suspect.runs | std::views::reverse |
+                             std::views::take(kMaxCrashesPerSuspectInNews),
+                         std::back_inserter(evidence), [&](uint64_t run) {
+                           const Crash& crash = crashes_.at(run);
+                           return ServerCrash{.run = run,
+                                              .begun = crash.begun,
+                                              .parts = {suspect.part},
+                                              .age = now - crash.at};
+                         });
   return evidence;
 }
 
@@ -165,17 +193,22 @@
   DropOldAnswers(now);
   bool changed = false;
   for (const AnsweredPart& answered : news.answered) {
+    const int crashes = BlameOf(answered.part);
     if (Exonerate(answered.part, now - answered.age)) {
-      exonerated_[answered.part] = now + options_.announce_time;
+      Announce(now, answered.part, crashes);
       changed = true;
     }
   }
+  BlameCounts contradicted;
   for (const ServerCrash& crash : news.crashes) {
     changed |= AddCrash(now, crash, /*local=*/false);
     for (const PartHash part : crash.parts) {
-      if (IsTrusted(part, now - crash.age)) {
-        exonerated_[part] = now + options_.announce_time;
-      }
+      contradicted[part] += IsTrusted(part, now - crash.age) ? 1 : 0;
+    }
+  }
+  for (const auto& [part, crashes] : contradicted) {
+    if (crashes > 0) {
+      Announce(now, part, crashes);
     }
   }
   if (changed) {
@@ -187,21 +220,60 @@
   return std::exchange(changes_, {});
 }
 
-bool PoisonParts::IsTrusted(PartHash part, Time crash_at) const {
+std::optional<Time> PoisonParts::AnsweredAt(PartHash part) const {
+  if (IsRequest(part)) {
+    const AnsweredRequest& last =
+        answered_requests_[part % kRememberedRequests];
+    return last.request == part ? std::optional(last.at) : std::nullopt;
+  }
   const auto answered = answered_.find(part);
-  return answered != answered_.end() &&
-         crash_at <= answered->second + options_.answer_trust;
+  return answered != answered_.end() ? std::optional(answered->second)
+                                     : std::nullopt;
+}
+
+void PoisonParts::RememberAnswer(PartHash part, Time at) {
+  const Time last = std::max(AnsweredAt(part).value_or(at), at);
+  if (IsRequest(part)) {
+    answered_requests_[part % kRememberedRequests] = {.request = part,
+                                                      .at = last};
+  } else {
+    answered_[part] = last;
+  }
+}
+
+int PoisonParts::BlameOf(PartHash part) const {
+  const auto blamed = blamed_.find(part);
+  return blamed == blamed_.end() ? 0 : blamed->second;
+}
+
+void PoisonParts::Announce(Time now, PartHash part, int crashes) {
+  // After a crash there are many requests that one server was lost with; no
+  // peer suspects these.
+  if (IsRequest(part) && crashes < options_.min_crashes_to_stop_retries) {
+    return;
+  }
+  Exoneration& exoneration = exonerated_[part];
+  exoneration = {.until = now + options_.announce_time,
+                 .crashes = std::max(exoneration.crashes, crashes)};
+}
+
+bool PoisonParts::IsTrusted(PartHash part, Time crash_at) const {
+  const auto answered_at = AnsweredAt(part);
+  return answered_at && crash_at <= *answered_at + options_.answer_trust;
 }
 
 bool PoisonParts::AddCrash(Time now, const ServerCrash& report, bool local) {
   const Time at = now - report.age;
-  std::vector<PartHash> blamed;
-  std::ranges::copy_if(report.parts, std::back_inserter(blamed),
-                       [&](PartHash part) { return !IsTrusted(part, at); });
   const auto known = crashes_.find(report.run);
-  const bool superseded =
+  // If the answer to any call had begun, the parts of the others aren't blamed.
+  const bool waited =
       known != crashes_.end() && known->second.begun && !report.begun;
-  if (blamed.empty() || superseded) {
+  std::vector<PartHash> blamed;
+  std::ranges::copy_if(
+      report.parts, std::back_inserter(blamed), [&](PartHash part) {
+        return !IsTrusted(part, at) && (IsRequest(part) || !waited);
+      });
+  if (blamed.empty()) {
     return false;
   }
   if (known == crashes_.end() && crashes_.size() >= kMaxCrashes) {
@@ -214,7 +286,7 @@
   crash.local |= local;
   if (report.begun && !crash.begun) {
     crash.begun = true;
-    crash.parts.clear();
+    std::erase_if(crash.parts, std::not_fn(IsRequest));
   }
   bool added = false;
   for (const PartHash part : blamed) {
@@ -229,8 +301,7 @@
 }
 
 bool PoisonParts::Exonerate(PartHash part, Time answered_at) {
-  const auto [answered, first] = answered_.try_emplace(part, answered_at);
-  answered->second = std::max(answered->second, answered_at);
+  RememberAnswer(part, answered_at);
   if (!blamed_.contains(part)) {
     return false;
   }
@@ -262,7 +333,7 @@
     });
   }
   absl::erase_if(exonerated_,
-                 [now](const auto& item) { return now >= item.second; });
+                 [now](const auto& item) { return now >= item.second.until; });
 }
 
 bool PoisonParts::IsEvidenceOfSuspect(Time now, const Crash& crash) const {
@@ -273,56 +344,103 @@
 }
 
 void PoisonParts::UpdateSuspects() {
-  std::vector<uint64_t> unexplained = AllRuns();
+  blamed_ = CountBlame(AllRuns());
+  const std::vector<Suspect> repeated = RepeatedRequests();
   std::vector<Suspect> suspects;
+  std::ranges::copy_if(
+      repeated, std::back_inserter(suspects), [this](const Suspect& request) {
+        return std::ssize(request.runs) >= options_.min_crashes;
+      });
+  std::vector<uint64_t> unexplained = WithoutRepeats(AllRuns(), suspects);
   for (auto most = MostBlamed(unexplained); most.second >= options_.min_crashes;
        most = MostBlamed(unexplained)) {
-    suspects.push_back(Explain(most.first, unexplained));
+    Suspect suspect = Explain(most.first, unexplained);
+    // Two requests may explain the crashes as well as their common part.
+    suspect.strong &= std::ssize(WithoutRepeats(suspect.runs, repeated)) >=
+                      options_.min_crashes;
+    suspects.push_back(std::move(suspect));
+    std::erase_if(unexplained, [&](uint64_t run) {
+      return Contains(crashes_.at(run).parts, most.first);
+    });
+  }
+  NoteChanges(suspects);
+  suspects_ = std::move(suspects);
+}
+
+std::vector<uint64_t> PoisonParts::WithoutRepeats(
+    std::vector<uint64_t> runs, const std::vector<Suspect>& requests) const {
+  for (const Suspect& request : requests) {
+    std::erase_if(runs, [&](uint64_t run) {
+      return run != request.runs.front() &&
+             Contains(crashes_.at(run).parts, request.part);
+    });
   }
+  return runs;
+}
+
+std::vector<PoisonParts::Suspect> PoisonParts::RepeatedRequests() const {
+  std::vector<PartHash> requests;
+  for (const auto& [part, count] : blamed_) {
+    if (IsRequest(part) && count > 1) {
+      requests.push_back(part);
+    }
+  }
+  std::ranges::sort(requests);
+  std::vector<Suspect> repeated;
+  std::ranges::transform(
+      requests, std::back_inserter(repeated),
+      [&](PartHash request) { return Explain(request, AllRuns()); });
+  return repeated;
+}
+
+void PoisonParts::NoteChanges(const std::vector<Suspect>& suspects) {
+  const auto is_in = [](const std::vector<Suspect>& list, PartHash part) {
+    return std::ranges::find(list, part, &Suspect::part) != list.end();
+  };
   for (const Suspect& suspect : suspects) {
-    if (std::ranges::find(suspects_, suspect.part, &Suspect::part) ==
-        suspects_.end()) {
+    if (!is_in(suspects_, suspect.part)) {
       changes_.push_back({.part = suspect.part,
                           .suspected = true,
                           .crashes = static_cast<int>(suspect.crashes.size())});
     }
   }
   for (const Suspect& suspect : suspects_) {
-    if (std::ranges::find(suspects, suspect.part, &Suspect::part) ==
-        suspects.end()) {
+    if (!is_in(suspects, suspect.part)) {
       trials_.erase(suspect.part);
       changes_.push_back({.part = suspect.part, .suspected = false});
     }
   }
-  suspects_ = std::move(suspects);
-  blamed_ = CountBlame(AllRuns());
 }
 
-PoisonParts::Suspect PoisonParts::Explain(PartHash part,
-                                          std::vector<uint64_t>& unexplained) {
-  std::vector<uint64_t> runs;
-  std::ranges::copy_if(
-      unexplained, std::back_inserter(runs),
-      [&](uint64_t run) { return Contains(crashes_.at(run).parts, part); });
-  std::erase_if(unexplained, [&](uint64_t run) {
-    return Contains(crashes_.at(run).parts, part);
-  });
-  const auto time_of = [this](uint64_t run) { return crashes_.at(run).at; };
-  std::ranges::sort(runs, {}, time_of);
+PoisonParts::Suspect PoisonParts::Explain(
+    PartHash part, const std::vector<uint64_t>& runs) const {
   Suspect suspect;
   suspect.part = part;
-  std::ranges::transform(runs, std::back_inserter(suspect.crashes), time_of);
-  suspect.begun = std::ranges::any_of(
-      runs, [this](uint64_t run) { return crashes_.at(run).begun; });
+  std::ranges::copy_if(
+      runs, std::back_inserter(suspect.runs),
+      [&](uint64_t run) { return Contains(crashes_.at(run).parts, part); });
+  const auto time_of = [this](uint64_t run) {
+    return std::pair(crashes_.at(run).at, run);
+  };
+  std::ranges::sort(suspect.runs, {}, time_of);
+  std::ranges::transform(suspect.runs, std::back_inserter(suspect.crashes),
+                         [&](uint64_t run) { return time_of(run).first; });
+  suspect.strong = IsRequest(part) ||
+                   std::ranges::any_of(suspect.runs, [this](uint64_t run) {
+                     return crashes_.at(run).begun;
+                   });
   for (size_t i = static_cast<size_t>(options_.min_crashes);
        i < suspect.crashes.size(); ++i) {
     const Duration gap = suspect.crashes[i] - suspect.crashes[i - 1];
     suspect.rounds += gap > options_.round_gap ? 1 : 0;
   }
+  if (IsRequest(part)) {
+    return suspect;
+  }
   const int nearly_all =
-      std::max(options_.min_crashes, static_cast<int>(runs.size()) - 1);
-  for (const auto& [rival, count] : CountBlame(runs)) {
-    if (rival != part && count >= nearly_all) {
+      std::max(options_.min_crashes, static_cast<int>(suspect.runs.size()) - 1);
+  for (const auto& [rival, count] : CountBlame(suspect.runs)) {
+    if (rival != part && !IsRequest(rival) && count >= nearly_all) {
       suspect.rivals.push_back(rival);
     }
   }
@@ -345,13 +463,14 @@
   // Of parts with the same number of crashes, the one that was answered on
   // least recently comes first.
   const auto rank = [this](const std::pair<PartHash, int>& row) {
-    const auto answered = answered_.find(row.first);
-    const Time answered_at =
-        answered == answered_.end() ? Time::min() : answered->second;
-    return std::tuple(-row.second, answered_at, row.first);
+    return std::tuple(-row.second, AnsweredAt(row.first).value_or(Time::min()),
+                      row.first);
   };
   std::pair<PartHash, int> most = {0, 0};
   for (const std::pair<PartHash, int> row : CountBlame(runs)) {
+    if (IsRequest(row.first)) {
+      continue;
+    }
     if (most.second == 0 || rank(row) < rank(most)) {
       most = row;
     }
@@ -377,12 +496,17 @@
 
 bool PoisonParts::IsWeak(const Suspect& suspect,
                          const std::vector<PartHash>& parts) {
-  return !suspect.begun ||
+  return !suspect.strong ||
          std::ranges::any_of(suspect.rivals, [&](PartHash rival) {
            return !Contains(parts, rival);
          });
 }
 
+size_t PoisonParts::suspected_requests() const {
+  return static_cast<size_t>(
+      std::ranges::count_if(suspects_, IsRequest, &Suspect::part));
+}
+
 bool PoisonParts::IsSuspected(PartHash part) const {
   return std::ranges::find(suspects_, part, &Suspect::part) != suspects_.end();
 }
@@ -396,7 +520,7 @@
     return false;
   }
   const Duration step =
-      suspect.begun ? options_.trial_step : options_.weak_trial_step;
+      suspect.strong ? options_.trial_step : options_.weak_trial_step;
   const auto doublings = std::min<Duration::rep>(
       WaitedForTrial(now, suspect, held_until) / step, kMaxDoublings);
   return TurnOf(suspect) < size_t{1} << doublings;
@@ -404,7 +528,7 @@
 
 Duration PoisonParts::WaitedForTrial(Time now, const Suspect& suspect,
                                      Time held_until) const {
-  if (!suspect.begun) {
+  if (!suspect.strong) {
     return now - held_until;
   }
   const auto trial = trials_.find(suspect.part);
--- a/src/parts/result_code.cc
+++ b/src/parts/result_code.cc
@@ -80,6 +80,8 @@
      "The workspace has used what its quota allows for now."},
     {kPoisonPrompt, "poison_prompt", 503, Canonical::kUnavailable, Ran::kNo,
      "Servers crashed when they began to answer on a part of the prompt."},
+    {kPoisonRequest, "poison_request", 503, Canonical::kUnavailable, Ran::kNo,
+     "Servers crashed when they ran the same request before."},
     {kAnswerLost, "answer_lost", 502, Canonical::kUnknown, Ran::kUnknown,
      "The call was sent but its answer did not arrive."},
     {kServerFailed, "server_failed", 502, Canonical::kUnavailable,
--- a/test/correctness/poison_parts_test.cc
+++ b/test/correctness/poison_parts_test.cc
@@ -2,6 +2,7 @@
 #include "oleander/poison_parts.h"
 
 #include <boost/test/unit_test.hpp>
+#include <string>
 #include <vector>
 
 namespace oleander {
@@ -237,6 +238,103 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_whole_request)
+
+const PartHash kRequest = HashOfRequest({"bakery", "POST", "/deposit"});
+const PartHash kOtherRequest = HashOfRequest({"bakery", "POST", "/read"});
+
+BOOST_AUTO_TEST_CASE(is_told_from_one_that_differs_in_any_field) {
+  BOOST_TEST(IsRequest(kRequest));
+  BOOST_TEST(!IsRequest(HashOfPart("POST")));
+  BOOST_TEST(HashOfRequest({"a", "b"}) != HashOfRequest({"b", "a"}));
+  BOOST_TEST(HashOfRequest({"ab", ""}) != HashOfRequest({"a", "b"}));
+  BOOST_TEST(HashOfRequest({"a", "b"}) == HashOfRequest({"a", "b"}));
+}
+
+BOOST_AUTO_TEST_CASE(comes_before_the_parts_of_its_prompt) {
+  Instance instance;
+  for (uint64_t run = 1; run <= 3; ++run) {
+    instance.Crash(run, {kRequest, kFirst, kOther});
+  }
+  BOOST_TEST(instance.Refuses({kRequest, kFirst, kOther}));
+  BOOST_TEST(!instance.Refuses({kOtherRequest, kFirst, kOther}));
+  BOOST_TEST(instance.poison.suspected_requests() == 1U);
+  BOOST_TEST(instance.poison.suspected_parts() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(is_blamed_though_the_answer_to_another_had_begun) {
+  Instance instance;
+  for (uint64_t run = 1; run <= 3; ++run) {
+    const std::string sound = std::to_string(run);
+    instance.Crash(run, {kRequest}, /*begun=*/false);
+    instance.Crash(run, {HashOfRequest({sound}), kFirst}, /*begun=*/true);
+    instance.Crash(run, {kRequest, kOther}, /*begun=*/false);
+    instance.poison.OnAnswer(instance.now, {HashOfRequest({sound}), kFirst});
+  }
+  BOOST_TEST(instance.Refuses({kRequest}));
+  BOOST_TEST(!instance.Refuses({kFirst}));
+  BOOST_TEST(!instance.Refuses({kOther}));
+}
+
+BOOST_AUTO_TEST_CASE(leaves_its_part_suspected_if_different_ones_crash) {
+  Instance instance;
+  for (uint64_t run = 1; run <= 3; ++run) {
+    instance.Crash(run, {kRequest, kPoison});
+  }
+  instance.Crash(4, {kOtherRequest, kPoison});
+  BOOST_TEST(!instance.poison.IsSuspected(kPoison));
+  instance.Crash(5, {HashOfRequest({"third"}), kPoison});
+  BOOST_TEST(instance.poison.IsSuspected(kPoison));
+}
+
+BOOST_AUTO_TEST_CASE(is_not_sent_on_after_it_ended_a_second_server) {
+  Instance instance;
+  instance.Crash(1, {kRequest}, /*begun=*/false);
+  BOOST_TEST(instance.poison.MayRetry(instance.now, {kRequest}));
+  instance.Crash(2, {kRequest}, /*begun=*/false);
+  BOOST_TEST(!instance.poison.MayRetry(instance.now, {kRequest}));
+  BOOST_TEST(instance.poison.MayRetry(instance.now, {kOtherRequest}));
+}
+
+BOOST_AUTO_TEST_CASE(that_was_answered_elsewhere_is_cleared_by_that_instance) {
+  Instance one;
+  Instance two("two");
+  two.poison.OnAnswer(two.now, {kRequest});
+  one.now = two.now += seconds(1);
+  for (uint64_t run = 1; run <= 3; ++run) {
+    one.Crash(run, {kRequest}, /*begun=*/false);
+  }
+  BOOST_TEST(one.Refuses({kRequest}));
+  two.poison.OnPeerNews(two.now, one.poison.News(one.now));
+  BOOST_TEST(!two.Refuses({kRequest}));
+  one.poison.OnPeerNews(one.now, two.poison.News(two.now));
+  BOOST_TEST(!one.Refuses({kRequest}));
+}
+
+BOOST_AUTO_TEST_CASE(is_known_to_a_peer_that_hears_of_the_suspicion_only) {
+  Instance one;
+  Instance two("two");
+  for (uint64_t run = 1; run <= 9; ++run) {
+    one.Crash(run, {kRequest}, /*begun=*/false);
+  }
+  one.now += seconds(11);  // The crashes themselves are told no longer.
+  two.now = one.now;
+  two.poison.OnPeerNews(two.now, one.poison.News(one.now));
+  BOOST_TEST(two.Refuses({kRequest}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_CASE(answered_requests_are_remembered_in_bounded_memory) {
+  Instance instance;
+  for (int call = 0; call < 100'000; ++call) {
+    instance.poison.OnAnswer(instance.now,
+                             {HashOfRequest({std::to_string(call)})});
+  }
+  BOOST_TEST(instance.poison.News(instance.now).empty());
+  BOOST_TEST(sizeof(PoisonParts) < 32U << 10);
+}
+
 BOOST_AUTO_TEST_CASE(the_evidence_is_bounded) {
   Instance instance;
   for (uint64_t run = 1; run <= 5000; ++run) {
@@ -244,7 +342,7 @@
   }
   const CrashNews news = instance.poison.News(instance.now);
   BOOST_TEST(news.crashes.size() <= 64U);
-  BOOST_TEST(instance.poison.suspected_count() == 0U);
+  BOOST_TEST(instance.poison.suspected_parts() == 0U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/error/poison_parts_test.cc
+++ b/test/error/poison_parts_test.cc
@@ -120,7 +120,7 @@
                   "x-oleanderfield-prompt-prefix: bad:50\r\n");
   }
   BOOST_TEST(entry.reached() >= 4);
-  BOOST_TEST(entry.context.poison.suspected_count() == 0U);
+  BOOST_TEST(entry.context.poison.suspected_parts() == 0U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
@@ -219,6 +219,7 @@
       BOOST_TEST(StatusOf(entry.Ask(route, "sound")) == 200);
       BOOST_TEST(StatusOf(entry.Request(route + "sound", "key",
                                         PromptOf("part", 2))) == 200);
+      BOOST_TEST(entry.context.poison.suspected_parts() == 0U);
     }
   }
 }
--- a/test/support/poison_fleet.h
+++ b/test/support/poison_fleet.h
@@ -1,11 +1,12 @@
-// A fleet of instances in virtual time that send calls to servers, of which
-// some crash when they begin to answer on a poison part. The instances exchange
-// their evidence through three readers, as StoreFeed does.
+// A fleet of instances in virtual time that send calls to servers, which crash
+// when they begin to answer on a poison part, or to run a deadly request. The
+// instances exchange their evidence through three readers, as StoreFeed does.
 #ifndef OLEANDER_TEST_SUPPORT_POISON_FLEET_H_
 #define OLEANDER_TEST_SUPPORT_POISON_FLEET_H_
 
 #include <algorithm>
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -32,6 +33,12 @@
   Duration restart_time = milliseconds(3000);
   // Servers send the head of an answer before its first event.
   bool sends_heads = true;
+  // Sound calls without a prompt, each of them one of a few requests that
+  // callers send again and again.
+  double reads_per_s = 0;
+  size_t reads = 10;
+  // How often a caller whose call was lost sends it again.
+  int caller_retries = 0;
   uint64_t seed = 1;
 };
 
@@ -57,6 +64,9 @@
                   [this, i] { Poll(i); });
     }
     time_.After(Duration(0), [this] { AskSound(); });
+    if (options_.reads_per_s > 0) {
+      time_.After(Duration(0), [this] { AskRead(); });
+    }
   }
 
   VirtualTime& time() { return time_; }
@@ -79,7 +89,14 @@
     poison_.insert(part);
     AskPoison(part, per_s, until);
   }
-  // The part crashes no server any longer.
+  // Sends the same request again and again, until `until`. Each server that
+  // begins to run it crashes.
+  void Deadly(PartHash request, const std::vector<PartHash>& parts,
+              double per_s, Time until) {
+    poison_.insert(request);
+    AskDeadly(request, parts, per_s, until);
+  }
+  // The part or request crashes no server any longer.
   void Cure(PartHash part) { poison_.erase(part); }
   // Ends the servers, whatever they run.
   void CrashServers(size_t count) {
@@ -108,19 +125,40 @@
   // Returns the counts since the last call.
   Counts TakeSound() { return std::exchange(sound_, {}); }
   Counts TakePoison() { return std::exchange(poisoned_, {}); }
-  // When each server crashed that a poison part ended.
+  // When each server crashed that a poison part or a deadly request ended.
   const std::vector<Time>& poison_crashes() const { return poison_crashes_; }
+  // When each server crashed that this request ended, and when it was sent to
+  // servers.
+  const std::vector<Time>& CrashesOf(PartHash request) {
+    return crashes_of_[request];
+  }
+  const std::vector<Time>& SendsOf(PartHash request) {
+    return sends_of_[request];
+  }
+  // Returns the numbers that all instances would now tell a reader.
+  size_t NumbersInNews() const {
+    size_t numbers = 0;
+    for (const Instance& instance : instances_) {
+      const CrashNews news = instance.poison->News(now());
+      numbers += news.answered.size();
+      for (const ServerCrash& crash : news.crashes) {
+        numbers += 1 + crash.parts.size();
+      }
+    }
+    return numbers;
+  }
 
   PartHash FirstPart(size_t index) const { return 1000 + index; }
   PartHash SecondPart(size_t index) const { return 2000 + index; }
 
  private:
   struct Call {
-    std::vector<PartHash> parts;
+    std::vector<PartHash> parts;  // The request as a whole comes first.
     size_t instance = 0;
     int attempts = 0;
     bool poisoned = false;
     std::vector<size_t> tried;
+    int caller_retries = 0;
   };
   struct Server {
     uint64_t run = 0;
@@ -147,9 +185,34 @@
     return std::min(draw_.Below(count), draw_.Below(count));
   }
 
+  // Returns a request that nobody has sent before.
+  PartHash NewRequest() { return HashOfRequest({std::to_string(++requests_)}); }
+
+  void AskRead() {
+    auto call = std::make_shared<Call>();
+    call->parts = {
+        HashOfRequest({"read", std::to_string(draw_.Below(options_.reads))})};
+    Ask(std::move(call));
+    time_.After(Spacing(options_.reads_per_s), [this] { AskRead(); });
+  }
+
+  void AskDeadly(PartHash request, const std::vector<PartHash>& parts,
+                 double per_s, Time until) {
+    if (now() >= until) {
+      return;
+    }
+    auto call = std::make_shared<Call>();
+    call->parts = {request};
+    call->parts.insert(call->parts.end(), parts.begin(), parts.end());
+    call->poisoned = true;
+    Ask(std::move(call));
+    time_.After(Spacing(per_s),
+                [=, this] { AskDeadly(request, parts, per_s, until); });
+  }
+
   void AskSound() {
     auto call = std::make_shared<Call>();
-    call->parts = {FirstPart(Popular(options_.first_parts)),
+    call->parts = {NewRequest(), FirstPart(Popular(options_.first_parts)),
                    SecondPart(Popular(options_.second_parts))};
     Ask(std::move(call));
     time_.After(Spacing(options_.sound_per_s), [this] { AskSound(); });
@@ -160,7 +223,7 @@
       return;
     }
     auto call = std::make_shared<Call>();
-    call->parts = {FirstPart(Popular(options_.first_parts)), part,
+    call->parts = {NewRequest(), FirstPart(Popular(options_.first_parts)), part,
                    SecondPart(Popular(options_.second_parts))};
     call->poisoned = true;
     Ask(std::move(call));
@@ -199,6 +262,9 @@
     call->tried.push_back(chosen);
     ++call->attempts;
     ++CountsOf(*call).sent;
+    if (call->poisoned) {
+      sends_of_[call->parts.front()].push_back(now());
+    }
     poison.OnSent(now(), call->parts);
     Server& server = servers_[chosen];
     server.pending.push_back(call);
@@ -215,7 +281,11 @@
         call->parts, [this](PartHash part) { return poison_.contains(part); });
     if (crashes) {
       poison_crashes_.push_back(now());
-      Crash(server, call);
+      crashes_of_[call->parts.front()].push_back(now());
+      // A server may end before it has sent the head to a deadly request.
+      const bool begun =
+          !poison_.contains(call->parts.front()) || draw_.Chance(0.5);
+      Crash(server, begun ? call : nullptr);
       return;
     }
     std::erase(server.pending, call);
@@ -251,8 +321,15 @@
     }
     if (call->attempts < kMaxAttempts && poison.MayRetry(now(), call->parts)) {
       Send(call);
-    } else {
-      ++CountsOf(*call).lost;
+      return;
+    }
+    ++CountsOf(*call).lost;
+    if (call->caller_retries < options_.caller_retries) {
+      auto again = std::make_shared<Call>();
+      again->parts = call->parts;
+      again->poisoned = call->poisoned;
+      again->caller_retries = call->caller_retries + 1;
+      time_.After(milliseconds(100), [this, again] { Ask(again); });
     }
   }
 
@@ -297,6 +374,9 @@
   std::vector<Server> servers_;
   std::set<PartHash> poison_;
   std::vector<Time> poison_crashes_;
+  std::map<PartHash, std::vector<Time>> crashes_of_;
+  std::map<PartHash, std::vector<Time>> sends_of_;
+  uint64_t requests_ = 0;
   Counts sound_;
   Counts poisoned_;
 };
