--- a/test/error/http_bad_answer_test.cc
+++ b/test/error/http_bad_answer_test.cc
@@ -240,6 +240,77 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// A connection whose next answer isn't the next call's.
+BOOST_AUTO_TEST_SUITE(bytes_that_no_call_asked_for)
+
+const std::string kOwnAnswer =
+    "HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nown";
+const std::string kLateCopy =
+    "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nextra";
+
+std::string FetchBody(EventLoop& loop, HttpClient& client, uint16_t port,
+                      const std::string& method = "GET") {
+  HttpCallRequest request;
+  request.address = kTestAddress;
+  request.port = port;
+  request.method = method;
+  std::optional<HttpAnswer> answer;
+  client.Fetch(std::move(request),
+               [&](HttpAnswer got) { answer = std::move(got); });
+  BOOST_TEST_REQUIRE(RunUntil(loop, [&] { return answer.has_value(); }));
+  BOOST_TEST(answer->end.status.ok());
+  return answer->body;
+}
+
+// Sends a call to a server that writes `answer` and a copy at once, and checks
+// that the next calls get their own answers.
+void CheckCallsAfter(const std::string& method, const std::string& answer) {
+  EventLoop loop;
+  int requests = 0;
+  ScriptedServer server(loop, kTestAddress, [&](const std::string&) {
+    return ScriptedAnswer{.bytes = ++requests == 1 ? answer + kLateCopy
+                                                   : kOwnAnswer};
+  });
+  HttpClient client(loop, std::chrono::seconds(5));
+  FetchBody(loop, client, server.port(), method);
+  BOOST_TEST(FetchBody(loop, client, server.port()) == "own");
+  BOOST_TEST(FetchBody(loop, client, server.port()) == "own");
+}
+
+BOOST_AUTO_TEST_CASE(after_an_answer_without_a_body_are_no_answer) {
+  for (const std::string head : {
+           "HTTP/1.1 204 No Content\r\n\r\n",
+           "HTTP/1.1 204 No Content\r\ncontent-length: 0\r\n\r\n",
+           "HTTP/1.1 304 Not Modified\r\n\r\n",
+           "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n",
+       }) {
+    BOOST_TEST_CONTEXT(head) { CheckCallsAfter("GET", head); }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(after_the_answer_to_head_are_no_answer) {
+  CheckCallsAfter("HEAD", "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\n");
+}
+
+BOOST_AUTO_TEST_CASE(after_the_last_chunk_are_no_answer) {
+  CheckCallsAfter("GET", kChunkedHead + "\r\n1\r\na\r\n0\r\n\r\n");
+}
+
+BOOST_AUTO_TEST_CASE(on_an_idle_connection_are_no_answer) {
+  EventLoop loop;
+  ScriptedServer server(loop, kTestAddress, [&](const std::string&) {
+    return ScriptedAnswer{.bytes = kOwnAnswer};
+  });
+  HttpClient client(loop, std::chrono::seconds(5));
+  for (int round = 0; round < 3; ++round) {
+    BOOST_TEST(FetchBody(loop, client, server.port()) == "own");
+    server.SendUnasked(kLateCopy);
+  }
+  BOOST_TEST(server.accepted() == 3);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
