Take only events that bear the attempt's id from an engine

What callers saw: nothing reported.

Cause: each event of an engine bears the id of its attempt, but it was not read. A late copy of another request's answer on a kept connection, or an event of another attempt among the own ones, became part of this request's answer.

Why it works: the id is the attempt's alone, so a copy leaves no token and no finish reason, and the attempt ends as a bad answer and is made again on a fresh connection. An error event needs no id: it promises nothing.

--- a/src/io/engine_client.cc
+++ b/src/io/engine_client.cc
@@ -94,8 +94,10 @@
 // Parses one streamed completion and determines its result.
 class StreamedCompletion : public CompletionCall {
  public:
-  StreamedCompletion(ServerId server, CompletionCallbacks callbacks)
+  StreamedCompletion(ServerId server, const CompletionOptions& options,
+                     CompletionCallbacks callbacks)
       : server_(std::move(server)),
+        attempt_(options.attempt),
         callbacks_(std::move(callbacks)),
         parser_(kMaxEventBytes) {}
 
@@ -153,6 +155,11 @@
           fmt::format("{} ended the answer with an error.", server_.value()));
       return;
     }
+    // An event without this attempt's id may belong to a late copy of another
+    // answer on the same connection.
+    if (data.value("id", json()) != json(attempt_)) {
+      return;
+    }
     if (const auto usage = data.find("usage");
         usage != data.end() && usage->is_object()) {
       usage_ = ReadUsage(*usage);
@@ -239,6 +246,7 @@
   }
 
   ServerId server_;
+  std::string attempt_;
   CompletionCallbacks callbacks_;
   SseParser parser_;
   int status_ = 0;
@@ -265,6 +273,8 @@
 std::unique_ptr<CompletionCall> EngineClient::Complete(
     const ServerInfo& server, CompletionOptions options,
     CompletionCallbacks callbacks) {
+  auto call = std::make_unique<StreamedCompletion>(server.id, options,
+                                                   std::move(callbacks));
   HttpCallRequest request =
       NewRequest(server, "POST", "/v1/chat/completions",
                  std::move(options.body), options.first_event_bound);
@@ -272,8 +282,6 @@
       {.name = "x-request-id", .value = std::move(options.attempt)});
   request.options.progress_timeout = options.progress_bound;
   request.options.fresh_connection = options.fresh_connection;
-  auto call =
-      std::make_unique<StreamedCompletion>(server.id, std::move(callbacks));
   call->Start(*client_, std::move(request));
   return call;
 }
--- a/src/io/engine_client.h
+++ b/src/io/engine_client.h
@@ -58,7 +58,8 @@
 };
 
 struct CompletionOptions {
-  std::string attempt;  // The attempt's id, sent as X-Request-Id.
+  // The attempt's id, sent as X-Request-Id. Events without it are ignored.
+  std::string attempt;
   std::string body;
   // Timeout from the end of the request to the head of the response.
   Duration first_event_bound = std::chrono::seconds(30);
--- /dev/null
+++ b/test/error/engine_answer_claims_test.cc
@@ -0,0 +1,96 @@
+// Whether an answer on an engine's connection is taken for a completion's own.
+#include <boost/test/unit_test.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "io/engine_client.h"
+#include "oleander/result_code.h"
+#include "support/io_fixture.h"
+#include "support/scripted_server.h"
+
+namespace oleander::io {
+namespace {
+
+constexpr char kAttempt[] = "request.home.1.1";
+
+std::string Event(const std::string& attempt, int index,
+                  const std::string& token, const std::string& finish) {
+  return "id: " + std::to_string(index) + "\ndata: {\"id\":\"" + attempt +
+         "\",\"choices\":[{\"index\":0,\"delta\":{\"content\":\"" + token +
+         "\"},\"finish_reason\":" + finish + "}]}\n\n";
+}
+
+std::string Answer(int status, const std::string& body) {
+  return "HTTP/1.1 " + std::to_string(status) +
+         " Status\r\ncontent-length: " + std::to_string(body.size()) +
+         "\r\n\r\n" + body;
+}
+
+struct Completion {
+  std::vector<std::string> tokens;
+  std::optional<CompletionEnd> end;
+};
+
+Completion Complete(const std::string& answer) {
+  EventLoop loop;
+  ScriptedServer server(loop, kTestAddress, [&](const std::string&) {
+    return ScriptedAnswer{.bytes = answer};
+  });
+  HttpClient http(loop, std::chrono::seconds(5));
+  EngineClient engines(http);
+  ServerInfo info;
+  info.id = ServerId("engine");
+  info.address = kTestAddress;
+  info.port = server.port();
+  CompletionOptions options;
+  options.attempt = kAttempt;
+  options.body = "{}";
+  Completion completion;
+  const auto call = engines.Complete(
+      info, std::move(options),
+      {.on_tokens =
+           [&](uint64_t, const std::vector<std::string>& tokens) {
+             completion.tokens.insert(completion.tokens.end(), tokens.begin(),
+                                      tokens.end());
+           },
+       .on_end = [&](const CompletionEnd& end) { completion.end = end; }});
+  BOOST_TEST_REQUIRE(
+      RunUntil(loop, [&] { return completion.end.has_value(); }));
+  return completion;
+}
+
+BOOST_AUTO_TEST_SUITE(engine_answer_claims)
+
+BOOST_AUTO_TEST_CASE(an_answer_with_the_attempts_id_is_believed) {
+  const Completion completion = Complete(Answer(
+      200, Event(kAttempt, 0, "a", "null") +
+               Event(kAttempt, 1, "b", "\"stop\"") + "data: [DONE]\n\n"));
+  BOOST_TEST(completion.end->status.ok());
+  BOOST_TEST(completion.tokens == (std::vector<std::string>{"a", "b"}),
+             boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(an_event_of_another_attempt_is_left_out) {
+  const Completion completion = Complete(Answer(
+      200, Event("another", 0, "x", "\"length\"") +
+               Event(kAttempt, 0, "a", "\"stop\"") + "data: [DONE]\n\n"));
+  BOOST_TEST(completion.end->status.ok());
+  BOOST_TEST(completion.end->finish_reason == "stop");
+  BOOST_TEST(completion.tokens == std::vector<std::string>{"a"},
+             boost::test_tools::per_element());
+}
+
+// The copy stands on a kept connection where the answer is expected.
+BOOST_AUTO_TEST_CASE(a_late_copy_of_another_attempts_answer_is_none) {
+  const Completion completion = Complete(
+      Answer(200, Event("another", 0, "x", "\"stop\"") + "data: [DONE]\n\n"));
+  BOOST_TEST(!completion.end->status.ok());
+  BOOST_TEST((DetailsOf(completion.end->status).ran == Ran::kUnknown));
+  BOOST_TEST(completion.tokens.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace oleander::io
