Believe an engine's rejection only on a fresh connection

A 400 names no attempt, so on a kept connection it may be a late copy of another call's while this one runs. What callers saw: nothing reported.

Evidence: engine_answer_claims/a_rejection_as_malformed/may_be_another_calls_ on_a_kept_connection failed before (kMalformedRequest, ran: no).

Why it works: such a 400 is now a failure with an unknown outcome, so the attempt is made again, and attempts after the first use fresh connections, on which a copy can't stand. A call that is malformed for an engine costs it one call more.

--- a/src/io/engine_client.cc
+++ b/src/io/engine_client.cc
@@ -98,6 +98,7 @@
                      CompletionCallbacks callbacks)
       : server_(std::move(server)),
         attempt_(options.attempt),
+        fresh_connection_(options.fresh_connection),
         callbacks_(std::move(callbacks)),
         parser_(kMaxEventBytes) {}
 
@@ -236,17 +237,20 @@
       return end.status;
     }
     if (status_ != kOkStatus) {
-      return MakeError(status_ == kBadRequestStatus
-                           ? ResultCode::kMalformedRequest
-                           : ResultCode::kServerFailed,
-                       fmt::format("{} answered with HTTP status {}: {}",
-                                   server_.value(), status_, error_body_));
+      // A rejection names no attempt, so on a reused connection it may be a
+      // late copy of another one.
+      const bool rejected = status_ == kBadRequestStatus && fresh_connection_;
+      return MakeError(
+          rejected ? ResultCode::kMalformedRequest : ResultCode::kServerFailed,
+          fmt::format("{} answered with HTTP status {}: {}", server_.value(),
+                      status_, error_body_));
     }
     return BadAnswer(server_, "ended without a finish reason");
   }
 
   ServerId server_;
   std::string attempt_;
+  bool fresh_connection_;
   CompletionCallbacks callbacks_;
   SseParser parser_;
   int status_ = 0;
--- a/src/io/engine_client.h
+++ b/src/io/engine_client.h
@@ -28,7 +28,8 @@
 };
 
 // The result of a streamed completion. The status is OK only if the engine sent
-// a finish reason and "[DONE]".
+// a finish reason and "[DONE]". It is kMalformedRequest only if the engine
+// rejected the call on a fresh connection.
 struct CompletionEnd {
   absl::Status status;
   std::string finish_reason;
--- a/test/error/engine_answer_claims_test.cc
+++ b/test/error/engine_answer_claims_test.cc
@@ -32,7 +32,7 @@
   std::optional<CompletionEnd> end;
 };
 
-Completion Complete(const std::string& answer) {
+Completion Complete(const std::string& answer, bool fresh_connection = false) {
   EventLoop loop;
   ScriptedServer server(loop, kTestAddress, [&](const std::string&) {
     return ScriptedAnswer{.bytes = answer};
@@ -46,6 +46,7 @@
   CompletionOptions options;
   options.attempt = kAttempt;
   options.body = "{}";
+  options.fresh_connection = fresh_connection;
   Completion completion;
   const auto call = engines.Complete(
       info, std::move(options),
@@ -90,6 +91,22 @@
   BOOST_TEST(completion.tokens.empty());
 }
 
+BOOST_AUTO_TEST_SUITE(a_rejection_as_malformed)
+
+BOOST_AUTO_TEST_CASE(may_be_another_calls_on_a_kept_connection) {
+  const Completion completion = Complete(Answer(400, "{}"));
+  BOOST_TEST((CodeOf(completion.end->status) != ResultCode::kMalformedRequest));
+  BOOST_TEST((DetailsOf(completion.end->status).ran == Ran::kUnknown));
+}
+
+BOOST_AUTO_TEST_CASE(is_believed_on_a_fresh_connection) {
+  const Completion completion =
+      Complete(Answer(400, "{}"), /*fresh_connection=*/true);
+  BOOST_TEST((CodeOf(completion.end->status) == ResultCode::kMalformedRequest));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
