--- a/src/parts/request_attempts.cc
+++ b/src/parts/request_attempts.cc
@@ -32,6 +32,19 @@
   }
 }
 
+// Returns the last attempt's error as that of the request. That the last one
+// didn't run says nothing about the earlier ones.
+absl::Status OfAllAttempts(const HeldRequest& request,
+                           const absl::Status& last) {
+  const ErrorDetails details = DetailsOf(last);
+  if (!request.may_have_run || details.ran != Ran::kNo) {
+    return last;
+  }
+  return MakeError(
+      {.code = details.code, .ran = Ran::kUnknown, .retry_after = std::nullopt},
+      std::string(last.message()));
+}
+
 }  // namespace
 
 HeldRequest* RequestTable::Impl::CurrentAttempt(const AttemptKey& key) {
@@ -71,6 +84,7 @@
     return;
   }
   request.attempt.active = false;
+  request.may_have_run = request.may_have_run || request.attempt.started;
   actions_.push_back(CancelAttempt{request.attempt_key()});
 }
 
@@ -95,7 +109,8 @@
   ++request.attempts_without_progress;
   if (request.attempts_without_progress >=
       options_.timing.max_attempts_without_progress) {
-    End(now, request, {.status = status, .finish_reason = {}});
+    End(now, request,
+        {.status = OfAllAttempts(request, status), .finish_reason = {}});
     return;
   }
   request.dispatch_at = now + request.backoff.Next();
@@ -195,6 +210,8 @@
     return;
   }
   request->attempt.active = false;
+  request->may_have_run =
+      request->may_have_run || DetailsOf(outcome.status).ran != Ran::kNo;
   const absl::Status status =
       outcome.status.ok()
           ? request->sequencer.CheckComplete(outcome.total_events)
--- a/src/parts/request_record.h
+++ b/src/parts/request_record.h
@@ -89,6 +89,8 @@
   EventSequencer sequencer;
   RunningAttempt attempt;
   bool ever_started = false;
+  // An attempt that ended may have run, here or on an earlier home.
+  bool may_have_run = false;
   int attempts_without_progress = 0;
   Backoff backoff;
   std::optional<Time> dispatch_at;
--- a/src/parts/request_replica.cc
+++ b/src/parts/request_replica.cc
@@ -32,6 +32,7 @@
   request.visible_moved = now;
   request.adopted_events = request.size();
   request.ever_started = true;
+  request.may_have_run = true;
   Send(before.home, request, Adopted{.adopted_events = request.adopted_events});
   if (request.spec->replica != ReplicaRule::kNone) {
     StartReplica(now, request);
--- a/test/correctness/requests_test.cc
+++ b/test/correctness/requests_test.cc
@@ -292,6 +292,62 @@
   BOOST_TEST((At("a").Query(id)->state == RequestState::kRunning));
 }
 
+// Ends attempts of the request until it is given up: the first with `first`,
+// the others without a connection. Returns whether the request is said to have
+// run.
+Ran RanAfter(Region& region, const absl::Status& first) {
+  const RequestId id = *region.At("a").Accept(region.now, Spec());
+  region.DeliverMessages();
+  absl::Status status = first;
+  while (!region.At("a").Query(id)->end.has_value()) {
+    for (const auto& dispatch : region.TakeAll<DispatchAttempt>("a")) {
+      region.At("a").OnAttemptStarted(region.now, dispatch.key, ServerId("s"));
+      region.At("a").OnAttemptEnded(region.now, dispatch.key,
+                                    {.status = status,
+                                     .finish_reason = "",
+                                     .total_events = {},
+                                     .retryable = true});
+      status = MakeError(ResultCode::kConnectFailed, "No connection.");
+    }
+    region.Advance(seconds(2));
+  }
+  const absl::Status end = region.At("a").Query(id)->end->status;
+  BOOST_TEST((CodeOf(end) == ResultCode::kConnectFailed));
+  return DetailsOf(end).ran;
+}
+
+BOOST_AUTO_TEST_CASE(is_not_called_not_run_after_an_attempt_that_may_have_run) {
+  const absl::Status lost = MakeError(ResultCode::kAnswerLost, "Lost.");
+  BOOST_TEST((RanAfter(*this, lost) == Ran::kUnknown));
+}
+
+BOOST_AUTO_TEST_CASE(is_called_not_run_if_no_attempt_was_sent) {
+  const absl::Status unsent =
+      MakeError(ResultCode::kConnectFailed, "No connection.");
+  BOOST_TEST((RanAfter(*this, unsent) == Ran::kNo));
+}
+
+BOOST_AUTO_TEST_CASE(is_not_called_not_run_if_another_instance_had_started_it) {
+  const RequestId id = *At("a").Accept(now, Spec());
+  DeliverMessages();
+  const std::string replica = HolderOf(id);
+  SetPeerViews({"a"});
+  DeliverMessages({"a"});
+  while (!At(replica).Query(id)->end.has_value()) {
+    for (const auto& dispatch : TakeAll<DispatchAttempt>(replica)) {
+      At(replica).OnAttemptEnded(
+          now, dispatch.key,
+          {.status = MakeError(ResultCode::kConnectFailed, "No connection."),
+           .finish_reason = "",
+           .total_events = {},
+           .retryable = true});
+    }
+    Advance(seconds(2), {"a"});
+  }
+  BOOST_TEST(
+      (DetailsOf(At(replica).Query(id)->end->status).ran == Ran::kUnknown));
+}
+
 BOOST_AUTO_TEST_CASE(can_be_read_and_cancelled_on_any_instance) {
   const RequestId id = *At("a").Accept(now, Spec());
   DeliverMessages();
