--- a/src/node/plain_handler.cc
+++ b/src/node/plain_handler.cc
@@ -66,6 +66,7 @@
   bool reads_own_writes = false;
   Time deadline;
   int attempts = 0;
+  bool may_have_run = false;  // An attempt that ended was sent.
   std::vector<ServerId> avoid;
   bool maybe_stale = false;
 };
@@ -265,6 +266,7 @@
   if (!answer.end.status.ok()) {
     parts_.http.CloseIdleConnections(server.address, server.port);
   }
+  call->may_have_run = call->may_have_run || answer.end.sent;
   call->avoid.push_back(server.id);
   RetryOrFail(call,
               answer.end.status.ok()
@@ -296,7 +298,14 @@
   call->exchange->Respond(http_status, std::move(headers), body);
 }
 
-void PlainHandler::Fail(const CallPtr& call, const absl::Status& status) {
+void PlainHandler::Fail(const CallPtr& call, const absl::Status& error) {
+  // That the last attempt didn't run says nothing about the earlier ones.
+  const bool lost = call->may_have_run && DetailsOf(error).ran == Ran::kNo;
+  const absl::Status status =
+      lost ? MakeError(ResultCode::kAnswerLost,
+                       fmt::format("The answer was lost. {}",
+                                   std::string(error.message())))
+           : error;
   parts_.metrics.CountAnswer(call->service.value(), CodeOf(status));
   io::Log(io::LogLevel::kInfo, "call.failed",
           {{"service", call->service.value()},
--- a/src/node/plain_handler.h
+++ b/src/node/plain_handler.h
@@ -62,7 +62,7 @@
   void Answer(const CallPtr& call, int http_status,
               const std::string& content_type, const std::string& body,
               io::Headers headers);
-  void Fail(const CallPtr& call, const absl::Status& status);
+  void Fail(const CallPtr& call, const absl::Status& error);
   void RecordWrite(const Call& call, const ServerId& server);
 
   PlainHandlerParts parts_;
