--- a/test/correctness/late_delivery_test.cc
+++ b/test/correctness/late_delivery_test.cc
@@ -9,6 +9,7 @@
 #include <optional>
 
 #include "io/http_client.h"
+#include "oleander/result_code.h"
 #include "platform/duty_client.h"
 #include "platform/store_client.h"
 #include "support/io_fixture.h"
@@ -120,6 +121,19 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_CASE(is_not_ruled_out_for_an_order_whose_answer_was_lost) {
+  platform::DutyClient duties(client, {.address = io::kTestAddress,
+                                       .port = server.port(),
+                                       .holder = InstanceId("holder"),
+                                       .timeout = milliseconds(30)});
+  std::optional<absl::Status> outcome;
+  duties.SendUsage({.window = 1, .counts = {}}, 1,
+                   [&](const absl::Status& status) { outcome = status; });
+  BOOST_TEST_REQUIRE(io::RunUntil(loop, [&] { return outcome.has_value(); }));
+  BOOST_TEST(server.requests().size() == 1U);
+  BOOST_TEST((DetailsOf(*outcome).ran == Ran::kUnknown));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
