Bound the bytes of the bodies that requests hold together

Cause: a body was read whole before anything was decided and lay in h2o's buffer, in HttpRequest::body and in the call to the server. max_calls assumes 256 KB per call; one body may have 4 MB. Nothing bounded their sum.

Ruled out: memory that the allocator keeps (it was left as it is), and answers that wait for slow callers (bounded, and short here).

The fix: an option of HttpServer bounds the bytes of all bodies that arrive or are open; it is a quarter of an instance's memory in src/entry and 64 MiB elsewhere. An announced length counts once the head is there. A request without room is refused as not run (503, 2106, Retry-After) after its body was read and dropped. The last quarter of the bound takes only small bodies. A body of known length is kept from h2o and shared by the attempts, so it is held once. The share is released with the last reference to the exchange, so parked and waiting calls count.

--- a/src/entry/call_handler.cc
+++ b/src/entry/call_handler.cc
@@ -76,6 +76,18 @@
   Process(std::move(exchange), context_.loop.now());
 }
 
+void CallHandler::RefuseBody(std::shared_ptr<io::HttpExchange> exchange,
+                             const absl::Status& status) const {
+  AcceptedCall call;
+  call.exchange = std::move(exchange);
+  call.arrived = context_.loop.now();
+  if (auto intake = context_.codec.Read(call.exchange->request());
+      intake.ok()) {
+    call.intake = *std::move(intake);
+  }
+  Refuse(call, status);
+}
+
 void CallHandler::Park(std::shared_ptr<io::HttpExchange> exchange) {
   const Time now = context_.loop.now();
   if (parked_.empty()) {
--- a/src/entry/call_handler.h
+++ b/src/entry/call_handler.h
@@ -19,6 +19,9 @@
   explicit CallHandler(CallContext& context) : context_(context) {}
 
   void Handle(std::shared_ptr<io::HttpExchange> exchange);
+  // Refuses a request whose body was not read.
+  void RefuseBody(std::shared_ptr<io::HttpExchange> exchange,
+                  const absl::Status& status) const;
   // Processes the parked requests if the configuration and the servers are now
   // known.
   void Resume();
--- a/src/entry/entry_metrics.cc
+++ b/src/entry/entry_metrics.cc
@@ -71,7 +71,11 @@
       suspected_parts_(
           NewGauge(*registry_, "oleander_entry_suspected_prompt_parts",
                    "Parts of prompts that are suspected of crashing "
-                   "servers.")) {}
+                   "servers.")),
+      held_body_bytes_(
+          NewGauge(*registry_, "oleander_entry_held_body_bytes",
+                   "Bytes of the bodies of requests that arrive or are "
+                   "open.")) {}
 
 void EntryMetrics::CountAnswer(const ServiceId& service, ResultCode code,
                                Duration latency) {
@@ -128,6 +132,10 @@
   suspected_parts_.Set(static_cast<double>(prompt_parts));
 }
 
+void EntryMetrics::SetHeldBodyBytes(size_t bytes) {
+  held_body_bytes_.Set(static_cast<double>(bytes));
+}
+
 std::string EntryMetrics::Text() const {
   return prometheus::TextSerializer().Serialize(registry_->Collect());
 }
--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -41,6 +41,7 @@
   void CountConfigBytes(std::string_view source, size_t bytes);
   void SetServers(size_t ready);
   void SetSuspects(size_t requests, size_t prompt_parts);
+  void SetHeldBodyBytes(size_t bytes);
 
   // Returns the metrics in the Prometheus text format.
   std::string Text() const;
@@ -66,6 +67,7 @@
   prometheus::Gauge& servers_;
   prometheus::Gauge& suspected_requests_;
   prometheus::Gauge& suspected_parts_;
+  prometheus::Gauge& held_body_bytes_;
 };
 
 }  // namespace oleander::entry
--- a/src/entry/entry_node.cc
+++ b/src/entry/entry_node.cc
@@ -72,6 +72,8 @@
 // together 1/4.
 constexpr size_t kAnswerMemoryDivisor = 16;
 constexpr size_t kCollectedMemoryDivisor = 4;
+// The bodies of all requests that arrive or are open may use 1/4.
+constexpr size_t kBodyMemoryDivisor = 4;
 // Peers that receive a usage sum before it is reported: enough that one of them
 // still runs when the duty's next holder continues after the store lost the
 // sum.
@@ -180,13 +182,22 @@
         reporter_(context_, *ports_.store, *ports_.duties, records_, lease_,
                   settings_.bounds),
         orderer_(context_, *ports_.duties, lease_, settings_.domains),
-        callers_(std::in_place, loop_,
-                 io::HttpServerOptions{.address = settings_.callers.address,
-                                       .port = settings_.callers.port,
-                                       .idle_timeout = kCallerIdleTimeout},
-                 [this](std::shared_ptr<io::HttpExchange> exchange) {
-                   handler_.Handle(std::move(exchange));
-                 }),
+        callers_(
+            std::in_place, loop_,
+            io::HttpServerOptions{
+                .address = settings_.callers.address,
+                .port = settings_.callers.port,
+                .max_held_body_bytes =
+                    settings_.limits.memory_bytes / kBodyMemoryDivisor,
+                .refuse_body =
+                    [this](const std::shared_ptr<io::HttpExchange>& exchange,
+                           const absl::Status& status) {
+                      handler_.RefuseBody(exchange, status);
+                    },
+                .idle_timeout = kCallerIdleTimeout},
+            [this](std::shared_ptr<io::HttpExchange> exchange) {
+              handler_.Handle(std::move(exchange));
+            }),
         readiness_(loop_,
                    {.address = settings_.readiness.address,
                     .port = settings_.readiness.port},
@@ -198,6 +209,9 @@
             {.address = settings_.callers.address,
              .port = settings_.metrics_port},
             [this](const std::shared_ptr<io::HttpExchange>& exchange) {
+              if (callers_) {
+                metrics_.SetHeldBodyBytes(callers_->held_body_bytes());
+              }
               exchange->Respond(
                   200, {{.name = "content-type", .value = "text/plain"}},
                   metrics_.Text());
--- a/src/entry/forwarded_call.cc
+++ b/src/entry/forwarded_call.cc
@@ -261,7 +261,7 @@
                        ? inbound.path
                        : fmt::format("{}?{}", inbound.path, inbound.query);
   request.headers = context_.codec.ForServer(inbound, TermsFor(server.id));
-  request.body = inbound.body;
+  request.shared_body = {call_.exchange, &inbound.body};
   request.options.connect_timeout = kConnectTimeout;
   // `deadline_timer_` ends a call without an answer before these timeouts do.
   request.options.head_timeout = time_left() + std::chrono::seconds(1);
--- a/src/io/http_client.cc
+++ b/src/io/http_client.cc
@@ -121,6 +121,10 @@
                                request.method, request.target));
 }
 
+const std::string& BodyOf(const HttpCallRequest& request) {
+  return request.shared_body ? *request.shared_body : request.body;
+}
+
 std::string BuildHead(const HttpCallRequest& request) {
   std::string head =
       fmt::format("{} {} HTTP/1.1\r\n", request.method, request.target);
@@ -129,11 +133,11 @@
     fmt::format_to(std::back_inserter(head), "host: {}{}{}:{}\r\n",
                    v6 ? "[" : "", request.address, v6 ? "]" : "", request.port);
   }
-  const bool has_body = !request.body.empty() || request.method == "POST" ||
+  const bool has_body = !BodyOf(request).empty() || request.method == "POST" ||
                         request.method == "PUT" || request.method == "PATCH";
   if (has_body) {
     fmt::format_to(std::back_inserter(head), "content-length: {}\r\n",
-                   request.body.size());
+                   BodyOf(request).size());
   }
   if (request.options.fresh_connection) {
     head += "connection: close\r\n";
@@ -216,7 +220,9 @@
         is_head_(request.method == "HEAD"),
         target_(fmt::format("{}:{}", request.address, request.port)),
         head_(BuildHead(request)),
-        body_(std::move(request.body)),
+        body_(request.shared_body ? std::move(request.shared_body)
+                                  : std::make_shared<const std::string>(
+                                        std::move(request.body))),
         callbacks_(
             std::make_shared<const HttpCallCallbacks>(std::move(callbacks))) {}
   Call(const Call&) = delete;
@@ -417,9 +423,11 @@
       }
     });
     iovecs_[0] = {.base = head_.data(), .len = head_.size()};
-    iovecs_[1] = {.base = body_.data(), .len = body_.size()};
+    // h2o only reads the bytes.
+    iovecs_[1] = {.base = const_cast<char*>(body_->data()),
+                  .len = body_->size()};
     *bufs = iovecs_;
-    *count = body_.empty() ? 1 : 2;
+    *count = body_->empty() ? 1 : 2;
     *method_is_head = is_head_ ? 1 : 0;
     return true;
   }
@@ -434,7 +442,7 @@
     }
     // The request was sent, so its memory isn't needed any longer.
     std::string().swap(head_);
-    std::string().swap(body_);
+    body_.reset();
     StartTimeout(options_.progress_timeout);
     {
       const InCallback in_callback(*this);
@@ -613,7 +621,7 @@
   bool is_head_;
   std::string target_;
   std::string head_;
-  std::string body_;
+  std::shared_ptr<const std::string> body_;
   std::shared_ptr<const HttpCallCallbacks> callbacks_;
   h2o_iovec_t iovecs_[2] = {};
   h2o_http1client_t* client_ = nullptr;
--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -46,6 +46,9 @@
   // Content-Length is added, and Host if it is missing.
   Headers headers;
   std::string body;
+  // Sent in place of `body` if it isn't null. It is not copied, and is released
+  // when the response begins.
+  std::shared_ptr<const std::string> shared_body = nullptr;
   HttpCallOptions options;
 };
 
--- a/src/io/http_exchange.cc
+++ b/src/io/http_exchange.cc
@@ -88,10 +88,12 @@
 }  // namespace
 
 Exchange::Exchange(EventLoop& loop, h2o_req_t* req, HttpRequest request,
+                   HeldBody held_body,
                    std::function<void(Exchange*)> on_finished)
     : loop_(loop),
       req_(req),
       request_(std::move(request)),
+      held_body_(std::move(held_body)),
       on_finished_(std::move(on_finished)) {
   generator_.super.proceed = OnProceed;
   generator_.super.stop = OnStop;
--- a/src/io/http_exchange.h
+++ b/src/io/http_exchange.h
@@ -8,6 +8,7 @@
 
 #include "io/event_loop.h"
 #include "io/h2o.h"
+#include "io/held_bodies.h"
 #include "io/http_server.h"
 
 namespace oleander::io {
@@ -19,7 +20,7 @@
  public:
   // `on_finished` is called once, when h2o has disposed of the request.
   Exchange(EventLoop& loop, h2o_req_t* req, HttpRequest request,
-           std::function<void(Exchange*)> on_finished);
+           HeldBody held_body, std::function<void(Exchange*)> on_finished);
 
   // Makes h2o's request own a reference to the exchange.
   void Attach(std::shared_ptr<Exchange> self);
@@ -70,6 +71,7 @@
   EventLoop& loop_;
   h2o_req_t* req_;
   HttpRequest request_;
+  HeldBody held_body_;
   std::function<void(Exchange*)> on_finished_;
   std::function<void()> on_disconnected_;
   std::function<void()> on_drained_;
--- a/src/io/http_server.cc
+++ b/src/io/http_server.cc
@@ -15,8 +15,10 @@
 #include "absl/container/flat_hash_set.h"
 #include "fmt/format.h"
 #include "io/h2o.h"
+#include "io/held_bodies.h"
 #include "io/http_exchange.h"
 #include "io/log.h"
+#include "io/request_head.h"
 #include "io/socket_address.h"
 #include "io/tls_context.h"
 #include "oleander/invariant.h"
@@ -34,6 +36,13 @@
 // Time without accepting after the process ran out of file descriptors.
 constexpr Duration kAcceptPause = std::chrono::milliseconds(50);
 constexpr int kAcceptsPerRound = 256;
+// An input buffer that grew beyond this is replaced when it is empty again.
+constexpr size_t kMaxInputCapacity = size_t{64} << 10;
+// A body that h2o buffers is copied for the handler.
+constexpr size_t kCopiesByH2o = 2;
+// Bodies are held until their requests are answered, so it isn't known when
+// there will be room.
+constexpr Duration kBodyRetryAfter = std::chrono::milliseconds(500);
 // The maximum number of rounds that CloseAll() waits for connections to close.
 constexpr int kClosingRounds = 1000;
 
@@ -48,6 +57,7 @@
   return length == 0 ? std::string() : AddressText(peer);
 }
 
+// Copies all but the body.
 HttpRequest CopyRequest(h2o_req_t* req) {
   HttpRequest request;
   request.method = View(req->input.method);
@@ -64,7 +74,6 @@
     request.headers.push_back({.name = std::string(View(*header.name)),
                                .value = std::string(View(header.value))});
   }
-  request.body = View(req->entity);
   request.remote_address = RemoteAddress(req);
   return request;
 }
@@ -114,6 +123,37 @@
   }
 }
 
+absl::Status NoRoomError(const HeldBodies& bodies) {
+  return MakeError(
+      {.code = ResultCode::kMemoryFull,
+       .ran = Ran::kNo,
+       .retry_after = kBodyRetryAfter},
+      fmt::format("The request's body exceeds the memory for bodies; {} of {} "
+                  "bytes are in use.",
+                  bodies.bytes(), bodies.limit()));
+}
+
+// Retry-After is in whole seconds.
+std::string RetrySeconds() {
+  return std::to_string(
+      std::chrono::ceil<std::chrono::seconds>(kBodyRetryAfter).count());
+}
+
+// Gives the memory of a large body back.
+void ShrinkInput(h2o_socket_t* socket) {
+  h2o_buffer_t* old = socket->input;
+  if (old->capacity <= kMaxInputCapacity || old->size > kMaxInputCapacity) {
+    return;
+  }
+  h2o_buffer_t* fresh = nullptr;
+  h2o_buffer_init(&fresh, &h2o_socket_buffer_prototype);
+  const h2o_iovec_t space = h2o_buffer_reserve(&fresh, old->size);
+  std::memcpy(space.base, old->bytes, old->size);
+  fresh->size = old->size;
+  h2o_buffer_dispose(&socket->input);
+  socket->input = fresh;
+}
+
 // Replaces the text of h2o's own errors by a JSON body.
 struct ErrorBodyStream {
   h2o_ostream_t super;
@@ -156,11 +196,29 @@
     Impl* server;
   };
 
+  // Who reads the request that arrives on a connection.
+  enum class Reading { kHead, kBody, kByH2o, kRefused };
+
+  // The argument of the close hook of an accepted socket.
+  struct Connection {
+    Impl* server;
+    h2o_socket_t* socket;
+    HeldBody held;
+    h2o_socket_cb read_by_h2o = nullptr;
+    Reading reading = Reading::kByH2o;
+    bool refused = false;
+    bool taken = false;  // `body` is the request's.
+    size_t head_bytes = 0;
+    size_t left = 0;  // Of the body.
+    std::string body = {};
+  };
+
   Impl(EventLoop& event_loop, HttpServerOptions server_options,
        HttpHandler request_handler)
       : loop(event_loop),
         options(std::move(server_options)),
-        handler(std::move(request_handler)) {
+        handler(std::move(request_handler)),
+        bodies(std::make_shared<HeldBodies>(options.max_held_body_bytes)) {
     h2o_config_init(&config);
     config.max_request_entity_size = options.max_body_bytes;
     config.server_name = {.base = nullptr, .len = 0};
@@ -194,14 +252,31 @@
 
   void Handle(h2o_req_t* req) {
     h2o_socket_t* socket = req->conn->callbacks->get_socket(req->conn);
+    Connection& connection = ConnectionOf(socket);
     const size_t header_bytes = HeaderBytes(req);
+    HttpRequest request = CopyRequest(req);
+    bool has_room = !std::exchange(connection.refused, false);
+    if (std::exchange(connection.taken, false)) {
+      request.body = std::exchange(connection.body, {});
+    } else if (has_room =
+                   connection.held.Resize(kCopiesByH2o * req->entity.len);
+               has_room) {
+      request.body = View(req->entity);
+    }
     auto exchange = std::make_shared<Exchange>(
-        loop, req, CopyRequest(req), [this, socket](Exchange* finished) {
+        loop, req, std::move(request), connection.held.Take(),
+        [this, socket](Exchange* finished) {
           const auto found = exchanges.find(socket);
           if (found != exchanges.end() && found->second == finished) {
             exchanges.erase(found);
           }
           CloseIfStopping(socket);
+          // h2o sets its read callback for the next request after this.
+          loop.Post([this, socket, guard = std::weak_ptr(alive)] {
+            if (!guard.expired()) {
+              ReadNextRequest(socket);
+            }
+          });
         });
     exchanges[socket] = exchange.get();
     DetachFromInput(req);
@@ -213,6 +288,10 @@
       RefuseHeaders(*exchange, header_bytes);
       return;
     }
+    if (!has_room) {
+      RefuseBody(exchange);
+      return;
+    }
     handler(std::move(exchange));
   }
 
@@ -225,6 +304,151 @@
                      ErrorBody(error));
   }
 
+  void RefuseBody(const std::shared_ptr<Exchange>& exchange) const {
+    const absl::Status error = NoRoomError(*bodies);
+    if (options.refuse_body) {
+      options.refuse_body(exchange, error);
+      return;
+    }
+    Log(LogLevel::kInfo, "http.body_refused",
+        {{"path", exchange->request().path},
+         {"held", bodies->bytes()},
+         {"limit", bodies->limit()}});
+    exchange->Respond(503,
+                      {{.name = "content-type", .value = "application/json"},
+                       {.name = "retry-after", .value = RetrySeconds()}},
+                      ErrorBody(error));
+  }
+
+  // Starts to watch how a request arrives, in place of h2o's callback.
+  void ReadNextRequest(h2o_socket_t* socket) {
+    if (!connections.contains(socket) || exchanges.contains(socket) ||
+        socket->_cb.read == nullptr || socket->_cb.read == OnReadRequest ||
+        socket->_cb.read == OnReadWhileAnswering) {
+      return;
+    }
+    Connection& connection = ConnectionOf(socket);
+    connection.read_by_h2o = std::exchange(socket->_cb.read, OnReadRequest);
+    // h2o has begun to handle a request that was received with the last one.
+    connection.reading = ReadRequestHead(InputOf(socket)).has_value()
+                             ? Reading::kByH2o
+                             : Reading::kHead;
+  }
+
+  static std::string_view InputOf(h2o_socket_t* socket) {
+    return {socket->input->bytes, socket->input->size};
+  }
+
+  static void OnReadRequest(h2o_socket_t* socket, const char* error) {
+    Connection& connection = ConnectionOf(socket);
+    if (error == nullptr && !connection.server->MayPass(connection)) {
+      return;
+    }
+    // This may close the connection.
+    connection.read_by_h2o(socket, error);
+  }
+
+  // Returns whether h2o gets the bytes that have arrived. The body of a request
+  // with a known length is kept from h2o, which would hold a copy of it until
+  // the request is answered: h2o gets the head, with a length of zero, once the
+  // body is complete. The body of a request that is refused is read, too, since
+  // a caller may not read the answer before.
+  bool MayPass(Connection& connection) {
+    if (connection.reading == Reading::kHead) {
+      ReadHead(connection);
+    }
+    switch (connection.reading) {
+      case Reading::kHead:
+        return true;
+      case Reading::kBody:
+        TakeBody(connection);
+        connection.taken = connection.left == 0;
+        if (connection.taken) {
+          connection.reading = Reading::kByH2o;
+        }
+        return connection.taken;
+      case Reading::kByH2o:
+        return HasRoomInH2o(connection);
+      case Reading::kRefused:
+        h2o_buffer_consume(&connection.socket->input,
+                           connection.socket->input->size);
+        return false;
+    }
+    return true;
+  }
+
+  void ReadHead(Connection& connection) {
+    const auto head = ReadRequestHead(InputOf(connection.socket));
+    if (!head) {
+      return;
+    }
+    // h2o refuses a body that is too long.
+    if (!head->body_bytes || *head->body_bytes > options.max_body_bytes) {
+      connection.reading = Reading::kByH2o;
+      return;
+    }
+    connection.reading = Reading::kBody;
+    connection.head_bytes = head->bytes;
+    connection.left = *head->body_bytes;
+    connection.refused = !connection.held.Resize(connection.left);
+    if (!connection.refused) {
+      connection.body.reserve(connection.left);
+    }
+    std::memset(connection.socket->input->bytes + head->length_at, '0',
+                head->length_digits);
+  }
+
+  static void TakeBody(Connection& connection) {
+    h2o_buffer_t* input = connection.socket->input;
+    const size_t here =
+        std::min(connection.left, input->size - connection.head_bytes);
+    char* body = input->bytes + connection.head_bytes;
+    if (!connection.refused) {
+      connection.body.append(body, here);
+    }
+    connection.left -= here;
+    input->size -= here;
+    std::memmove(body, body + here, input->size - connection.head_bytes);
+    ShrinkInput(connection.socket);
+  }
+
+  // Bodies of unknown length count as they arrive.
+  bool HasRoomInH2o(Connection& connection) {
+    const size_t bytes = connection.socket->input->size;
+    if (bytes <= kMaxPipelinedBytes || connection.held.Resize(bytes)) {
+      return true;
+    }
+    RefuseUnread(connection);
+    return false;
+  }
+
+  // Answers in place of h2o, which waits for the rest of the body, and closes
+  // the connection.
+  void RefuseUnread(Connection& connection) {
+    Log(LogLevel::kInfo, "http.body_refused",
+        {{"path", ""}, {"held", bodies->bytes()}, {"limit", bodies->limit()}});
+    const std::string body = ErrorBody(NoRoomError(*bodies));
+    connection.reading = Reading::kRefused;
+    connection.held.Resize(0);
+    connection.body = fmt::format(
+        "HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\n"
+        "content-type: application/json\r\nretry-after: {}\r\n"
+        "content-length: {}\r\n\r\n{}",
+        RetrySeconds(), body.size(), body);
+    h2o_socket_t* socket = connection.socket;
+    h2o_buffer_consume(&socket->input, socket->input->size);
+    ShrinkInput(socket);
+    h2o_iovec_t bytes = {.base = connection.body.data(),
+                         .len = connection.body.size()};
+    h2o_socket_write(socket, &bytes, 1, OnRefusalWritten);
+  }
+
+  // The caller closes its side after the answer, and h2o then closes the
+  // connection.
+  static void OnRefusalWritten(h2o_socket_t* socket, const char* /*error*/) {
+    shutdown(h2o_socket_get_fd(socket), SHUT_WR);
+  }
+
   static void OnReadWhileAnswering(h2o_socket_t* socket, const char* error) {
     // h2o uses `data` for its connection, so the server is found through the
     // close hook.
@@ -242,14 +466,12 @@
     }
   }
 
-  // The argument of the close hook of an accepted socket.
-  struct Connection {
-    Impl* server;
-    h2o_socket_t* socket;
-  };
+  static Connection& ConnectionOf(h2o_socket_t* socket) {
+    return *static_cast<Connection*>(socket->on_close.data);
+  }
 
   static Impl* ServerOf(h2o_socket_t* socket) {
-    return static_cast<Connection*>(socket->on_close.data)->server;
+    return ConnectionOf(socket).server;
   }
 
   static void OnClose(void* data) {
@@ -281,8 +503,13 @@
     ++accepted;
     connections.insert(socket);
     socket->on_close.cb = OnClose;
-    socket->on_close.data = new Connection{.server = this, .socket = socket};
+    socket->on_close.data = new Connection{
+        .server = this, .socket = socket, .held = HeldBody(bodies)};
     h2o_accept(&accept, socket);
+    // With TLS, h2o sets its read callback after the handshake.
+    if (accept.ssl_ctx == nullptr) {
+      ReadNextRequest(socket);
+    }
   }
 
   // Without free descriptors the listener stays readable, and the loop would
@@ -385,6 +612,8 @@
   EventLoop& loop;
   HttpServerOptions options;
   HttpHandler handler;
+  std::shared_ptr<HeldBodies> bodies;
+  std::shared_ptr<const bool> alive = std::make_shared<const bool>(true);
   h2o_globalconf_t config = {};
   h2o_context_t context = {};
   h2o_accept_ctx_t accept = {};
@@ -461,6 +690,8 @@
   return impl_->connections.size();
 }
 
+size_t HttpServer::held_body_bytes() const { return impl_->bodies->bytes(); }
+
 uint64_t HttpServer::accepted_connections() const { return impl_->accepted; }
 
 }  // namespace oleander::io
--- a/src/io/http_server.h
+++ b/src/io/http_server.h
@@ -1,5 +1,5 @@
 // An HTTP server over h2o. Answers are streamed; only the request's body is
-// buffered as a whole, up to a limit.
+// buffered as a whole, up to a limit for each and one for all together.
 //
 //   HttpServer server(loop, {.address = "127.0.0.1", .port = 8080}, [](auto
 //   exchange) {
@@ -86,6 +86,14 @@
   uint16_t port = 0;    // 0 selects a free port.
   size_t max_body_bytes = 4 << 20;
   size_t max_header_bytes = 32 << 10;
+  // Of the bodies of all requests that are arriving or not yet answered. A
+  // request whose body exceeds it is refused before its body is held. A quarter
+  // is kept for small bodies.
+  size_t max_held_body_bytes = size_t{64} << 20;
+  // Answers such a request; the error has code kMemoryFull. The server answers
+  // if this is empty.
+  std::function<void(const std::shared_ptr<HttpExchange>&, const absl::Status&)>
+      refuse_body = nullptr;
   Duration idle_timeout = std::chrono::seconds(60);
   std::optional<TlsFiles> tls = std::nullopt;
 };
@@ -117,6 +125,7 @@
   size_t open_exchanges() const;  // Requests without a finished answer.
   size_t open_connections() const;
   uint64_t accepted_connections() const;  // Since the start.
+  size_t held_body_bytes() const;  // Of requests that arrive or are open.
 
  private:
   struct Impl;
