Let a fleet hold no more retries than the slack

Cause: each instance could hold at least one retry, so that 90 held 90 and 360 held 360 of a slack of 56, and an instance that counts only its half of a fleet, while the others can't reach the store, held twice its part (8 instances: 90).

Ruled out: attempts that weren't sent or weren't run are taken from the budget too, as DecideNext takes one before each further attempt (read in the code, no run).

The fix: a bucket that overflows loses a whole retry and keeps the fraction, so that an instance holds its part of the slack on average, also a part below one. The slack is divided by the most live instances of the last 30 minutes. The instances begin with random fractions, or those that get their calls in turn would earn their retries together.

--- a/include/oleander/retries.h
+++ b/include/oleander/retries.h
@@ -22,9 +22,10 @@
 namespace oleander {
 
 struct RetryBudgetOptions {
-  double share = 0.1;   // Retries earned by each success.
-  double burst = 10;    // Most retries that a service can accumulate.
-  double initial = 10;  // Retries of a new service, at most `burst`.
+  double share = 0.1;  // Retries earned by each success.
+  // Most retries that a service can accumulate; see RetryBudget for fractions.
+  double burst = 10;
+  double initial = 10;  // Retries of a new service, at most as many.
 };
 
 // The operators' bound on the retries of a service over all instances: within a
@@ -36,26 +37,35 @@
 
 // Returns the budget of one of `instances` instances. Each earns retries by its
 // own calls, and all that they have accumulated together stays within the
-// slack. An instance starts with none, because otherwise a restart of the fleet
-// would spend the slack again.
+// slack. An instance starts with no whole retry, because otherwise a restart of
+// the fleet would spend the slack again, but with a `fraction` of one. Drawn
+// between 0 and 1, the fractions keep a fleet from earning its retries at the
+// same time.
 RetryBudgetOptions RetryBudgetPerInstance(const SharedRetryBound& bound,
-                                          size_t instances);
+                                          size_t instances, double fraction);
 
 // Bounds the extra load of retries to a fraction of the successes, per service,
 // so that retries can't sustain an overload.
+//
+// Retries beyond `burst` are lost whole, and the fraction remains. With a share
+// of 0.5 and a burst of 0.25, successes without retries lead to 0, 0.5, 1, 0.5,
+// 1, ...: 1.5 would exceed the burst by a whole retry, of which 0.5 remains.
+// A service thus holds a whole retry for a quarter of the successes on average,
+// and 100 instances with different fractions hold 25 retries together.
 class RetryBudget {
  public:
   explicit RetryBudget(RetryBudgetOptions options);
 
   // Replaces the share and burst of all services; retries accumulated beyond
-  // the new burst are dropped.
+  // the new burst are lost.
   void SetOptions(RetryBudgetOptions options);
   // Replaces the share of one service (`budget_share` in its profile).
   void SetShare(const ServiceId& service, double share);
   void OnSuccess(const ServiceId& service);
   // Takes one retry and returns true, or returns false if none is left.
   bool TryTake(const ServiceId& service);
-  double remaining(const ServiceId& service) const;
+  // Returns the retries that can be taken now.
+  int64_t remaining(const ServiceId& service) const;
 
  private:
   struct Account {
--- a/src/entry/entry_node.cc
+++ b/src/entry/entry_node.cc
@@ -25,6 +25,7 @@
 #include "io/http_server.h"
 #include "io/log.h"
 #include "io/text_file.h"
+#include "oleander/recent_maximum.h"
 #include "oleander/result_code.h"
 
 namespace oleander::entry {
@@ -55,6 +56,14 @@
 // the largest supported deployment has, so that an instance's shares of quotas
 // and retries are too small rather than too large.
 constexpr size_t kAssumedInstances = 400;
+// While instances can't reach the store, the others count too few. They still
+// share the bound on retries, so that it is divided by the largest number
+// within this time.
+constexpr Duration kInstancesMemory = std::chrono::minutes(30);
+// Until the records are known, an instance retains the retries that it earns
+// for this long after its start: fewer than the operators' bound allows for the
+// same calls, however many instances start at once.
+constexpr Duration kRetryStartTime = std::chrono::seconds(2);
 // The only duty, held by one instance at a time: reporting usage and ordering
 // servers.
 constexpr const char* kDuty = "platform";
@@ -157,7 +166,7 @@
                      RegionPlacer(loop_, settings_.instance, settings_.location,
                                   context_.placement, RandomId()),
                  .retries = RetryBudget(RetryBudgetPerInstance(
-                     RetryBoundOf(settings_.bounds), kAssumedInstances)),
+                     RetryBoundOf(settings_.bounds), 1, retry_fraction_)),
                  .usage = UsageWindows(settings_.bounds.usage_window),
                  .quotas = QuotaGate(loop_, context_.clock, settings_.instance,
                                      QuotaBoundOf(settings_.bounds), seed_())},
@@ -278,6 +287,8 @@
     WatchSettings();
     feed_.Start();
     records_.Start();
+    retry_start_timer_ = loop_.After(
+        kRetryStartTime, [this] { SetRetryBudget(kAssumedInstances); });
     context_.placer.Start();
     lease_.Want(!settings_.duty_names.empty());
     loop_.Run();
@@ -306,11 +317,16 @@
     context_.poison.SetInstances(live_ids, settings_.instance);
     context_.placement.limits().SetInstances(std::move(live_ids),
                                              settings_.instance);
-    context_.retries.SetOptions(
-        RetryBudgetPerInstance(RetryBoundOf(settings_.bounds), instances));
+    retry_start_timer_.Cancel();
+    SetRetryBudget(most_instances_.Observe(loop_.now(), instances));
     reporter_.OnRecords();
   }
 
+  void SetRetryBudget(size_t instances) {
+    context_.retries.SetOptions(RetryBudgetPerInstance(
+        RetryBoundOf(settings_.bounds), instances, retry_fraction_));
+  }
+
   void OnEraChange(StoreEra::Change change) {
     const bool restored = change == StoreEra::Change::kRestored;
     io::Log(restored ? io::LogLevel::kWarning : io::LogLevel::kInfo,
@@ -496,6 +512,8 @@
   EntrySettings settings_;
   std::string settings_file_;
   std::random_device seed_;
+  double retry_fraction_ = std::uniform_real_distribution<double>()(seed_);
+  RecentMaximum most_instances_{kInstancesMemory};
   io::EventLoop loop_;
   EntryMetrics metrics_;
   io::HttpClient servers_client_;
@@ -515,6 +533,7 @@
   io::HttpServer metrics_server_;
   bool was_ready_ = false;
   Time stop_by_;
+  io::Timer retry_start_timer_;
   io::Timer log_timer_;
   io::Timer drain_timer_;
   io::Timer duty_timer_;
--- a/src/parts/retries.cc
+++ b/src/parts/retries.cc
@@ -12,15 +12,20 @@
 // are counted where they arrive, a little after they are sent.
 constexpr double kUsableShareOfBound = 0.8;
 
+// Returns what remains of `tokens` when whole ones beyond the burst are lost.
+double WithoutExcess(double tokens, double burst) {
+  const double excess = std::floor(tokens - burst);
+  return excess < 1 ? tokens : tokens - excess;
+}
+
 }  // namespace
 
 RetryBudgetOptions RetryBudgetPerInstance(const SharedRetryBound& bound,
-                                          size_t instances) {
+                                          size_t instances, double fraction) {
   const auto parts = static_cast<double>(std::max<size_t>(1, instances));
-  // With a burst below one, an instance could never retry.
   return {.share = bound.share * kUsableShareOfBound,
-          .burst = std::max(1.0, bound.slack * kUsableShareOfBound / parts),
-          .initial = 0};
+          .burst = bound.slack * kUsableShareOfBound / parts,
+          .initial = fraction};
 }
 
 RetryBudget::RetryBudget(RetryBudgetOptions options) : options_(options) {}
@@ -29,7 +34,7 @@
   options_ = options;
   for (auto& [service, account] : accounts_) {
     account.share = options.share;
-    account.tokens = std::min(account.tokens, options.burst);
+    account.tokens = WithoutExcess(account.tokens, options.burst);
   }
 }
 
@@ -39,7 +44,8 @@
 
 void RetryBudget::OnSuccess(const ServiceId& service) {
   Account& account = AccountOf(service);
-  account.tokens = std::min(options_.burst, account.tokens + account.share);
+  account.tokens =
+      WithoutExcess(account.tokens + account.share, options_.burst);
 }
 
 bool RetryBudget::TryTake(const ServiceId& service) {
@@ -51,16 +57,19 @@
   return true;
 }
 
-double RetryBudget::remaining(const ServiceId& service) const {
+int64_t RetryBudget::remaining(const ServiceId& service) const {
   const auto found = accounts_.find(service);
-  return found == accounts_.end() ? std::min(options_.initial, options_.burst)
-                                  : found->second.tokens;
+  const double tokens = found == accounts_.end()
+                            ? WithoutExcess(options_.initial, options_.burst)
+                            : found->second.tokens;
+  return static_cast<int64_t>(std::floor(tokens));
 }
 
 RetryBudget::Account& RetryBudget::AccountOf(const ServiceId& service) {
   const auto [entry, added] = accounts_.try_emplace(
-      service, Account{.tokens = std::min(options_.initial, options_.burst),
-                       .share = options_.share});
+      service,
+      Account{.tokens = WithoutExcess(options_.initial, options_.burst),
+              .share = options_.share});
   return entry->second;
 }
 
--- a/test/correctness/retries_test.cc
+++ b/test/correctness/retries_test.cc
@@ -39,13 +39,34 @@
   BOOST_TEST(budget.remaining(service) == 3);
 }
 
+BOOST_AUTO_TEST_CASE(below_one_are_held_for_a_part_of_the_time) {
+  const ServiceId service("model");
+  RetryBudget budget({.share = 0.125, .burst = 0.25, .initial = 0});
+  int held = 0;
+  for (int i = 0; i < 1'000; ++i) {
+    budget.OnSuccess(service);
+    BOOST_TEST(budget.remaining(service) <= 1);
+    held += budget.remaining(service) == 1 ? 1 : 0;
+  }
+  BOOST_TEST(held >= 240);
+  BOOST_TEST(held <= 260);
+}
+
 BOOST_AUTO_TEST_CASE(of_many_instances_stay_within_the_bound_of_all) {
   // The operators count the retries of a fleet over ten seconds.
   const SharedRetryBound bound{.share = 0.2, .slack = 190};
   const ServiceId service("model");
   for (const size_t instances : {size_t{1}, size_t{8}, size_t{75}}) {
-    std::vector<RetryBudget> fleet(
-        instances, RetryBudget(RetryBudgetPerInstance(bound, instances)));
+    const auto start = [&](size_t at) {
+      const double fraction =
+          static_cast<double>(at) / static_cast<double>(instances);
+      return RetryBudget(RetryBudgetPerInstance(bound, instances, fraction));
+    };
+    std::vector<RetryBudget> fleet;
+    fleet.reserve(instances);
+    for (size_t at = 0; at < instances; ++at) {
+      fleet.push_back(start(at));
+    }
     int calls = 0;
     // A minute without failures, in which each instance accumulates retries.
     for (RetryBudget& budget : fleet) {
@@ -58,7 +79,7 @@
     for (int call = 0; call < 3'000; ++call) {
       const size_t at = static_cast<size_t>(call) % instances;
       if (call % 900 == 899) {
-        fleet[at] = RetryBudget(RetryBudgetPerInstance(bound, instances));
+        fleet[at] = start(at);
       }
       fleet[at].OnSuccess(service);
       ++calls;
@@ -77,12 +98,12 @@
 BOOST_AUTO_TEST_CASE(learn_how_many_instances_share_the_bound) {
   const SharedRetryBound bound{.share = 0.2, .slack = 100};
   const ServiceId service("model");
-  RetryBudget budget(RetryBudgetPerInstance(bound, 1));
+  RetryBudget budget(RetryBudgetPerInstance(bound, 1, 0));
   for (int i = 0; i < 10'000; ++i) {
     budget.OnSuccess(service);
   }
   BOOST_TEST(budget.remaining(service) > 50);
-  budget.SetOptions(RetryBudgetPerInstance(bound, 50));
+  budget.SetOptions(RetryBudgetPerInstance(bound, 50, 0));
   BOOST_TEST(budget.remaining(service) <= 2);
 }
 
