End a response whose head holds another status line

What callers saw: not known from their side. Shown by a test: a server that writes a part of an earlier refusal before the true answer gets a call that ran answered with 503 (429, 408), or run a second time; a part of an earlier 200 turns a true 404 into a 200.

Cause: the part has no end of line, so the true answer's status line becomes part of a reason phrase or of a header, and the rest of its lines follow. The merged head has the copy's status and claims, and the true answer's id and seal, so that the check of the id doesn't help.

Why it works: the true answer's status line follows the cut at once, so it stands within one line of the head. CheckResponseHead() takes "HTTP/1." after the beginning of the status line, or in a header, as malformed; the call's outcome is then unknown, and its connection is closed. A header that names a version in this way (Via may) would be hit too; the protocol has none.

--- a/src/io/response_head.cc
+++ b/src/io/response_head.cc
@@ -8,6 +8,8 @@
 namespace oleander::io {
 namespace {
 
+constexpr std::string_view kVersion = "HTTP/1.";
+
 bool EqualsIgnoringCase(std::string_view text, std::string_view lower_case) {
   return std::ranges::equal(text, lower_case, {}, absl::ascii_tolower);
 }
@@ -15,7 +17,6 @@
 // Returns whether `line` is a status line of a final response, or a prefix of
 // one.
 bool IsStatusLinePrefix(std::string_view line) {
-  constexpr std::string_view kVersion = "HTTP/1.";
   constexpr size_t kMinorAt = kVersion.size();
   constexpr size_t kStatusAt = kMinorAt + 2;
   constexpr size_t kStatusEnd = kStatusAt + 3;
@@ -40,6 +41,12 @@
   return true;
 }
 
+// Returns whether a status line begins in `text`: the head was cut off there,
+// and another response follows.
+bool HoldsStatusLine(std::string_view text) {
+  return text.find(kVersion) != std::string_view::npos;
+}
+
 bool IsLength(std::string_view text) {
   constexpr size_t kMaxDigits = 18;
   return !text.empty() && text.size() <= kMaxDigits &&
@@ -99,7 +106,7 @@
     const bool valid =
         first ? line.size() >= kShortestStatusLine && IsStatusLinePrefix(line)
               : headers.Accepts(line);
-    if (!valid) {
+    if (!valid || HoldsStatusLine(line.substr(first ? kVersion.size() : 0))) {
       return HeadState::kMalformed;
     }
   }
--- a/src/io/response_head.h
+++ b/src/io/response_head.h
@@ -21,8 +21,8 @@
 enum class HeadState { kIncomplete, kComplete, kMalformed };
 
 // `bytes` begins with the status line and may end anywhere. A line that ends
-// without a carriage return, a folded line, an interim response, and a head
-// that states its length twice are malformed.
+// without a carriage return, a folded line, an interim response, a head that
+// states its length twice, and a status line inside a head are malformed.
 HeadState CheckResponseHead(std::string_view bytes);
 
 }  // namespace oleander::io
--- a/test/error/answer_claims_test.cc
+++ b/test/error/answer_claims_test.cc
@@ -161,6 +161,62 @@
   BOOST_TEST(entry.context.loads.CallsAt(now, server) == 0);
 }
 
+// A server that writes a part of another call's answer before the true one.
+BOOST_AUTO_TEST_SUITE(a_cut_copy_before_the_true_answer)
+
+std::string CopyOf(const std::string& status_line, const std::string& lines,
+                   const std::string& body = "") {
+  return "HTTP/1.1 " + status_line + "\r\n" + lines +
+         "content-length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+const std::string kNotRunLines =
+    "x-oleanderfield-not-run: 1\r\nretry-after: 0.25\r\n";
+const std::string kOthersId = "x-oleanderfield-attempt-id: another\r\n";
+const std::string kCopies[] = {
+    CopyOf("503 Full", kNotRunLines),
+    CopyOf("503 Full", kOthersId + kNotRunLines),
+    CopyOf("429 Many", kNotRunLines + kOthersId),
+    CopyOf("408 Late", kNotRunLines),
+    CopyOf("421 Misdirected", "x-oleanderfield-instance-id: i-1\r\n"),
+    CopyOf("200 OK", kOthersId + "x-oleanderfield-server-seal: s.2\r\n", "old"),
+};
+
+// Writes each copy up to each byte before the true answer.
+void RequestBehindCopies(int servers, int true_status) {
+  for (const std::string& copy : kCopies) {
+    for (size_t cut = 0; cut <= copy.size(); ++cut) {
+      EntryFixture entry;
+      int run = 0;
+      const auto script = [&](const std::string&) -> ScriptedAnswer {
+        ++run;
+        return {.bytes =
+                    copy.substr(0, cut) + SealedAnswer("done", true_status)};
+      };
+      for (int server = 0; server < servers; ++server) {
+        entry.AddServer(script);
+      }
+      const int status = StatusOf(entry.Request("/once/a"));
+      BOOST_TEST_CONTEXT(copy << "cut at byte " << cut) {
+        BOOST_TEST(status == (cut == 0 ? true_status : 502));
+        BOOST_TEST(run == 1);
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(gives_it_no_other_status) {
+  RequestBehindCopies(1, 200);
+  RequestBehindCopies(1, 404);
+}
+
+BOOST_AUTO_TEST_CASE(sends_no_call_that_must_run_once_to_a_second_server) {
+  RequestBehindCopies(2, 200);
+  RequestBehindCopies(2, 404);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(a_stream_that_broke_off)
 
 BOOST_AUTO_TEST_CASE(contains_no_error_of_the_next_server_and_does_not_end) {
--- a/test/error/http_bad_answer_test.cc
+++ b/test/error/http_bad_answer_test.cc
@@ -68,6 +68,11 @@
       "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n 6\r\n\r\nhello",
       "HTTP/1.1 200 OK\r\ncontent-length: 5\r\ncontent-length: 3\r\n\r\nhello",
       kChunkedHead + "content-length: 5\r\n\r\n0\r\n\r\n",
+      // A response that was cut off, and a whole one.
+      "HTTP/1.1 503 FuHTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n",
+      "HTTP/1.1 503 Full\rHTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n",
+      "HTTP/1.1 503 Full\r\nx: HTTP/1.0 200 OK\r\ncontent-length: 0\r\n\r\n",
+      "HTTP/1.1 503 Full\r\nHTTP/1.1 200 O:K\r\ncontent-length: 0\r\n\r\n",
   };
   for (const std::string& head : heads) {
     BOOST_TEST_CONTEXT(head) {
