Pass on no sealed status that promises a call was not run

What callers saw: a 408, 429 or 503 with the server's seal for a call that ran. Callers read these statuses as a promise and send the call once more.

Cause: a sealed answer was passed on whatever its status. PROTOCOL.md: only Not-Run (or 421) states that a call was not run; a seal without it means that the server ran the call.

Evidence: answer_claims/a_sealed_status_of_a_promise failed before: passed on with its seal in 9 of 9 (three statuses, three routes that must run once) and in 3 of 3 on a route that may repeat; now 502 without the seal, one run, or the route's max_attempts. All of test_error passes.

The outcome is unknown (lost). A route that may repeat tries another server, as after any lost answer. The run is still counted as usage, and the load and limit that the answer reports still apply. New: such answers count as failures of their server, so a second one in a row starts its cooldown; before, a 408 or 429 ended it. What that does on a busy service was not measured.

--- a/src/entry/forwarded_call.cc
+++ b/src/entry/forwarded_call.cc
@@ -30,6 +30,8 @@
 // regions; the remainder covers a lost packet.
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(300);
 constexpr int kFirstFailureStatus = 500;
+// Callers read these statuses as a promise that the call was not run.
+constexpr int kPromisingStatuses[] = {408, 421, 429, 503};
 // Bounds of a refusal's retry-after if it isn't known when capacity becomes
 // available.
 constexpr Duration kMinRetryAfter = std::chrono::milliseconds(50);
@@ -288,6 +290,15 @@
                   "the answer is not signed by the server or was re-encoded");
     return;
   }
+  if (std::ranges::find(kPromisingStatuses, status) !=
+      std::end(kPromisingStatuses)) {
+    CountStart();
+    FinishAttempt(SendOutcome::kLost,
+                  fmt::format("the server answered with status {}, but did not "
+                              "state that the call was not run",
+                              status));
+    return;
+  }
   status_ = status;
   const bool streams =
       call_.route->kind == CallKind::kStream && status / 100 == 2;
--- a/test/error/answer_claims_test.cc
+++ b/test/error/answer_claims_test.cc
@@ -217,6 +217,54 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// Callers read these statuses as a promise that the call was not run.
+BOOST_AUTO_TEST_SUITE(a_sealed_status_of_a_promise)
+
+BOOST_AUTO_TEST_CASE(is_not_passed_on_for_a_call_that_ran) {
+  for (const int status : {408, 429, 503}) {
+    for (const std::string path : {"/once/a", "/stream/a", "/open/a"}) {
+      EntryFixture entry;
+      int run = 0;
+      const auto script = [&](const std::string&) -> ScriptedAnswer {
+        ++run;
+        return {.bytes = SealedAnswer("broken", status)};
+      };
+      entry.AddServer(script);
+      entry.AddServer(script);
+      const std::string answer = entry.Request(path);
+      BOOST_TEST_CONTEXT(status << " " << path) {
+        BOOST_TEST(StatusOf(answer) == 502);
+        BOOST_TEST(!Holds(answer, "\"ran\":\"no\""));
+        BOOST_TEST(!Holds(answer, "server-seal"));
+        BOOST_TEST(!Holds(answer, "broken"));
+        BOOST_TEST(run == 1);
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(is_tried_again_within_the_attempts_of_a_call_that_may) {
+  for (const int status : {408, 429, 503}) {
+    EntryFixture entry;
+    int run = 0;
+    const auto script = [&](const std::string&) -> ScriptedAnswer {
+      ++run;
+      return {.bytes = SealedAnswer("broken", status)};
+    };
+    for (int server = 0; server < 4; ++server) {
+      entry.AddServer(script);
+    }
+    const std::string answer = entry.Request("/repeat/a");
+    BOOST_TEST_CONTEXT(status) {
+      BOOST_TEST(StatusOf(answer) == 502);
+      BOOST_TEST(!Holds(answer, "server-seal"));
+      BOOST_TEST(run == 2);  // The route's max_attempts.
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(a_stream_that_broke_off)
 
 BOOST_AUTO_TEST_CASE(contains_no_error_of_the_next_server_and_does_not_end) {
