Believe no answer that says both "ran" and "not run"

What callers saw: 503 with "ran":"no", or a second run, for a call whose answer bears the server's seal or a status 2xx beside Not-Run.

Cause: OnHead() looked at Not-Run (or 421) alone. The seal and a 2xx state that the server ran the call; with Not-Run beside them it isn't known what is true, so the outcome is now unknown. Such a head gives no notice of its server either.

Evidence: answer_claims/an_answer_that_contradicts_itself failed before in 11 of 11 kinds: 503 with "ran":"no" at one server, two runs with two servers, and the server noted as leaving in 9 (the kinds that say so, other than 421). Now 502, one run. All of test_error passes.

--- a/src/entry/forwarded_call.cc
+++ b/src/entry/forwarded_call.cc
@@ -280,6 +280,12 @@
                                           : "the answer names no call");
     return;
   }
+  if (head.not_run && (head.sealed || status / 100 == 2)) {
+    FinishAttempt(
+        SendOutcome::kLost,
+        "the answer states both that the call ran and that it didn't");
+    return;
+  }
   ApplyServerNotices(head);
   if (head.not_run) {
     DiscardBody();
@@ -346,7 +352,7 @@
              {"call", call_.intake.attempt}});
   }
   // Only an answer to a call that ran shows that a limit has ended.
-  const bool tells_limit = head.limit_per_s || (head.sealed && !head.not_run);
+  const bool tells_limit = head.limit_per_s || head.sealed;
   if (tells_limit && context_.placement.limits().OnAnswer(
                          now, *server_, server_started_ms_, head.limit_per_s)) {
     io::Log(io::LogLevel::kInfo, "server.limit",
--- a/test/error/answer_claims_test.cc
+++ b/test/error/answer_claims_test.cc
@@ -265,6 +265,59 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// Its parts say that the call ran and that it didn't.
+BOOST_AUTO_TEST_SUITE(an_answer_that_contradicts_itself)
+
+std::string Unsealed(const std::string& status_line) {
+  return "HTTP/1.1 " + status_line +
+         "\r\nx-oleanderfield-attempt-id: " + kAttempt +
+         "\r\nx-oleanderfield-not-run: 1\r\nserver-leaving: 1\r\n"
+         "content-length: 0\r\n\r\n";
+}
+std::string SealedRefusal(int status) {
+  return SealedAnswer("broken", status, kAttempt,
+                      "x-oleanderfield-not-run: 1\r\nserver-leaving: 1\r\n");
+}
+
+const std::string kContradictions[] = {
+    SealedRefusal(400), SealedRefusal(408),   SealedRefusal(429),
+    SealedRefusal(503), SealedRefusal(421),   SealedAnswer("broken", 421),
+    SealedRefusal(500), SealedRefusal(404),   SealedRefusal(200),
+    Unsealed("200 OK"), Unsealed("204 None"),
+};
+
+BOOST_AUTO_TEST_CASE(is_no_promise_that_a_call_did_not_run) {
+  for (const std::string& head : kContradictions) {
+    EntryFixture entry;
+    entry.AddServer(
+        [&](const std::string&) -> ScriptedAnswer { return {.bytes = head}; });
+    const std::string answer = entry.Request("/once/a");
+    BOOST_TEST_CONTEXT(head) {
+      BOOST_TEST(StatusOf(answer) == 502);
+      BOOST_TEST(!Holds(answer, "\"ran\":\"no\""));
+      BOOST_TEST(!Holds(answer, "server-seal"));
+      BOOST_TEST(
+          !entry.context.placement.notices().leaving(ServerId("server-1"), 0));
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(sends_no_call_that_must_run_once_to_a_second_server) {
+  for (const std::string& head : kContradictions) {
+    EntryFixture entry;
+    int run = 0;
+    const auto script = [&](const std::string&) -> ScriptedAnswer {
+      return {.bytes = run++ == 0 ? head : SealedAnswer("done")};
+    };
+    entry.AddServer(script);
+    entry.AddServer(script);
+    entry.Request("/once/a");
+    BOOST_TEST_CONTEXT(head) { BOOST_TEST(run == 1); }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(a_stream_that_broke_off)
 
 BOOST_AUTO_TEST_CASE(contains_no_error_of_the_next_server_and_does_not_end) {
