Close the connection of a call that is ended inside its head

What callers saw: after another call's answer without a body (204, 304, any answer to HEAD), the next call at that server was lost (502), too.

Cause: h2o has already ended such a response when it calls the head's callback, and returns the connection to the pool even if the callback has cancelled the call; the true answer is outstanding there and meets the next call.

Evidence: answer_claims/another_calls_answer_without_a_body_keeps_no_ connection failed before for 204, 304 and HEAD: the next call got 502 on the same connection. A length of 0 did not fail. Now 200 on a second connection, the first one reset. All of test_error passes; of test_correctness, http* and late_delivery pass.

Why it works: h2o closes the socket of a client that has no pool; the pool is taken from a client whose call a callback has ended. The test's fixture can now send other methods.

--- a/src/io/http_client.cc
+++ b/src/io/http_client.cc
@@ -583,6 +583,14 @@
     }
   }
 
+  // h2o returns the connection of a response without a body to the pool, also
+  // if the call was cancelled. Without a pool, h2o closes it.
+  void KeepFromPool() {
+    if (client_ != nullptr) {
+      client_->sockpool.pool = nullptr;
+    }
+  }
+
   // h2o uses the pool and the context after the callback that ends the call, so
   // they are released in the next round.
   void ReleaseShared() {
@@ -606,6 +614,7 @@
       call_.in_callback_ = false;
       if (call_.ended_) {
         call_.ResetConnection();
+        call_.KeepFromPool();
         call_.client_ = nullptr;
       }
     }
--- a/test/error/answer_claims_test.cc
+++ b/test/error/answer_claims_test.cc
@@ -318,6 +318,36 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// The call's own answer is still to come on that connection.
+BOOST_AUTO_TEST_CASE(another_calls_answer_without_a_body_keeps_no_connection) {
+  const std::pair<std::string, std::string> cases[] = {
+      {"POST", "204 None"},
+      {"POST", "304 Same"},
+      {"HEAD", "200 OK"},
+      {"POST", "200 OK\r\ncontent-length: 0"}};
+  for (const auto& [method, status_line] : cases) {
+    EntryFixture entry;
+    entry.method = method;
+    io::ScriptedServer* server = nullptr;
+    server = &entry.AddServer([&](const std::string&) -> ScriptedAnswer {
+      if (server->requests().size() == 1U) {
+        return {.bytes = "HTTP/1.1 " + status_line +
+                         "\r\nx-oleanderfield-attempt-id: old\r\n"
+                         "x-oleanderfield-server-seal: s.2\r\n\r\n"};
+      }
+      const std::string late = server->accepted() == 1 ? SealedAnswer("") : "";
+      return {.bytes = late + SealedAnswer("", 200, entry.attempt)};
+    });
+    BOOST_TEST_CONTEXT(method << " " << status_line) {
+      BOOST_TEST(StatusOf(entry.Request("/once/a")) == 502);
+      entry.attempt = "next";
+      BOOST_TEST(StatusOf(entry.Request("/once/b")) == 200);
+      BOOST_TEST(server->accepted() == 2);
+      BOOST_TEST(server->resets() == 1);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE(a_stream_that_broke_off)
 
 BOOST_AUTO_TEST_CASE(contains_no_error_of_the_next_server_and_does_not_end) {
--- a/test/support/entry_fixture.h
+++ b/test/support/entry_fixture.h
@@ -145,11 +145,12 @@
 
   io::EventLoop loop;
   std::string attempt = kAttempt;  // The id of the next requests, if not empty.
+  std::string method = "POST";     // The method of the next requests.
 
  private:
   std::string RequestBytes(const std::string& path, const std::string& key,
                            const std::string& more) const {
-    return "POST " + path + " HTTP/1.1\r\nhost: a.example\r\n" +
+    return method + " " + path + " HTTP/1.1\r\nhost: a.example\r\n" +
            (attempt.empty()
                 ? ""
                 : "x-oleanderfield-attempt-id: " + attempt + "\r\n") +
