--- a/test/error/forwarded_call_test.cc
+++ b/test/error/forwarded_call_test.cc
@@ -69,6 +69,16 @@
   BOOST_TEST(server.requests().empty());
 }
 
+BOOST_AUTO_TEST_CASE(names_the_request_with_no_two_ids) {
+  EntryFixture entry;
+  io::ScriptedServer& server = entry.AddServer(Always(kGood));
+  const std::string other = "x-oleanderfield-attempt-id: other\r\n";
+  const std::string answer = entry.Request("/once/a", "key", other);
+  BOOST_TEST(StatusOf(answer) == 400);
+  BOOST_TEST(Holds(answer, "\"code\":1101"));
+  BOOST_TEST(server.requests().empty());
+}
+
 BOOST_AUTO_TEST_CASE(decides_before_anything_is_sent) {
   EntryFixture entry;
   io::ScriptedServer& server = entry.AddServer(Always(kGood));
