--- a/test/error/answer_claims_test.cc
+++ b/test/error/answer_claims_test.cc
@@ -60,6 +60,50 @@
   BOOST_TEST(!Holds(answer, "\"ran\":\"no\""));
 }
 
+// 421 states by itself that the call was not run.
+BOOST_AUTO_TEST_CASE(another_calls_421_sends_no_call_to_a_second_server) {
+  const std::string id(kAttempt);
+  const std::string ids[] = {"another", id.substr(0, id.size() - 1), id + "0"};
+  for (const std::string& other : ids) {
+    for (const std::string more : {"", "x-oleanderfield-not-run: 1\r\n"}) {
+      EntryFixture entry;
+      int run = 0;
+      const auto script = [&](const std::string&) -> ScriptedAnswer {
+        ++run;
+        return {.bytes = "HTTP/1.1 421 Other\r\nx-oleanderfield-attempt-id: " +
+                         other + "\r\n" + more + "content-length: 0\r\n\r\n"};
+      };
+      entry.AddServer(script);
+      entry.AddServer(script);
+      BOOST_TEST_CONTEXT(other << " " << more) {
+        BOOST_TEST(StatusOf(entry.Request("/once/a")) == 502);
+        BOOST_TEST(run == 1);
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_believed_refusal_is_not_believed_for_the_next_call) {
+  EntryFixture entry;
+  int run = 0;
+  const auto script = [&](const std::string&) -> ScriptedAnswer {
+    run += entry.attempt == kAttempt ? 0 : 1;
+    return {.bytes = std::string("HTTP/1.1 503 Full\r\n") +
+                     "x-oleanderfield-not-run: 1\r\n"
+                     "x-oleanderfield-attempt-id: " +
+                     kAttempt + "\r\ncontent-length: 0\r\n\r\n"};
+  };
+  const io::ScriptedServer& first = entry.AddServer(script);
+  const io::ScriptedServer& second = entry.AddServer(script);
+  BOOST_TEST(StatusOf(entry.Request("/once/a")) == 503);
+  entry.attempt = "next";
+  const std::string answer = entry.Request("/once/b");
+  BOOST_TEST(first.accepted() + second.accepted() == 2);
+  BOOST_TEST(StatusOf(answer) == 502);
+  BOOST_TEST(!Holds(answer, "\"ran\":\"no\""));
+  BOOST_TEST(run == 1);
+}
+
 // Only its id tells the answer to a call from a late copy of another's.
 BOOST_AUTO_TEST_SUITE(a_refusal_without_the_calls_id)
 
