--- a/test/error/poison_parts_test.cc
+++ b/test/error/poison_parts_test.cc
@@ -3,8 +3,10 @@
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <string>
+#include <utility>
 #include <vector>
 
+#include "entry/poison_guard.h"
 #include "support/entry_fixture.h"
 
 namespace oleander::entry {
@@ -171,6 +173,34 @@
 
 BOOST_AUTO_TEST_SUITE(a_request_that_crashes_servers)
 
+BOOST_AUTO_TEST_CASE(is_another_one_if_any_field_differs) {
+  io::HttpRequest request;
+  request.method = "POST";
+  request.path = "/deposit";
+  request.query = "a=1";
+  request.body = "hi";
+  ports::CallIntake call;
+  call.host = "a.example";
+  call.prompt = {{.id = "5c1e07a2", .tokens = 800}};
+  const WorkspaceId workspace("bakery");
+  const auto hash = [&] {
+    return BlamableParts(request, call, workspace).front();
+  };
+  const PartHash same = hash();
+  BOOST_TEST(IsRequest(same));
+  BOOST_TEST(hash() == same);
+  BOOST_TEST(BlamableParts(request, call, WorkspaceId("other")).front() !=
+             same);
+  std::string* const fields[] = {&request.method, &request.path,
+                                 &request.query,  &request.body,
+                                 &call.host,      &call.prompt.front().id};
+  for (std::string* field : fields) {
+    const std::string before = std::exchange(*field, "other");
+    BOOST_TEST(hash() != same, "instead of " << before);
+    *field = before;
+  }
+}
+
 // BUDGET on cairnlea-oleander and tortared (the users' day `deadly`).
 BOOST_AUTO_TEST_CASE(reaches_no_more_servers_once_it_is_known) {
   for (const std::string& route : kRoutes) {
