Sort the parts in the news without a temporary buffer

The linter reports std::ranges::stable_sort, which uses a deprecated buffer with this library. Ties are now in the order of the hashes, so the result doesn't depend on the order in which calls were lost.

--- a/src/parts/poison_parts.cc
+++ b/src/parts/poison_parts.cc
@@ -3,7 +3,6 @@
 #include <xxhash.h>
 
 #include <algorithm>
-#include <functional>
 #include <iterator>
 #include <ranges>
 #include <tuple>
@@ -162,8 +161,9 @@
                         .parts = crash.parts,
                         .age = now - crash.at});
       std::vector<PartHash>& told = recent.back().parts;
-      std::ranges::stable_sort(told, std::greater(),
-                               [this](PartHash part) { return BlameOf(part); });
+      std::ranges::sort(told, {}, [this](PartHash part) {
+        return std::pair(-BlameOf(part), part);
+      });
       told.resize(std::min(told.size(), kMaxPartsPerCrashInNews));
     }
   }
