--- a/test/error/answer_claims_test.cc
+++ b/test/error/answer_claims_test.cc
@@ -67,11 +67,14 @@
   for (const std::string& other : ids) {
     for (const std::string more : {"", "x-oleanderfield-not-run: 1\r\n"}) {
       EntryFixture entry;
+      std::string refusal = "HTTP/1.1 421 Other\r\n";
+      refusal.append("x-oleanderfield-attempt-id: ").append(other);
+      refusal.append("\r\n").append(more);
+      refusal.append("content-length: 0\r\n\r\n");
       int run = 0;
       const auto script = [&](const std::string&) -> ScriptedAnswer {
         ++run;
-        return {.bytes = "HTTP/1.1 421 Other\r\nx-oleanderfield-attempt-id: " +
-                         other + "\r\n" + more + "content-length: 0\r\n\r\n"};
+        return {.bytes = refusal};
       };
       entry.AddServer(script);
       entry.AddServer(script);
