Name what excuses the parts of a lost call, and what a crash's parts are

A reviewer stumbled over both: waited is no call that waited, and the first of crash.parts is the request.

--- a/src/entry/poison_guard.h
+++ b/src/entry/poison_guard.h
@@ -28,7 +28,7 @@
                             const std::vector<PartHash>& parts);
 
 // Records that the call was lost with its server before its first event, and
-// notifies peers. `crash.age` is zero.
+// notifies peers. `crash.parts` are BlamableParts(), `crash.age` is zero.
 void RecordServerCrash(CallContext& context, const ports::CallIntake& call,
                        const ServerId& server, const ServerCrash& crash);
 // Records the first event of an answer.
--- a/src/parts/poison_parts.cc
+++ b/src/parts/poison_parts.cc
@@ -288,12 +288,12 @@
   const Time at = now - report.age;
   const auto known = crashes_.find(report.run);
   // If the answer to any call had begun, the parts of the others aren't blamed.
-  const bool waited =
+  const bool another_had_begun =
       known != crashes_.end() && known->second.begun && !report.begun;
   std::vector<PartHash> blamed;
   std::ranges::copy_if(
       report.parts, std::back_inserter(blamed), [&](PartHash part) {
-        return !IsTrusted(part, at) && (IsRequest(part) || !waited);
+        return !IsTrusted(part, at) && (IsRequest(part) || !another_had_begun);
       });
   if (blamed.empty()) {
     return false;
