--- a/test/error/answer_claims_test.cc
+++ b/test/error/answer_claims_test.cc
@@ -195,6 +195,153 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// A copy of a refusal names the refused call, so on the connection where that
+// call was refused its name proves nothing.
+BOOST_AUTO_TEST_SUITE(a_repeated_refusal_with_the_calls_id)
+
+std::string RefusalOf(const std::string& attempt, const std::string& more = "",
+                      int status = 503) {
+  return "HTTP/1.1 " + std::to_string(status) +
+         " Refused\r\nx-oleanderfield-not-run: 1\r\n"
+         "x-oleanderfield-attempt-id: " +
+         attempt + "\r\n" + more + "content-length: 0\r\n\r\n";
+}
+
+// Refuses the first call. Runs all further ones, but writes the refusal again
+// in place of the answer if it has refused the call on the same connection.
+class RepeatingServer {
+ public:
+  explicit RepeatingServer(std::string refusal)
+      : RepeatingServer(refusal, refusal) {}
+  RepeatingServer(std::string refusal, std::string copy)
+      : refusal_(std::move(refusal)), copy_(std::move(copy)) {}
+
+  ScriptedAnswer Answer(int connection, const std::string& attempt) {
+    if (refused_on_ == 0) {
+      refused_on_ = connection;
+      return {.bytes = refusal_};
+    }
+    ++run_;
+    return {.bytes = connection == refused_on_
+                         ? copy_
+                         : SealedAnswer("done", 200, attempt)};
+  }
+  int run() const { return run_; }
+
+ private:
+  std::string refusal_;
+  std::string copy_;
+  int refused_on_ = 0;
+  int run_ = 0;
+};
+
+BOOST_AUTO_TEST_CASE(is_no_promise_if_the_caller_sends_the_call_again) {
+  EntryFixture entry;
+  RepeatingServer repeating(RefusalOf(kAttempt));
+  io::ScriptedServer* server = nullptr;
+  server = &entry.AddServer([&](const std::string&) {
+    return repeating.Answer(server->connection(), kAttempt);
+  });
+  BOOST_TEST(StatusOf(entry.Request("/once/a")) == 503);
+  const std::string answer = entry.Request("/once/a");
+  BOOST_TEST(repeating.run() == 1);
+  BOOST_TEST(StatusOf(answer) == 200);
+  BOOST_TEST(!Holds(answer, "\"ran\":\"no\""));
+}
+
+BOOST_AUTO_TEST_CASE(sends_no_call_that_must_run_once_to_a_second_server) {
+  EntryFixture entry;
+  RepeatingServer repeating(RefusalOf(kAttempt));
+  io::ScriptedServer* server = nullptr;
+  server = &entry.AddServer([&](const std::string&) {
+    return repeating.Answer(server->connection(), kAttempt);
+  });
+  BOOST_TEST(StatusOf(entry.Request("/once/a")) == 503);
+  int run_elsewhere = 0;
+  entry.AddServer([&](const std::string&) -> ScriptedAnswer {
+    ++run_elsewhere;
+    return {.bytes = SealedAnswer("done")};
+  });
+  BOOST_TEST(StatusOf(entry.Request("/once/a")) == 200);
+  BOOST_TEST(repeating.run() + run_elsewhere == 1);
+}
+
+// The list still has the server that was at this address before.
+BOOST_AUTO_TEST_CASE(is_no_promise_for_the_next_server_at_the_same_address) {
+  EntryFixture entry;
+  RepeatingServer repeating(RefusalOf(kAttempt, "", 421));
+  io::ScriptedServer* server = nullptr;
+  server = &entry.AddServer([&](const std::string&) {
+    return repeating.Answer(server->connection(), kAttempt);
+  });
+  entry.AddServerAt(server->port());
+  const std::string answer = entry.Request("/once/a");
+  BOOST_TEST(repeating.run() == 1);
+  BOOST_TEST(StatusOf(answer) == 200);
+}
+
+BOOST_AUTO_TEST_CASE(is_no_promise_after_other_calls_on_the_connection) {
+  EntryFixture entry;
+  int refused_on = 0;
+  int run = 0;
+  io::ScriptedServer* server = nullptr;
+  server = &entry.AddServer([&](const std::string&) -> ScriptedAnswer {
+    if (refused_on == 0) {
+      refused_on = server->connection();
+      return {.bytes = RefusalOf(kAttempt)};
+    }
+    const bool repeats =
+        entry.attempt == kAttempt && server->connection() == refused_on;
+    run += entry.attempt == kAttempt ? 1 : 0;
+    return {.bytes = repeats ? RefusalOf(kAttempt)
+                             : SealedAnswer("done", 200, entry.attempt)};
+  });
+  BOOST_TEST(StatusOf(entry.Request("/once/a")) == 503);
+  entry.attempt = "another";
+  BOOST_TEST(StatusOf(entry.Request("/once/b")) == 200);
+  BOOST_TEST(server->accepted() == 1);  // Other calls still use it.
+  entry.attempt = kAttempt;
+  BOOST_TEST(StatusOf(entry.Request("/once/a")) == 200);
+  BOOST_TEST(run == 1);
+}
+
+BOOST_AUTO_TEST_CASE(says_nothing_about_its_server) {
+  EntryFixture entry;
+  RepeatingServer repeating(
+      RefusalOf(kAttempt),
+      RefusalOf(kAttempt,
+                "server-leaving: 1\r\nretry-after: 60\r\nserver-limit: 1\r\n"));
+  io::ScriptedServer* server = nullptr;
+  server = &entry.AddServer([&](const std::string&) {
+    return repeating.Answer(server->connection(), kAttempt);
+  });
+  entry.Request("/once/a");
+  entry.Request("/once/a");
+  BOOST_TEST(repeating.run() == 1);
+  const ServerId id("server-1");
+  const Time now = entry.loop.now();
+  ServerNotices& notices = entry.context.placement.notices();
+  BOOST_TEST(!notices.leaving(id, 0));
+  BOOST_TEST(!notices.pause_until(now, id, 0).has_value());
+  BOOST_TEST(entry.context.placement.limits().RecentReports(now).empty());
+}
+
+BOOST_AUTO_TEST_CASE(leaves_true_refusals_believed) {
+  EntryFixture entry;
+  io::ScriptedServer& server =
+      entry.AddServer([](const std::string&) -> ScriptedAnswer {
+        return {.bytes = RefusalOf(kAttempt)};
+      });
+  for (int sent = 1; sent <= 3; ++sent) {
+    const std::string answer = entry.Request("/once/a");
+    BOOST_TEST(StatusOf(answer) == 503);
+    BOOST_TEST(Holds(answer, "\"ran\":\"no\""));
+    BOOST_TEST(server.accepted() == sent);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_CASE(another_calls_answer_tells_no_load) {
   EntryFixture entry;
   entry.AddServer([](const std::string&) -> ScriptedAnswer {
--- a/test/soak/entry_faults.py
+++ b/test/soak/entry_faults.py
@@ -2,11 +2,13 @@
 import asyncio
 import collections
 import signal
+import weakref
 
 import fleet as kit
 from fleet import X
 
 ATTEMPT = X + "Attempt-Id"
+COPY_OF_REFUSAL_SHARE = 0.5  # Of the requests that come again on the connection on which they were refused.
 CALM_SHARE = 0.004  # Of the requests, for each kind of fault, outside its spells.
 WORK_S = (0.002, 0.04)
 LONG_WORK_S = (0.3, 1.6)
@@ -42,6 +44,7 @@
         self.awake.set()
         self.limit, self.open = UNLIMITED, 0  # Connections.
         self.earlier = collections.deque(maxlen=20)  # Ids of requests that were answered.
+        self.refused = weakref.WeakKeyDictionary()  # Ids by connection.
         self.arrivals = []  # (second, id)
         self.played = collections.Counter()
         self.errors = []  # Of this rig.
@@ -96,10 +99,18 @@
             writer.write(self.late_copy(attempt))
             await writer.drain()
             await asyncio.sleep(self.random.choice((0, 0, 0.01, 0.1)))
+        refused = self.refused.setdefault(writer, set())
+        if attempt in refused and self.random.random() < COPY_OF_REFUSAL_SHARE:
+            self.played["copy_of_refusal"] += 1
+            self.note("copy_of_refusal", attempt)
+            writer.write(self.refusal([attempt]))
+            await writer.drain()
+            return await self.run(attempt, target, headers, writer)
         refusal = self.not_run(headers) or (self.refusal([attempt]) if self.draws("refuse") else None)
         if refusal:
             self.note("refused", attempt)
             self.earlier.append(attempt)
+            refused.add(attempt)
             writer.write(refusal)
             return True
         if self.draws("end_before_run"):
--- a/test/soak/entry_judge.py
+++ b/test/soak/entry_judge.py
@@ -8,9 +8,14 @@
 Request = collections.namedtuple("Request", "attempt route sent status served")
 
 
+def last_answers(requests):
+    """A client that sends an id again takes no promise from the answers before."""
+    return {request.attempt: request for request in requests}.values()
+
+
 def refused(requests, runs):
     return [f"REFUSED: request {request.attempt} got {request.status} and ran: {runs[request.attempt]}"
-            for request in requests
+            for request in last_answers(requests)
             if not request.route.repeats and request.status in PROMISES and runs.get(request.attempt)]
 
 
@@ -26,19 +31,19 @@
             if len({server for _, server in runs.get(request.attempt, [])}) > request.route.max_attempts]
 
 
-def repeated_arrivals(arrivals):
-    """The seconds, in order, of all arrivals beyond the first of each request."""
-    seen, seconds = set(), []
+def repeated_arrivals(requests, arrivals):
+    """The seconds, in order, of the arrivals of each id beyond as many as clients sent it."""
+    sent, seen, seconds = collections.Counter(each.attempt for each in requests), collections.Counter(), []
     for second, attempt in sorted(arrivals):
-        if attempt in seen:
+        seen[attempt] += 1
+        if seen[attempt] > max(1, sent[attempt]):
             seconds.append(second)
-        seen.add(attempt)
     return seconds
 
 
 def retry_use(requests, arrivals, bounds):
     """Returns (repeats / allowed, its text) of the window in which most of the budget is used."""
-    window, repeats = bounds["retry_window_s"], repeated_arrivals(arrivals)
+    window, repeats = bounds["retry_window_s"], repeated_arrivals(requests, arrivals)
     sent = sorted(each.sent for each in requests)
 
     def within(seconds, begin):
--- a/test/soak/entry_promises.py
+++ b/test/soak/entry_promises.py
@@ -34,6 +34,7 @@
 DEADLINE_S = 1.0
 MIN_LEFT_S = 0.05
 MAX_TRIES = 4
+SAME_ID_SHARE = 0.3  # Of the requests; their repeats after a promise come with the same id, on the same connection.
 MAX_BODY_BYTES = 20000
 SETTLE_S = 3.0  # After the load; a request that was refused may run until then.
 FINAL = (400, 401, 404, 413, 431)
@@ -56,6 +57,8 @@
 
     async def ask(self, route):
         end = time.monotonic() + DEADLINE_S
+        same_id = self.random.random() < SAME_ID_SHARE
+        more = {}
         body = b"x" * self.random.choice((0, 600, self.random.randint(1, MAX_BODY_BYTES)))
         for _ in range(MAX_TRIES):
             left = end - time.monotonic()
@@ -64,14 +67,19 @@
             if self.kept.writer is None:
                 self.kept = kit.KeptClient(self.fleet, self.random.choice(self.fleet.machines))
             sent = self.fleet.record.now()
-            answer = await self.kept.call("POST", route.prefix + "2f", body, int(left * 1000))
+            answer = await self.kept.call("POST", route.prefix + "2f", body, int(left * 1000), more)
+            answer.attempt = more.get(entry_faults.ATTEMPT, answer.attempt)
             served = answer.status // 100 == 2 and not answer.note
             if "ConnectionRefusedError" not in answer.note:  # Otherwise nothing was sent.
                 self.requests.append(entry_judge.Request(answer.attempt, route, sent, answer.status, served))
             promised = answer.status in entry_judge.PROMISES
             if served or answer.status in FINAL or not (promised or route.repeats):
                 return
-            self.kept.close()
+            if same_id and promised:
+                more = {entry_faults.ATTEMPT: answer.attempt}
+            else:
+                more = {}
+                self.kept.close()
             pause = float(answer.headers.get("retry-after", "0"))
             await asyncio.sleep(min(pause, max(0.0, end - time.monotonic()) / 3))
 
--- a/test/support/entry_fixture.h
+++ b/test/support/entry_fixture.h
@@ -107,15 +107,19 @@
   io::ScriptedServer& AddServer(io::ScriptedServer::Script script) {
     backends_.push_back(std::make_unique<io::ScriptedServer>(
         loop, io::kTestAddress, std::move(script)));
+    AddServerAt(backends_.back()->port());
+    return *backends_.back();
+  }
+  // Lists one more server at this port.
+  void AddServerAt(uint16_t port) {
     ListedServer listed;
-    listed.id = ServerId("server-" + std::to_string(backends_.size()));
+    listed.id = ServerId("server-" + std::to_string(++listed_));
     listed.service = ServiceId("service");
     listed.domain = DomainId("d");
     listed.address = io::kTestAddress;
-    listed.port = backends_.back()->port();
+    listed.port = port;
     context.listed.Put(loop.now(), listed, ++revision_);
     Publish();
-    return *backends_.back();
   }
   void Publish() { context.placement.SetServers(context.listed.ready()); }
 
@@ -183,6 +187,7 @@
   CallHandler handler_;
   io::HttpServer server_;
   std::vector<std::unique_ptr<io::ScriptedServer>> backends_;
+  int listed_ = 0;
   int64_t revision_ = 0;
 };
 
--- a/test/support/scripted_server.h
+++ b/test/support/scripted_server.h
@@ -59,6 +59,8 @@
 
   uint16_t port() const { return port_; }
   int accepted() const { return accepted_; }
+  // The connection of the newest request, counted from 1.
+  int connection() const { return connection_; }
   // The bytes of `repeated` that were sent, and whether a caller closed the
   // connection while they were being sent.
   size_t repeated_bytes_sent() const { return repeated_bytes_sent_; }
@@ -81,6 +83,7 @@
       }
     }
     int fd = -1;
+    int number = 0;
     std::unique_ptr<EventLoop::FdWatch> watch;
     std::string received;
     Timer repeat_timer;
@@ -95,6 +98,7 @@
     ++accepted_;
     auto connection = std::make_shared<Connection>();
     connection->fd = fd;
+    connection->number = accepted_;
     Connection* raw = connection.get();
     connection->watch = loop_.WatchReadable(fd, [this, raw] { Read(*raw); });
     connections_.push_back(std::move(connection));
@@ -116,6 +120,7 @@
       return;
     }
     requests_.push_back(std::exchange(connection.received, {}));
+    connection_ = connection.number;
     const ScriptedAnswer answer = script_(requests_.back());
     BOOST_REQUIRE(answer.bytes.empty() ||
                   send(connection.fd, answer.bytes.data(), answer.bytes.size(),
@@ -147,6 +152,7 @@
   int listener_ = -1;
   uint16_t port_ = 0;
   int accepted_ = 0;
+  int connection_ = 0;
   size_t repeated_bytes_sent_ = 0;
   bool caller_closed_ = false;
   int resets_ = 0;
--- a/test/tools/entry_judge_test.py
+++ b/test/tools/entry_judge_test.py
@@ -26,6 +26,17 @@
             self.assertFalse(entry_judge.refused([request(REPEATED, status)], {"a": [(9.0, "i-1")]}))
         self.assertFalse(entry_judge.refused([request(ONCE, 502)], {"a": [(9.0, "i-1")]}))
 
+    def test_only_the_last_answer_to_an_id_that_came_again_is_a_promise(self):
+        runs = {"a": [(9.0, "i-1")]}
+        self.assertFalse(entry_judge.refused([request(ONCE, 503), request(ONCE, 200)], runs))
+        self.assertTrue(entry_judge.refused([request(ONCE, 503), request(ONCE, 503)], runs))
+        self.assertTrue(entry_judge.twice([request(ONCE, 503), request(ONCE)], {"a": [(1.0, "i-1"), (2.0, "i-2")]}))
+
+    def test_an_arrival_for_each_time_that_an_id_was_sent_is_no_repeat(self):
+        arrivals = [(1.0, "a"), (2.0, "a")]
+        self.assertEqual(entry_judge.repeated_arrivals([request(ONCE), request(ONCE)], arrivals), [])
+        self.assertEqual(entry_judge.repeated_arrivals([request(ONCE)], arrivals), [2.0])
+
     def test_a_request_that_must_run_once_may_not_run_twice(self):
         for servers in (("i-1", "i-1"), ("i-1", "i-2")):
             runs = {"a": [(1.0, server) for server in servers]}
