Carry no call on the connection on which it was refused

Cause: an answer was believed to be the call's if it bore the call's id. A late copy of the refusal of the same call bears it, too. The same id comes again on a connection when the caller repeats it, and in our own retries when two listed servers share an address.

Change: RefusedCalls remembers by connection which calls got another answer than 2xx there. The client closes such a connection instead of sending the call on it, and takes the next one. 'Not run' and the server's notices are believed as before: on the other connection no earlier answer bears the id.

--- a/src/entry/forwarded_call.cc
+++ b/src/entry/forwarded_call.cc
@@ -264,6 +264,7 @@
                        : fmt::format("{}?{}", inbound.path, inbound.query);
   request.headers = context_.codec.ForServer(inbound, TermsFor(server.id));
   request.shared_body = {call_.exchange, &inbound.body};
+  request.id = call_.intake.attempt;
   request.options.connect_timeout = kConnectTimeout;
   // `deadline_timer_` ends a call without an answer before these timeouts do.
   request.options.head_timeout = time_left() + std::chrono::seconds(1);
--- a/src/io/http_client.cc
+++ b/src/io/http_client.cc
@@ -9,11 +9,13 @@
 #include <map>
 #include <utility>
 
+#include "absl/container/flat_hash_map.h"
 #include "absl/strings/numbers.h"
 #include "fmt/format.h"
 #include "io/h2o.h"
 #include "io/response_head.h"
 #include "io/socket_address.h"
+#include "oleander/refused_calls.h"
 #include "oleander/result_code.h"
 
 namespace oleander::io {
@@ -79,8 +81,15 @@
 
   h2o_http1client_ctx_t* raw() { return &context_; }
 
+  // The calls refused on each connection, by its file descriptor. A new
+  // connection must clear the entry of an earlier one.
+  absl::flat_hash_map<int, RefusedCalls>& refused_calls() {
+    return refused_calls_;
+  }
+
  private:
   h2o_evloop_t* loop_;
+  absl::flat_hash_map<int, RefusedCalls> refused_calls_;
   h2o_timeout_t io_timeout_ = {};
   h2o_http1client_ctx_t context_ = {};
 };
@@ -217,6 +226,7 @@
         context_(std::move(context)),
         pool_(std::move(pool)),
         options_(request.options),
+        id_(std::move(request.id)),
         is_head_(request.method == "HEAD"),
         target_(fmt::format("{}:{}", request.address, request.port)),
         head_(BuildHead(request)),
@@ -237,8 +247,17 @@
       return;
     }
     StartTimeout(options_.connect_timeout);
-    h2o_http1client_connect_with_pool(&client_, this, context_->raw(),
-                                      pool_->raw(), OnConnect);
+    // Each round closes one kept connection of the pool.
+    do {
+      declined_ = false;
+      connecting_ = true;
+      h2o_http1client_connect_with_pool(&client_, this, context_->raw(),
+                                        pool_->raw(), OnConnect);
+      connecting_ = false;
+      if (declined_) {
+        client_ = nullptr;
+      }
+    } while (declined_);
     // On a kept connection the request was written just now. On a new one
     // Connected() sees to it.
     GuardHead();
@@ -396,6 +415,13 @@
     }
     client_ = client;  // With a pooled connection h2o calls back before
                        // h2o_http1client_connect_with_pool() sets `client_`.
+    const int fd = h2o_socket_get_fd(client->sock);
+    if (!MayUse(fd)) {
+      KeepFromPool();
+      client_ = nullptr;
+      declined_ = true;
+      return false;
+    }
     const InCallback in_callback(*this);
     // A callback may cancel the call, but must not be destroyed while it runs.
     const auto callbacks = callbacks_;
@@ -408,7 +434,6 @@
     sent_ = true;
     phase_ = Phase::kHead;
     StartTimeout(options_.head_timeout);
-    const int fd = h2o_socket_get_fd(client->sock);
     if (options_.probe_after > Duration::zero()) {
       EnableKeepAlive(fd, options_.probe_after);
     }
@@ -432,6 +457,24 @@
     return true;
   }
 
+  // h2o calls back while it connects only for a kept connection.
+  bool MayUse(int fd) {
+    auto& refused = context_->refused_calls();
+    if (!connecting_) {
+      refused.erase(fd);
+      return true;
+    }
+    const auto found = refused.find(fd);
+    return id_.empty() || found == refused.end() ||
+           found->second.MayCarry(id_);
+  }
+
+  void RecordIfRefused(int status) {
+    if (!id_.empty() && status / 100 != 2) {
+      context_->refused_calls()[h2o_socket_get_fd(client_->sock)].Add(id_);
+    }
+  }
+
   bool HeadArrived(const char* error, int status, const h2o_header_t* headers,
                    size_t count) {
     const bool whole = error == h2o_http1client_error_is_eos;
@@ -443,6 +486,7 @@
     // The request was sent, so its memory isn't needed any longer.
     std::string().swap(head_);
     body_.reset();
+    RecordIfRefused(status);
     StartTimeout(options_.progress_timeout);
     {
       const InCallback in_callback(*this);
@@ -627,6 +671,7 @@
   std::shared_ptr<ClientContext> context_;
   std::shared_ptr<Pool> pool_;
   HttpCallOptions options_;
+  std::string id_;
   bool is_head_;
   std::string target_;
   std::string head_;
@@ -641,6 +686,8 @@
   Timer timer_;
   Time timer_due_;
   bool sent_ = false;
+  bool connecting_ = false;  // h2o_http1client_connect_with_pool() runs.
+  bool declined_ = false;    // The kept connection can't carry the call.
   bool paused_ = false;
   BodyEnd body_end_ = BodyEnd::kLength;
   bool head_guarded_ = false;
--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -49,6 +49,11 @@
   // Sent in place of `body` if it isn't null. It is not copied, and is released
   // when the response begins.
   std::shared_ptr<const std::string> shared_body = nullptr;
+  // The id that the server repeats in its response; empty if it repeats none.
+  // The call isn't sent on a connection on which a call with the same id got a
+  // response other than 2xx, since a late copy of that response could not be
+  // told from its own.
+  std::string id = {};
   HttpCallOptions options;
 };
 
