Read a server's software version, and the attempt that a request resumes

Cause: ListedServer didn't hold the version of an entry, and the header Resumes wasn't read, so no part could relate a stream to the version that began it.

Change: both are read at the adapter. Nothing uses them yet, so nothing changes for callers. An entry without a version that can be read is used as before, with an empty one. Tests: a version as text, as a number, and as neither; the header.

--- a/include/oleander/listed_servers.h
+++ b/include/oleander/listed_servers.h
@@ -33,6 +33,7 @@
   int slots = 1;
   ListedState state = ListedState::kReady;
   int64_t started_ms = 0;  // Unix milliseconds; 0 if unknown.
+  std::string version;     // Of its software; empty if unknown.
   Market market = Market::kOnDemand;
   // Time from the writing of the entry until the server leaves.
   std::optional<Duration> leaves_in;
--- a/src/ports/call_port.h
+++ b/src/ports/call_port.h
@@ -33,6 +33,8 @@
   std::optional<int64_t> expected_output_tokens;  // The caller's estimate.
   std::vector<PromptPart> prompt;
   std::optional<std::string> resume_after;  // Id of the last received event.
+  // The id of the attempt that brought the first event; empty if not named.
+  std::string resumes;
 };
 
 // Fields that this instance adds to a call that it sends to a backend server.
--- a/test/error/platform_codecs_test.cc
+++ b/test/error/platform_codecs_test.cc
@@ -50,6 +50,20 @@
   BOOST_TEST((server->leaves_in == std::chrono::milliseconds(2500)));
 }
 
+BOOST_AUTO_TEST_CASE(names_the_version_of_its_software) {
+  const auto version_in = [](const std::string& entry) {
+    const auto server = CatalogCodec().ReadServer(Entry("servers/i-1", entry));
+    BOOST_TEST_REQUIRE(server.ok());
+    return server->version;
+  };
+  const std::string entry = kServer;
+  const std::string place = "\"service\"";
+  BOOST_TEST(version_in(With(entry, place, "\"version\":\"v1.2\"," + place)) ==
+             "v1.2");
+  BOOST_TEST(version_in(With(entry, place, "\"version\":7," + place)) == "7");
+  BOOST_TEST(version_in(With(entry, place, "\"version\":[1]," + place)) == "");
+}
+
 BOOST_AUTO_TEST_CASE(that_is_malformed_is_an_error) {
   const std::string good = kServer;
   const std::string bad[] = {
@@ -179,6 +193,7 @@
                    {"x-oleanderfield-prompt-prefix", "5c:800,91:410,e4:250"},
                    {"x-oleanderfield-length-hint", "77"},
                    {"last-event-id", "12"},
+                   {"resumes", "id-0"},
                    {"authorization", "Token key-1"}}));
   BOOST_TEST_REQUIRE(intake.ok());
   BOOST_TEST(intake->host == "a.example");
@@ -190,6 +205,7 @@
   BOOST_TEST(intake->prompt.size() == 3U);
   BOOST_TEST(intake->prompt.back().tokens == 250);
   BOOST_TEST(*intake->resume_after == "12");
+  BOOST_TEST(intake->resumes == "id-0");
   BOOST_TEST(intake->credential == "key-1");
 }
 
--- a/test/support/entry_fixture.h
+++ b/test/support/entry_fixture.h
@@ -104,20 +104,22 @@
   }
 
   // Adds a backend server with the id "server-N", counted from 1.
-  io::ScriptedServer& AddServer(io::ScriptedServer::Script script) {
+  io::ScriptedServer& AddServer(io::ScriptedServer::Script script,
+                                const std::string& version = "") {
     backends_.push_back(std::make_unique<io::ScriptedServer>(
         loop, io::kTestAddress, std::move(script)));
-    AddServerAt(backends_.back()->port());
+    AddServerAt(backends_.back()->port(), version);
     return *backends_.back();
   }
   // Lists one more server at this port.
-  void AddServerAt(uint16_t port) {
+  void AddServerAt(uint16_t port, const std::string& version = "") {
     ListedServer listed;
     listed.id = ServerId("server-" + std::to_string(++listed_));
     listed.service = ServiceId("service");
     listed.domain = DomainId("d");
     listed.address = io::kTestAddress;
     listed.port = port;
+    listed.version = version;
     context.listed.Put(loop.now(), listed, ++revision_);
     Publish();
   }
