Let a stream go on only at the software version that began it

Cause: no part knew a server's version, so a stream that broke off was resumed at any server.

Ruled out: that the version is lost with its instance, or that lists differ; both presuppose that something knew it.

Change: Placement and the region placer take the version as a condition, set with a stream's first event. While there may be several, StreamOrigins records each stream's version under the id of its attempt, in batches that nothing waits for.

--- a/include/oleander/placement.h
+++ b/include/oleander/placement.h
@@ -74,6 +74,8 @@
   Prompt prompt = {};  // Empty for services that aren't models.
   Duration goal{};     // Time to first token; zero means default_goal.
   std::vector<ServerId> tried = {};  // Excluded from the choice.
+  // Only servers of this software version may be chosen; nothing for any.
+  std::optional<std::string> version = std::nullopt;
   // The instance that sends the call; nothing for the local one.
   std::optional<InstanceId> sender = std::nullopt;
 };
@@ -104,6 +106,10 @@
   // cooldown after failures isn't considered.
   bool MayUse(Time now, const ServerId& server,
               const std::optional<InstanceId>& sender = std::nullopt) const;
+  // Returns whether the server is listed with the version that the request
+  // needs.
+  bool HasVersionFor(const PlacementRequest& request,
+                     const ServerId& server) const;
   // Returns the expected time to first token of the request at the server, or
   // Duration::max() if the server is unknown.
   Duration ExpectedFirstToken(Time now, const ServerId& server,
@@ -158,6 +164,7 @@
     DomainId domain;
     int slots = 1;
     int64_t started_ms = 0;
+    std::string version;
     bool listed = false;
     int local_calls = 0;  // Open calls recorded by OnSent().
     int local_calls_at_report = 0;
--- a/include/oleander/result_code.h
+++ b/include/oleander/result_code.h
@@ -49,6 +49,7 @@
   kQuotaSpent = 2112,
   kPoisonPrompt = 2113,
   kPoisonRequest = 2114,
+  kStreamVersionGone = 2115,
   // 22xx: failed, and may have run.
   kAnswerLost = 2201,
   kServerFailed = 2202,
--- a/src/entry/call_context.h
+++ b/src/entry/call_context.h
@@ -28,6 +28,7 @@
 namespace oleander::entry {
 
 class ForwardedCall;
+class OriginKeeper;
 
 struct CallContext {
   io::EventLoop& loop;
@@ -48,6 +49,9 @@
   // Called when peers should learn at once that a server crashed, or that a
   // suspected part was answered on.
   std::function<void()> on_crash_news = [] {};
+  // Which versions began streams. The owner of the context sets it before the
+  // first call.
+  OriginKeeper* origins = nullptr;
   RetryBudget retries;
   UsageWindows usage;
   QuotaGate quotas;
--- a/src/entry/call_handler.cc
+++ b/src/entry/call_handler.cc
@@ -40,7 +40,9 @@
 
 // Returns a number from 0 to 1 that is the same for each attempt of one call
 // and is distributed uniformly over calls.
-double UniformHash(const std::string& attempt) {
+double UniformHash(const ports::CallIntake& intake) {
+  const std::string& attempt =
+      intake.resumes.empty() ? intake.attempt : intake.resumes;
   constexpr double kRange = 18446744073709551616.0;  // 2^64
   return static_cast<double>(XXH64(attempt.data(), attempt.size(), 0)) / kRange;
 }
@@ -198,7 +200,7 @@
       !status.ok()) {
     return status;
   }
-  call.service = PickTarget(*call.route, UniformHash(call.intake.attempt));
+  call.service = PickTarget(*call.route, UniformHash(call.intake));
   call.deadline = DeadlineOf(call);
   return absl::OkStatus();
 }
@@ -275,6 +277,7 @@
           {{"call", call.intake.attempt},
            {"host", call.intake.host},
            {"path", call.exchange->request().path},
+           {"resumes", call.intake.resumes},
            {"status", http_status},
            {"code", static_cast<int>(details.code)},
            {"config", call.config == nullptr ? 0 : call.config->version()},
--- a/src/entry/entry_node.cc
+++ b/src/entry/entry_node.cc
@@ -16,6 +16,7 @@
 #include "entry/call_context.h"
 #include "entry/call_handler.h"
 #include "entry/duty_lease.h"
+#include "entry/origin_keeper.h"
 #include "entry/peer_mesh.h"
 #include "entry/record_keeper.h"
 #include "entry/size_orderer.h"
@@ -171,11 +172,13 @@
                  .quotas = QuotaGate(loop_, context_.clock, settings_.instance,
                                      QuotaBoundOf(settings_.bounds), seed_())},
         handler_(context_),
+        origins_(context_, *ports_.store, RandomId()),
         run_id_(RandomId()),
         peers_(loop_, settings_),
         feed_(context_, *ports_.store, *ports_.catalog, peers_,
               settings_.instance,
               [this] {
+                origins_.OnServers();
                 orderer_.OnServers();
                 handler_.Resume();
               }),
@@ -225,6 +228,7 @@
                   200, {{.name = "content-type", .value = "text/plain"}},
                   metrics_.Text());
             }) {
+    context_.origins = &origins_;
     context_.max_calls = settings_.limits.memory_bytes / kMaxBytesPerCall;
     context_.max_answer_bytes =
         std::min(context_.max_answer_bytes,
@@ -304,6 +308,7 @@
 
   void OnRecords() {
     const size_t instances = records_.live_instances();
+    origins_.SetInstances(instances);
     peers_.OnRecords(records_);
     feed_.OnRecords(records_);
     context_.quotas.SetInstances(
@@ -336,6 +341,7 @@
     if (restored) {
       feed_.OnNewEra();
       records_.OnNewEra();
+      origins_.OnNewEra();
     }
   }
 
@@ -521,6 +527,7 @@
   Ports ports_;
   CallContext context_;
   CallHandler handler_;
+  OriginKeeper origins_;
   uint64_t run_id_;
   PeerMesh peers_;
   StoreFeed feed_;
--- a/src/entry/forwarded_call.cc
+++ b/src/entry/forwarded_call.cc
@@ -88,9 +88,75 @@
                                           }
                                         });
   context_.retries.OnSuccess(call_.service);
+  if (TakesUpStream()) {
+    SendToOrigin();
+  } else {
+    SendNext();
+  }
+}
+
+bool ForwardedCall::TakesUpStream() const {
+  return call_.route->kind == CallKind::kStream && call_.route->resumable &&
+         call_.intake.resume_after.has_value();
+}
+
+void ForwardedCall::SendToOrigin() {
+  context_.origins->Find(call_.intake.resumes, call_.service,
+                         [weak = weak_from_this()](const OriginAnswer& answer) {
+                           const auto self = weak.lock();
+                           if (self != nullptr && !self->finished_) {
+                             self->OnOrigin(answer);
+                           }
+                         });
+}
+
+void ForwardedCall::OnOrigin(const OriginAnswer& answer) {
+  using Kind = OriginAnswer::Kind;
+  io::Log(io::LogLevel::kInfo, "stream.taken_up",
+          {{"call", call_.intake.attempt},
+           {"resumes", call_.intake.resumes},
+           {"after", call_.intake.resume_after.value_or("")},
+           {"known", static_cast<int>(answer.kind)},
+           {"version", answer.version}});
+  if (answer.kind == Kind::kUnknown) {
+    RefuseTakeUp("It isn't known which software version began the stream.");
+    return;
+  }
+  if (answer.kind == Kind::kUnreachable) {
+    Refuse(ResultCode::kStreamVersionGone,
+           "The record of the software version that began the stream can't be "
+           "read now.");
+    return;
+  }
+  if (answer.kind == Kind::kVersion) {
+    placement_request_.version = answer.version;
+  }
   SendNext();
 }
 
+void ForwardedCall::RefuseTakeUp(std::string_view message) {
+  Refuse(ResultCode::kStreamVersionGone, message, time_left());
+}
+
+std::optional<StreamOrigin> ForwardedCall::origin() const {
+  const bool begun_here = cutter_.events() > 0 && !TakesUpStream();
+  if (!begun_here || !call_.route->resumable || !placement_request_.version) {
+    return std::nullopt;
+  }
+  return StreamOrigin{.service = call_.service,
+                      .version = *placement_request_.version};
+}
+
+void ForwardedCall::RecordOrigin() {
+  if (placement_request_.version) {
+    return;
+  }
+  placement_request_.version = server_version_;
+  if (const auto begun = origin()) {
+    context_.origins->OnBegun(attempt(), *begun);
+  }
+}
+
 void ForwardedCall::SendNext() {
   if (!MaySend()) {
     return;
@@ -190,6 +256,13 @@
 // usable again.
 void ForwardedCall::RefuseWithoutServer() {
   const Time now = context_.loop.now();
+  const auto& version = placement_request_.version;
+  if (version && !context_.origins->IsListed(call_.service, *version)) {
+    RefuseTakeUp(fmt::format(
+        "No server of service {} has version \"{}\", which began the stream.",
+        call_.service.value(), *version));
+    return;
+  }
   const auto usable_at = context_.placement.NextUsableAt(now, call_.service);
   Refuse(ResultCode::kNoServer,
          fmt::format("No server of service {} accepts new work{}.",
@@ -201,6 +274,7 @@
 void ForwardedCall::SendTo(const ListedServer& server) {
   server_ = server.id;
   server_started_ms_ = server.started_ms;
+  server_version_ = server.version;
   placement_request_.tried.push_back(server.id);
   mode_ = Mode::kAwaitingHead;
   start_counted_ = false;
@@ -419,6 +493,7 @@
   RecordStart();
   if (!had_event) {
     RecordAnswer(context_, call_.parts);
+    RecordOrigin();
   }
   StartStream();
   call_.exchange->Write(*whole);
--- a/src/entry/forwarded_call.h
+++ b/src/entry/forwarded_call.h
@@ -14,10 +14,12 @@
 #include <vector>
 
 #include "entry/call_context.h"
+#include "entry/origin_keeper.h"
 #include "io/http_server.h"
 #include "oleander/event_cutter.h"
 #include "oleander/poison_parts.h"
 #include "oleander/send_policy.h"
+#include "oleander/stream_origins.h"
 
 namespace oleander::entry {
 
@@ -52,10 +54,22 @@
   // finished.
   void OnStop();
 
+  const std::string& attempt() const { return call_.intake.attempt; }
+  // Returns the origin of the stream if it may be taken up and this attempt has
+  // brought its first event.
+  std::optional<StreamOrigin> origin() const;
+
  private:
   // How the body of the current attempt's answer is handled.
   enum class Mode { kAwaitingHead, kDiscard, kCollect, kStream };
 
+  // Returns whether the caller goes on with a stream that broke off.
+  bool TakesUpStream() const;
+  // Finds the version that began the stream, then sends the call.
+  void SendToOrigin();
+  void OnOrigin(const OriginAnswer& answer);
+  // Refuses a stream that can't be taken up again in its caller's time.
+  void RefuseTakeUp(std::string_view message);
   void SendNext();
   // Returns whether the current configuration allows the call to be sent and
   // was confirmed recently enough, and neither the request nor a part of its
@@ -63,6 +77,9 @@
   bool MaySend();
   void OnChosen(const RegionPlacer::Placed& placed);
   void SendTo(const ListedServer& server);
+  // Records that the stream's first event arrived: from now on only servers of
+  // the same version may go on with it.
+  void RecordOrigin();
   // Records that prefill is finished: the first event, or the head of an answer
   // that isn't a stream, arrived.
   void RecordStart();
@@ -133,6 +150,7 @@
   // From the list at the time of sending: the server may be removed from the
   // list before the answer arrives.
   int64_t server_started_ms_ = 0;
+  std::string server_version_;
   uint64_t events_before_ = 0;  // Events of earlier attempts.
   Mode mode_ = Mode::kAwaitingHead;
   int status_ = 0;
--- a/src/entry/region_placer.cc
+++ b/src/entry/region_placer.cc
@@ -25,6 +25,9 @@
   for (const ServerId& server : request.tried) {
     wire.add_tried(server.value());
   }
+  if (request.version) {
+    wire.set_version(*request.version);
+  }
 }
 
 // Returns the request of the message. If the lists of prefixes and of their
@@ -45,6 +48,9 @@
   for (const std::string& server : wire.tried()) {
     request.tried.emplace_back(server);
   }
+  if (wire.has_version()) {
+    request.version = wire.version();
+  }
   return request;
 }
 
@@ -208,7 +214,9 @@
     choice_.OnAnswer(from);
   }
   const ServerId server(reply.server());
-  const bool usable = !server.empty() && placement_.MayUse(now, server);
+  // The placer's list may be older or newer than the local one.
+  const bool usable = !server.empty() && placement_.MayUse(now, server) &&
+                      placement_.HasVersionFor(pending.request, server);
   if (!server.empty()) {
     placers_of_call_[reply.call()] = {from};
   }
--- a/src/io/http_client.cc
+++ b/src/io/http_client.cc
@@ -465,8 +465,7 @@
       return true;
     }
     const auto found = refused.find(fd);
-    return id_.empty() || found == refused.end() ||
-           found->second.MayCarry(id_);
+    return id_.empty() || found == refused.end() || found->second.MayCarry(id_);
   }
 
   void RecordIfRefused(int status) {
--- a/src/parts/placement.cc
+++ b/src/parts/placement.cc
@@ -38,6 +38,7 @@
     server.domain = listed->domain;
     server.slots = listed->slots;
     server.started_ms = listed->started_ms;
+    server.version = listed->version;
     server.listed = true;
     by_service_[listed->service].push_back(listed->id);
     const auto memory = memories_.find(listed->service);
@@ -340,6 +341,13 @@
          limits_.MaySend(now, server, started_ms, sender);
 }
 
+bool Placement::HasVersionFor(const PlacementRequest& request,
+                              const ServerId& server) const {
+  const auto found = servers_.find(server);
+  return !request.version ||
+         (found != servers_.end() && found->second.version == *request.version);
+}
+
 std::vector<const Placement::Server*> Placement::Candidates(
     Time now, const PlacementRequest& request) const {
   std::vector<const Server*> available;
@@ -353,7 +361,7 @@
       continue;
     }
     const Server& server = servers_.at(id);
-    if (!MayUse(now, id, request.sender)) {
+    if (!HasVersionFor(request, id) || !MayUse(now, id, request.sender)) {
       continue;
     }
     const bool in_cooldown =
--- a/src/parts/result_code.cc
+++ b/src/parts/result_code.cc
@@ -82,6 +82,10 @@
      "Servers crashed when they began to answer on a part of the prompt."},
     {kPoisonRequest, "poison_request", 503, Canonical::kUnavailable, Ran::kNo,
      "Servers crashed when they ran the same request before."},
+    {kStreamVersionGone, "stream_version_gone", 503, Canonical::kUnavailable,
+     Ran::kNo,
+     "No server of the software version that began the stream takes work, or "
+     "that version isn't known."},
     {kAnswerLost, "answer_lost", 502, Canonical::kUnknown, Ran::kUnknown,
      "The call was sent but its answer did not arrive."},
     {kServerFailed, "server_failed", 502, Canonical::kUnavailable,
--- a/test/error/stream_versions_test.cc
+++ b/test/error/stream_versions_test.cc
@@ -106,6 +106,104 @@
   }
 }
 
+// The headers of a request that takes up the stream of the fixture's attempt.
+std::string TakesUp() {
+  return std::string("last-event-id: 2\r\nresumes: ") + kAttempt + "\r\n";
+}
+
+// Waits until what is to be written has reached the store.
+void LetWrite(EntryFixture& entry) {
+  io::RunFor(entry.loop, std::chrono::milliseconds(150));
+}
+
+// Begins a stream that breaks off for good after two events; returns the
+// version that began it.
+std::string BeginAndBreak(Versions& versions) {
+  versions.entry.context.retries.SetOptions({.share = 0, .burst = 0});
+  versions.entry.Request("/resume/a");
+  BOOST_TEST_REQUIRE(versions.called.size() == 1U);
+  return versions.called.front();
+}
+
+BOOST_AUTO_TEST_CASE(goes_on_at_its_version_after_its_instance_was_killed) {
+  for (int round = 0; round < 8; ++round) {
+    Versions versions;
+    for (const char* version : {"v1", "v2", "v1", "v2"}) {
+      versions.Add(version, 2);
+    }
+    LetWrite(versions.entry);
+    const std::string begun = BeginAndBreak(versions);
+    LetWrite(versions.entry);
+    versions.entry.Restart();
+    LetWrite(versions.entry);
+    const std::string answer =
+        versions.entry.Request("/resume/a", "key", TakesUp());
+    BOOST_TEST(StatusOf(answer) == 200);
+    BOOST_TEST_REQUIRE(versions.called.size() == 2U);
+    BOOST_TEST(versions.called.back() == begun);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(is_refused_if_it_broke_off_before_versions_were_recorded) {
+  Versions versions;
+  versions.Add("v1", 2);
+  LetWrite(versions.entry);
+  BeginAndBreak(versions);
+  versions.Add("v2", 2);
+  versions.entry.Restart();
+  LetWrite(versions.entry);
+  const std::string answer =
+      versions.entry.Request("/resume/a", "key", TakesUp());
+  BOOST_TEST(StatusOf(answer) == 503);
+  BOOST_TEST(versions.called.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(goes_on_anywhere_while_there_was_only_one_version) {
+  Versions versions;
+  versions.Add("v1", 2);
+  versions.Add("v1", 2);
+  LetWrite(versions.entry);
+  BeginAndBreak(versions);
+  versions.entry.Restart();
+  LetWrite(versions.entry);
+  const std::string answer =
+      versions.entry.Request("/resume/a", "key", TakesUp());
+  BOOST_TEST(StatusOf(answer) == 200);
+  BOOST_TEST(versions.called.size() == 2U);
+}
+
+// All instances were killed after the old version had left.
+BOOST_AUTO_TEST_CASE(is_refused_if_its_version_has_just_left) {
+  Versions versions;
+  versions.Add("v1", 2);
+  LetWrite(versions.entry);
+  io::RunFor(versions.entry.loop, std::chrono::milliseconds(1100));
+  BeginAndBreak(versions);
+  versions.entry.context.listed.Replace(versions.entry.loop.now(), {}, 1000);
+  versions.Add("v2", 2);
+  versions.entry.Restart();
+  LetWrite(versions.entry);
+  const std::string answer =
+      versions.entry.Request("/resume/a", "key", TakesUp());
+  BOOST_TEST(StatusOf(answer) == 503);
+  BOOST_TEST(Holds(answer, "\"code\":2115"));
+  BOOST_TEST(Holds(answer, "retry-after: "));
+  BOOST_TEST(versions.called.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(is_refused_for_now_while_the_store_is_away) {
+  Versions versions;
+  versions.Add("v1", kEvents);
+  versions.Add("v2", kEvents);
+  LetWrite(versions.entry);
+  versions.entry.store.SetDown(true);
+  const std::string answer =
+      versions.entry.Request("/resume/a", "key", TakesUp());
+  BOOST_TEST(StatusOf(answer) == 503);
+  BOOST_TEST(versions.called.empty());
+  BOOST_TEST(StatusOf(versions.entry.Request("/resume/a")) == 200);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/support/entry_fixture.h
+++ b/test/support/entry_fixture.h
@@ -10,9 +10,11 @@
 
 #include "entry/call_context.h"
 #include "entry/call_handler.h"
+#include "entry/origin_keeper.h"
 #include "io/http_server.h"
 #include "platform/call_codec.h"
 #include "support/io_fixture.h"
+#include "support/memory_store.h"
 #include "support/scripted_server.h"
 
 namespace oleander::entry {
@@ -70,12 +72,14 @@
                 .usage = UsageWindows(std::chrono::seconds(5)),
                 .quotas =
                     QuotaGate(loop, context.clock, InstanceId("self"), {}, 1)},
+        store(loop),
         handler_(context),
         server_(loop, {.address = io::kTestAddress},
                 [this](std::shared_ptr<io::HttpExchange> exchange) {
                   handler_.Handle(std::move(exchange));
                 }) {
     BOOST_REQUIRE(server_.Listen().ok());
+    Restart();
     context.placement.SetRegions({{DomainId("d"), RegionId("r")}});
     context.placement.limits().SetInstances({InstanceId("self")},
                                             InstanceId("self"));
@@ -123,7 +127,18 @@
     context.listed.Put(loop.now(), listed, ++revision_);
     Publish();
   }
-  void Publish() { context.placement.SetServers(context.listed.ready()); }
+  void Publish() {
+    context.placement.SetServers(context.listed.ready());
+    context.origins->OnServers();
+  }
+  // Forgets which versions began streams, as a new process.
+  void Restart() {
+    origins_ = std::make_unique<OriginKeeper>(context, store, 1);
+    context.origins = origins_.get();
+    if (context.listed.has_listing()) {
+      context.origins->OnServers();
+    }
+  }
 
   // Sends one request, waits until its connection ends, and returns the
   // received bytes.
@@ -184,8 +199,10 @@
 
  public:
   CallContext context;
+  MemoryStore store;
 
  private:
+  std::unique_ptr<OriginKeeper> origins_;
   CallHandler handler_;
   io::HttpServer server_;
   std::vector<std::unique_ptr<io::ScriptedServer>> backends_;
