Let a stream that is taken up wait longer for its quota

Cause: all callers come back at once, and a call waits for its quota for a third of its goal at most (100 to 250 ms). For a stream that is taken up the goal was met or missed before, and the caller loses what it has.

Change: it waits up to a third of its time, 1.5 s at most.

Evidence: is_served_before_new_ones_when_its_quota_is_used_up fails before.

--- a/src/entry/call_handler.cc
+++ b/src/entry/call_handler.cc
@@ -30,6 +30,9 @@
 // milliseconds.
 constexpr Duration kMaxQuotaWait = std::chrono::milliseconds(250);
 constexpr Duration kMinQuotaWait = std::chrono::milliseconds(100);
+// The callers of a stream that broke off lose what they have if it is refused.
+// They wait about two seconds for an event before they give up.
+constexpr Duration kMaxTakeUpQuotaWait = std::chrono::milliseconds(1500);
 constexpr int kLowestUrgency = 9;
 
 absl::Status Unready(ResultCode code, std::string_view message) {
@@ -56,9 +59,16 @@
 }
 
 // Returns how long a call may wait for its quota. A short wait costs less than
-// a refusal, as long as the goal for the first token can still be met.
-Duration QuotaTimeout(const CallRoute& route) {
-  return std::clamp<Duration>(route.goal / 3, kMinQuotaWait, kMaxQuotaWait);
+// a refusal, as long as the goal for the first token can still be met; the goal
+// of a stream that its caller takes up was met or missed before.
+Duration QuotaTimeout(const AcceptedCall& call) {
+  const Duration usual =
+      std::clamp<Duration>(call.route->goal / 3, kMinQuotaWait, kMaxQuotaWait);
+  const bool taken_up =
+      call.intake.resume_after.has_value() && call.route->resumable;
+  return taken_up ? std::clamp<Duration>((call.deadline - call.arrived) / 3,
+                                         usual, kMaxTakeUpQuotaWait)
+                  : usual;
 }
 
 absl::Status QuotaError(const AcceptedCall& call, Duration wait) {
@@ -136,7 +146,7 @@
     return;
   }
   const WorkspaceId workspace = call.workspace;
-  const Duration timeout = QuotaTimeout(*call.route);
+  const Duration timeout = QuotaTimeout(call);
   context_.quotas.Take(
       workspace, cost, timeout,
       [this, cost, call = std::make_shared<AcceptedCall>(std::move(call))](
--- a/test/error/stream_versions_test.cc
+++ b/test/error/stream_versions_test.cc
@@ -172,6 +172,22 @@
   BOOST_TEST(versions.called.size() == 2U);
 }
 
+// A new stream is refused as soon as it would wait longer than its goal allows.
+BOOST_AUTO_TEST_CASE(is_served_before_new_ones_when_its_quota_is_used_up) {
+  Versions versions;
+  versions.Add("v1", kEvents);
+  LetWrite(versions.entry);
+  versions.entry.SetQuota(8);
+  int calls = 0;
+  while (StatusOf(versions.entry.Request("/resume/a")) == 200) {
+    BOOST_TEST_REQUIRE(++calls < 100);
+  }
+  BOOST_TEST(StatusOf(versions.entry.Request("/resume/a")) == 429);
+  const std::string answer =
+      versions.entry.Request("/resume/a", "key", TakesUp());
+  BOOST_TEST(StatusOf(answer) == 200);
+}
+
 // All instances were killed after the old version had left.
 BOOST_AUTO_TEST_CASE(is_refused_if_its_version_has_just_left) {
   Versions versions;
--- a/test/support/entry_fixture.h
+++ b/test/support/entry_fixture.h
@@ -90,7 +90,8 @@
 
   // Configures the routes /once/, /repeat/, /stream/, /resume/ and the public
   // one /open/ to the one service.
-  void SetConfig(const std::string& credential = "key") {
+  void SetConfig(const std::string& credential = "key",
+                 const WorkspaceQuota& quota = {}) {
     ServingConfigParts parts;
     parts.version = 7;
     parts.revision = 70;
@@ -103,10 +104,20 @@
     Workspace workspace;
     workspace.id = WorkspaceId("bakery");
     workspace.credentials = {credential};
+    workspace.quota = quota;
     parts.workspaces = {workspace};
     context.config = ServingConfig::Create(std::move(parts));
   }
 
+  // Limits the workspace to so many calls a second, which this instance admits.
+  void SetQuota(double calls_per_s) {
+    SetConfig("key", {.per_s = calls_per_s, .burst = calls_per_s});
+    context.quotas.SetQuotas(*context.config);
+    AllocatorRanking ranking;
+    ranking.fill({InstanceId("self")});
+    context.quotas.SetInstances(1, ranking);
+  }
+
   // Adds a backend server with the id "server-N", counted from 1.
   io::ScriptedServer& AddServer(io::ScriptedServer::Script script,
                                 const std::string& version = "") {
