Unit tests of version history and stream origins; no time to come back for a stream that can't go on

Callers got a Retry-After of all the time they had left with a refusal that holds for good, so they waited a third of it and came back in vain. The header is left out; a record that can't be read for now is refused with store_unavailable and a time. A longer time to come back isn't truer: the version isn't known later either.

Tests: stream_versions/is_refused_if_its_version_has_just_left failed before.

--- a/src/entry/forwarded_call.cc
+++ b/src/entry/forwarded_call.cc
@@ -119,11 +119,12 @@
            {"known", static_cast<int>(answer.kind)},
            {"version", answer.version}});
   if (answer.kind == Kind::kUnknown) {
-    RefuseTakeUp("It isn't known which software version began the stream.");
+    Refuse(ResultCode::kStreamVersionGone,
+           "It isn't known which software version began the stream.");
     return;
   }
   if (answer.kind == Kind::kUnreachable) {
-    Refuse(ResultCode::kStreamVersionGone,
+    Refuse(ResultCode::kStoreUnavailable,
            "The record of the software version that began the stream can't be "
            "read now.");
     return;
@@ -134,10 +135,6 @@
   SendNext();
 }
 
-void ForwardedCall::RefuseTakeUp(std::string_view message) {
-  Refuse(ResultCode::kStreamVersionGone, message, time_left());
-}
-
 std::optional<StreamOrigin> ForwardedCall::origin() const {
   const bool begun_here = cutter_.events() > 0 && !TakesUpStream();
   if (!begun_here || !call_.route->resumable || !placement_request_.version) {
@@ -258,9 +255,11 @@
   const Time now = context_.loop.now();
   const auto& version = placement_request_.version;
   if (version && !context_.origins->IsListed(call_.service, *version)) {
-    RefuseTakeUp(fmt::format(
-        "No server of service {} has version \"{}\", which began the stream.",
-        call_.service.value(), *version));
+    Refuse(
+        ResultCode::kStreamVersionGone,
+        fmt::format("No server of service {} has version \"{}\", which began "
+                    "the stream.",
+                    call_.service.value(), *version));
     return;
   }
   const auto usable_at = context_.placement.NextUsableAt(now, call_.service);
@@ -759,11 +758,12 @@
   // stay below that.
   std::optional<Duration> retry_after = known_retry_after.value_or(
       std::clamp<Duration>(time_left() / 4, kMinRetryAfter, kMaxRetryAfter));
-  int status = 503;
-  if (code == ResultCode::kUnknownCredential) {
+  const bool is_final = code == ResultCode::kUnknownCredential ||
+                        code == ResultCode::kStreamVersionGone;
+  if (is_final) {
     retry_after.reset();
-    status = InfoOf(code).http_status;
   }
+  const int status = InfoOf(code).http_status;
   const absl::Status error = MakeError(
       {.code = code, .ran = Ran::kNo, .retry_after = retry_after}, message);
   io::Headers headers = {{.name = "content-type", .value = "application/json"}};
--- a/src/entry/forwarded_call.h
+++ b/src/entry/forwarded_call.h
@@ -68,8 +68,6 @@
   // Finds the version that began the stream, then sends the call.
   void SendToOrigin();
   void OnOrigin(const OriginAnswer& answer);
-  // Refuses a stream that can't be taken up again in its caller's time.
-  void RefuseTakeUp(std::string_view message);
   void SendNext();
   // Returns whether the current configuration allows the call to be sent and
   // was confirmed recently enough, and neither the request nor a part of its
--- a/test/correctness/region_placer_test.cc
+++ b/test/correctness/region_placer_test.cc
@@ -106,6 +106,35 @@
   BOOST_TEST((Choose(Long()).server == ServerId("e1")));
 }
 
+BOOST_AUTO_TEST_CASE(chooses_only_servers_of_the_version_that_a_call_needs) {
+  servers[0].version = "v1";
+  servers[1].version = "v2";
+  for (Instance* instance : {strong.get(), weak.get()}) {
+    instance->placement.SetServers(Servers());
+  }
+  strong->placement.OnSent(loop.now(), ServerId("e1"), {.tokens = 90'000});
+  PlacementRequest request = Long();
+  request.version = "v1";
+  BOOST_TEST((Choose(request).server == ServerId("e1")));
+  request.version = "v2";
+  BOOST_TEST((Choose(request).server == ServerId("e2")));
+  request.version = "v3";
+  BOOST_TEST(!Choose(request).server.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(takes_no_server_whose_version_the_placer_knows_wrongly) {
+  servers[0].version = "v1";
+  servers[1].version = "v1";
+  strong->placement.SetServers(Servers());
+  servers[0].version = "v2";
+  weak->placement.SetServers(Servers());
+  // Only the first one is free for the placer, which takes it for the old one.
+  strong->placement.OnSent(loop.now(), ServerId("e2"), {.tokens = 300'000});
+  PlacementRequest request = Long();
+  request.version = "v1";
+  BOOST_TEST((Choose(request).server == ServerId("e2")));
+}
+
 BOOST_AUTO_TEST_CASE(counts_a_call_from_its_choice_to_its_end) {
   const RegionPlacer::Placed placed = Choose(Long());
   BOOST_TEST_REQUIRE(placed.call != 0U);
--- a/test/error/stream_versions_test.cc
+++ b/test/error/stream_versions_test.cc
@@ -203,7 +203,8 @@
       versions.entry.Request("/resume/a", "key", TakesUp());
   BOOST_TEST(StatusOf(answer) == 503);
   BOOST_TEST(Holds(answer, "\"code\":2115"));
-  BOOST_TEST(Holds(answer, "retry-after: "));
+  // It can't be served later either.
+  BOOST_TEST(!Holds(answer, "retry-after: "));
   BOOST_TEST(versions.called.size() == 1U);
 }
 
@@ -216,6 +217,7 @@
   const std::string answer =
       versions.entry.Request("/resume/a", "key", TakesUp());
   BOOST_TEST(StatusOf(answer) == 503);
+  BOOST_TEST(Holds(answer, "retry-after: "));
   BOOST_TEST(versions.called.empty());
   BOOST_TEST(StatusOf(versions.entry.Request("/resume/a")) == 200);
 }
