--- a/test/error/answer_claims_test.cc
+++ b/test/error/answer_claims_test.cc
@@ -666,6 +666,80 @@
   BOOST_TEST(answer.ends_with(kLastChunk));
 }
 
+// When a process ends, its kernel closes its connections like the process
+// itself does after a complete answer.
+BOOST_AUTO_TEST_SUITE(of_a_server_whose_process_has_ended)
+
+BOOST_AUTO_TEST_CASE(is_no_answer) {
+  EntryFixture entry;
+  entry.AddServer([](const std::string&) -> ScriptedAnswer {
+    return {.bytes = HeadWithoutLength() + "do",
+            .after = AfterAnswer::kEndProcess};
+  });
+  BOOST_TEST(StatusOf(entry.Request("/once/a")) == 502);
+}
+
+BOOST_AUTO_TEST_CASE(goes_to_the_next_server_if_it_may_be_repeated) {
+  EntryFixture entry;
+  int run = 0;
+  const auto script = [&](const std::string&) -> ScriptedAnswer {
+    if (run++ == 0) {
+      return {.bytes = HeadWithoutLength() + "do",
+              .after = AfterAnswer::kEndProcess};
+    }
+    return {.bytes = SealedAnswer("done")};
+  };
+  entry.AddServer(script);
+  entry.AddServer(script);
+  const std::string answer = entry.Request("/repeat/a");
+  BOOST_TEST(StatusOf(answer) == 200);
+  BOOST_TEST(BodyOf(answer) == "done");
+}
+
+BOOST_AUTO_TEST_CASE(is_no_complete_stream) {
+  EntryFixture entry;
+  entry.AddServer([](const std::string&) -> ScriptedAnswer {
+    return {.bytes = HeadWithoutLength() + Event(1) + Event(2),
+            .after = AfterAnswer::kEndProcess};
+  });
+  const std::string answer = entry.Request("/stream/a");
+  BOOST_TEST(Holds(answer, Event(2)));
+  BOOST_TEST(!answer.ends_with(kLastChunk));
+}
+
+BOOST_AUTO_TEST_CASE(is_a_stream_that_goes_on_at_another_server) {
+  EntryFixture entry;
+  int run = 0;
+  const auto script = [&](const std::string& request) -> ScriptedAnswer {
+    if (run++ == 0) {
+      return {.bytes = HeadWithoutLength() + Event(1) + Event(2),
+              .after = AfterAnswer::kEndProcess};
+    }
+    BOOST_TEST(Holds(request, "last-event-id: 2\r\n"));
+    return {.bytes = StreamHead() + Chunk(Event(3)) + kLastChunk};
+  };
+  entry.AddServer(script);
+  entry.AddServer(script);
+  const std::string answer = entry.Request("/resume/a");
+  BOOST_TEST(Holds(answer, Event(3)));
+  BOOST_TEST(answer.ends_with(kLastChunk));
+}
+
+// The call may have run, so it must not be called "not run".
+BOOST_AUTO_TEST_CASE(is_reported_as_unknown_if_the_deadline_passes_meanwhile) {
+  EntryFixture entry;
+  entry.AddServer([&](const std::string&) -> ScriptedAnswer {
+    return {.bytes = HeadWithoutLength() + "do",
+            .after = AfterAnswer::kEndProcess};
+  });
+  entry.deadline = std::chrono::milliseconds(36);
+  const std::string answer = entry.Request("/once/a");
+  BOOST_TEST(StatusOf(answer) / 100 == 5);
+  BOOST_TEST(StatusOf(answer) != 503);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_CASE(is_broken_off_inside_an_event) {
   const std::string whole = Event(1) + Event(2);
   for (size_t cut = Event(1).size() + 1; cut < whole.size(); ++cut) {
--- a/test/support/entry_fixture.h
+++ b/test/support/entry_fixture.h
@@ -178,6 +178,7 @@
   io::EventLoop loop;
   std::string attempt = kAttempt;  // The id of the next requests, if not empty.
   std::string method = "POST";     // The method of the next requests.
+  std::chrono::milliseconds deadline{3000};  // Of the next requests.
 
  private:
   std::string RequestBytes(const std::string& path, const std::string& key,
@@ -186,7 +187,8 @@
            (attempt.empty()
                 ? ""
                 : "x-oleanderfield-attempt-id: " + attempt + "\r\n") +
-           "x-oleanderfield-deadline-ms: 3000\r\n" + more +
+           "x-oleanderfield-deadline-ms: " + std::to_string(deadline.count()) +
+           "\r\n" + more +
            (key.empty() ? "" : "authorization: Token " + key + "\r\n") +
            "connection: close\r\ncontent-length: 2\r\n\r\nhi";
   }
--- a/test/support/scripted_server.h
+++ b/test/support/scripted_server.h
@@ -21,7 +21,9 @@
 
 namespace oleander::io {
 
-enum class AfterAnswer { kKeep, kClose, kReset };
+// kEndProcess closes the listener and the connection, as the kernel does when a
+// process has ended.
+enum class AfterAnswer { kKeep, kClose, kReset, kEndProcess };
 
 struct ScriptedAnswer {
   std::string bytes;
@@ -46,9 +48,8 @@
   ScriptedServer(const ScriptedServer&) = delete;
   ScriptedServer& operator=(const ScriptedServer&) = delete;
   ~ScriptedServer() {
-    watch_.reset();
     connections_.clear();
-    close(listener_);
+    StopListening();
   }
 
   // Sends bytes that no request asked for, on the newest connection.
@@ -89,6 +90,14 @@
     Timer repeat_timer;
   };
 
+  void StopListening() {
+    watch_.reset();
+    if (listener_ >= 0) {
+      close(listener_);
+      listener_ = -1;
+    }
+  }
+
   void Accept() {
     const int fd =
         accept4(listener_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
@@ -142,8 +151,14 @@
     }
     if (answer.after != AfterAnswer::kKeep) {
       // Gives the bytes time to be sent before the connection ends.
-      end_timers_.push_back(loop_.After(std::chrono::milliseconds(20),
-                                        [&connection] { connection.Close(); }));
+      end_timers_.push_back(
+          loop_.After(std::chrono::milliseconds(20),
+                      [this, &connection, after = answer.after] {
+                        if (after == AfterAnswer::kEndProcess) {
+                          StopListening();
+                        }
+                        connection.Close();
+                      }));
     }
   }
 
