Believe the end of an answer without a length only if its server still runs

Cause: an answer without a length ends with its connection. When a server's process ends, the kernel closes its connections like the process itself does after a whole answer, and HttpClient took any orderly close for the end.

Change: at such an end the client opens a connection to the server and closes it without a request (ReachabilityCheck). The kernel closes a process's listening socket together with its connections, so if nothing accepts, the answer counts as lost. The check is in HttpClient, so the desks of the product's own interface and the stores have it, too.

A server of several processes of which one ends is not told apart.

--- a/src/io/http_client.cc
+++ b/src/io/http_client.cc
@@ -13,6 +13,7 @@
 #include "absl/strings/numbers.h"
 #include "fmt/format.h"
 #include "io/h2o.h"
+#include "io/reachability_check.h"
 #include "io/response_head.h"
 #include "io/socket_address.h"
 #include "oleander/refused_calls.h"
@@ -220,11 +221,12 @@
 class Call : public std::enable_shared_from_this<Call> {
  public:
   Call(EventLoop& loop, std::shared_ptr<ClientContext> context,
-       std::shared_ptr<Pool> pool, HttpCallRequest request,
-       HttpCallCallbacks callbacks)
+       std::shared_ptr<Pool> pool, const SocketAddress& address,
+       HttpCallRequest request, HttpCallCallbacks callbacks)
       : loop_(loop),
         context_(std::move(context)),
         pool_(std::move(pool)),
+        address_(address),
         options_(request.options),
         id_(std::move(request.id)),
         is_head_(request.method == "HEAD"),
@@ -266,6 +268,7 @@
   void Cancel() {
     ended_ = true;
     callbacks_.reset();
+    server_check_.reset();
     Close();
   }
 
@@ -291,7 +294,7 @@
   }
 
  private:
-  enum class Phase { kConnect, kHead, kBody };
+  enum class Phase { kConnect, kHead, kBody, kServerCheck };
 
   static Call& Of(h2o_http1client_t* client) {
     return *static_cast<Call*>(client->data);
@@ -531,8 +534,12 @@
     }
     if (error != nullptr) {
       client_ = nullptr;
-      EndWith(error == h2o_http1client_error_is_eos ? absl::OkStatus()
-                                                    : AnswerError(error));
+      const bool whole = error == h2o_http1client_error_is_eos;
+      if (whole && body_end_ == BodyEnd::kConnection) {
+        CheckServer();
+      } else {
+        EndWith(whole ? absl::OkStatus() : AnswerError(error));
+      }
       return false;
     }
     // If Pause() was called before the first piece arrived, h2o has started to
@@ -543,6 +550,21 @@
     return true;
   }
 
+  // The kernel closes the connections of a process that has ended, like the
+  // process itself does after a whole response. It closes the listening socket
+  // as well.
+  void CheckServer() {
+    phase_ = Phase::kServerCheck;
+    timer_.Cancel();
+    server_check_ = std::make_unique<ReachabilityCheck>(
+        loop_, address_, options_.connect_timeout, [this](bool reachable) {
+          const std::shared_ptr<Call> keep = shared_from_this();
+          EndWith(reachable ? absl::OkStatus()
+                            : AnswerError("the server has ended, and with it "
+                                          "the connection"));
+        });
+  }
+
   // Errors of the parser have "parse" in their text.
   absl::Status AnswerError(std::string_view error) const {
     const bool malformed = error.find("parse") != std::string_view::npos;
@@ -605,7 +627,8 @@
     if (callbacks->on_end) {
       callbacks->on_end({.status = std::move(status),
                          .sent = sent_,
-                         .by_close = phase_ == Phase::kBody &&
+                         .by_close = (phase_ == Phase::kBody ||
+                                      phase_ == Phase::kServerCheck) &&
                                      body_end_ == BodyEnd::kConnection});
     }
   }
@@ -669,6 +692,7 @@
   EventLoop& loop_;
   std::shared_ptr<ClientContext> context_;
   std::shared_ptr<Pool> pool_;
+  SocketAddress address_;
   HttpCallOptions options_;
   std::string id_;
   bool is_head_;
@@ -697,6 +721,7 @@
   bool reset_ = false;  // The connection was reset or failed.
   bool ended_ = false;
   bool in_callback_ = false;
+  std::unique_ptr<ReachabilityCheck> server_check_;
 };
 
 class CallHandle : public HttpCall {
@@ -844,9 +869,9 @@
         std::move(callbacks));
   }
   auto pool = impl_->PoolFor(request, *address);
-  auto call =
-      std::make_shared<Call>(impl_->loop, impl_->context, std::move(pool),
-                             std::move(request), std::move(callbacks));
+  auto call = std::make_shared<Call>(impl_->loop, impl_->context,
+                                     std::move(pool), *address,
+                                     std::move(request), std::move(callbacks));
   // Connects later, so that no callback is called before the handle is
   // returned.
   impl_->loop.Post([weak = std::weak_ptr<Call>(call)] {
--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -60,8 +60,10 @@
 // The result of a call. `sent` is false only if no byte of the request can have
 // reached the server. Only then is the call known not to have run.
 struct HttpCallEnd {
-  absl::Status
-      status;  // OK if the whole response arrived, whatever its HTTP status.
+  // OK if the whole response arrived, whatever its HTTP status. A response that
+  // named no length is whole if its connection was closed in order by a server
+  // that still accepts connections.
+  absl::Status status;
   bool sent = false;
   // The response named no length, so it ended with its connection.
   bool by_close = false;
--- a/test/error/answer_claims_test.cc
+++ b/test/error/answer_claims_test.cc
@@ -712,7 +712,9 @@
   int run = 0;
   const auto script = [&](const std::string& request) -> ScriptedAnswer {
     if (run++ == 0) {
-      return {.bytes = HeadWithoutLength() + Event(1) + Event(2),
+      std::string head = HeadWithoutLength();
+      head.insert(head.size() - 2, "content-type: text/event-stream\r\n");
+      return {.bytes = head + Event(1) + Event(2),
               .after = AfterAnswer::kEndProcess};
     }
     BOOST_TEST(Holds(request, "last-event-id: 2\r\n"));
