Have the calls of an instance that is cut off from the servers served by peers

Cause: an instance had one path to the servers, its own.

Unreadiness as a way: the balancer uses all instances of a domain again once most are unready, and first attempts on kept connections fail still.

Change: an instance is cut off when connections to three servers failed and no server has sent a byte since (ServerPaths); while calls wait in silence for 500 ms, ServerWatch checks some servers. It then hands its calls to a peer, on a port of its own (relay_port), which serves them like its callers' (RelayedCall); so does a call of which no attempt could connect. A peer that can't serve says so before it sends the call on (2116, new, and the codes that concern the peer), and the next one is asked (RelayChoice). Quota is taken once. A call that may have run goes on only if it may be repeated.

Open streams that hang at the cut are left to their callers.

--- a/include/oleander/result_code.h
+++ b/include/oleander/result_code.h
@@ -50,6 +50,7 @@
   kPoisonPrompt = 2113,
   kPoisonRequest = 2114,
   kStreamVersionGone = 2115,
+  kServersUnreachable = 2116,
   // 22xx: failed, and may have run.
   kAnswerLost = 2201,
   kServerFailed = 2202,
--- a/src/entry/call_context.h
+++ b/src/entry/call_context.h
@@ -18,8 +18,10 @@
 #include "oleander/listed_servers.h"
 #include "oleander/placement.h"
 #include "oleander/poison_parts.h"
+#include "oleander/relay_choice.h"
 #include "oleander/retries.h"
 #include "oleander/server_loads.h"
+#include "oleander/server_paths.h"
 #include "oleander/serving_config.h"
 #include "oleander/store_era.h"
 #include "oleander/usage_windows.h"
@@ -29,6 +31,7 @@
 
 class ForwardedCall;
 class OriginKeeper;
+class RelayedCall;
 
 struct CallContext {
   io::EventLoop& loop;
@@ -59,6 +62,13 @@
   // A newer version is in force elsewhere and could not be obtained in time.
   bool config_superseded = false;
   absl::flat_hash_set<ForwardedCall*> open_calls = {};
+  // Whether this instance reaches the backend servers, the peers that may relay
+  // its calls, the port at which each of them takes such calls, and the calls
+  // that are being relayed.
+  ServerPaths paths = ServerPaths();
+  RelayChoice relays = RelayChoice(Location(), 0);
+  uint16_t relay_port = 0;
+  absl::flat_hash_set<RelayedCall*> relayed_calls = {};
   size_t max_calls = std::numeric_limits<size_t>::max();
   // Bytes of all answers that are being buffered in full, and the limits for
   // one answer and for all.
--- a/src/entry/call_handler.cc
+++ b/src/entry/call_handler.cc
@@ -7,7 +7,9 @@
 #include <iterator>
 #include <utility>
 
+#include "entry/call_answers.h"
 #include "entry/poison_guard.h"
+#include "entry/relayed_call.h"
 #include "io/log.h"
 #include "oleander/result_code.h"
 
@@ -88,6 +90,10 @@
   Process(std::move(exchange), context_.loop.now());
 }
 
+void CallHandler::HandleFromPeer(std::shared_ptr<io::HttpExchange> exchange) {
+  Process(std::move(exchange), context_.loop.now(), /*from_peer=*/true);
+}
+
 void CallHandler::RefuseBody(std::shared_ptr<io::HttpExchange> exchange,
                              const absl::Status& status) const {
   AcceptedCall call;
@@ -122,25 +128,43 @@
   }
 }
 
+namespace {
+
+// Keeps calls alive that end while they are visited.
+template <typename Call>
+std::vector<std::shared_ptr<Call>> Shared(
+    const absl::flat_hash_set<Call*>& calls) {
+  std::vector<std::shared_ptr<Call>> shared;
+  std::ranges::transform(calls, std::back_inserter(shared),
+                         [](Call* call) { return call->shared_from_this(); });
+  return shared;
+}
+
+}  // namespace
+
 size_t CallHandler::EndOpenCalls() {
-  std::vector<std::shared_ptr<ForwardedCall>> calls;
-  std::ranges::transform(
-      context_.open_calls, std::back_inserter(calls),
-      [](ForwardedCall* call) { return call->shared_from_this(); });
-  std::ranges::for_each(calls, &ForwardedCall::OnStop);
-  return calls.size();
+  const auto forwarded = Shared(context_.open_calls);
+  std::ranges::for_each(forwarded, &ForwardedCall::OnStop);
+  const auto relayed = Shared(context_.relayed_calls);
+  std::ranges::for_each(relayed, &RelayedCall::OnStop);
+  return forwarded.size() + relayed.size();
+}
+
+void CallHandler::OnCutOff() {
+  std::ranges::for_each(Shared(context_.open_calls), &ForwardedCall::OnCutOff);
 }
 
 void CallHandler::Process(std::shared_ptr<io::HttpExchange> exchange,
-                          Time arrived) {
+                          Time arrived, bool from_peer) {
   AcceptedCall call;
   call.exchange = std::move(exchange);
+  call.from_peer = from_peer;
   call.arrived = arrived;
   if (const absl::Status status = Accept(call); !status.ok()) {
     Refuse(call, status);
     return;
   }
-  const double cost = QuotaCostOf(call);
+  const double cost = from_peer ? 0 : QuotaCostOf(call);
   if (cost <= 0) {
     Forward(std::move(call));
     return;
@@ -173,7 +197,8 @@
 }
 
 absl::Status CallHandler::Accept(AcceptedCall& call) const {
-  if (context_.open_calls.size() >= context_.max_calls) {
+  if (context_.open_calls.size() + context_.relayed_calls.size() >=
+      context_.max_calls) {
     return Unready(ResultCode::kMemoryFull,
                    "This instance has as many open requests as its memory "
                    "allows.");
@@ -273,14 +298,7 @@
                          const absl::Status& status) const {
   const ErrorDetails details = DetailsOf(status);
   const int http_status = InfoOf(details.code).http_status;
-  io::Headers headers = {{.name = "content-type", .value = "application/json"}};
-  if (details.retry_after) {
-    const double seconds =
-        std::chrono::duration<double>(*details.retry_after).count();
-    headers.push_back(
-        {.name = "retry-after", .value = fmt::format("{:.3f}", seconds)});
-  }
-  call.exchange->Respond(http_status, std::move(headers), ErrorBody(status));
+  RespondError(*call.exchange, http_status, status);
   context_.metrics.CountAnswer(ServiceId("none"), details.code,
                                context_.loop.now() - call.arrived);
   io::Log(io::LogLevel::kInfo, "call.refused",
--- a/src/entry/call_handler.h
+++ b/src/entry/call_handler.h
@@ -19,6 +19,9 @@
   explicit CallHandler(CallContext& context) : context_(context) {}
 
   void Handle(std::shared_ptr<io::HttpExchange> exchange);
+  // Serves a request that a peer relays, because it is cut off from the
+  // servers. The peer has taken the quota.
+  void HandleFromPeer(std::shared_ptr<io::HttpExchange> exchange);
   // Refuses a request whose body was not read.
   void RefuseBody(std::shared_ptr<io::HttpExchange> exchange,
                   const absl::Status& status) const;
@@ -28,6 +31,8 @@
   // Sends each open call its final answer, because the process is about to end.
   // Returns their number.
   size_t EndOpenCalls();
+  // This instance has been cut off from the servers.
+  void OnCutOff();
 
  private:
   // A request that arrived before the configuration and the servers were known.
@@ -39,7 +44,8 @@
   bool is_initialized() const {
     return context_.config != nullptr && context_.listed.has_listing();
   }
-  void Process(std::shared_ptr<io::HttpExchange> exchange, Time arrived);
+  void Process(std::shared_ptr<io::HttpExchange> exchange, Time arrived,
+               bool from_peer = false);
   void Park(std::shared_ptr<io::HttpExchange> exchange);
   void Forward(AcceptedCall call);
   // Forwards the call if the quota admitted it (`retry_after` is empty), else
--- a/src/entry/entry_metrics.cc
+++ b/src/entry/entry_metrics.cc
@@ -75,7 +75,12 @@
       held_body_bytes_(
           NewGauge(*registry_, "oleander_entry_held_body_bytes",
                    "Bytes of the bodies of requests that arrive or are "
-                   "open.")) {}
+                   "open.")),
+      relayed_(NewCounters(*registry_, "oleander_entry_relayed_calls_total",
+                           "Calls that were handed to a peer, for each peer.")
+                   .Add({})),
+      cut_off_(NewGauge(*registry_, "oleander_entry_cut_off",
+                        "1 while this instance reaches no backend server.")) {}
 
 void EntryMetrics::CountAnswer(const ServiceId& service, ResultCode code,
                                Duration latency) {
@@ -136,6 +141,10 @@
   held_body_bytes_.Set(static_cast<double>(bytes));
 }
 
+void EntryMetrics::CountRelayed() { relayed_.Increment(); }
+
+void EntryMetrics::SetCutOff(bool cut_off) { cut_off_.Set(cut_off ? 1 : 0); }
+
 std::string EntryMetrics::Text() const {
   return prometheus::TextSerializer().Serialize(registry_->Collect());
 }
--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -42,6 +42,10 @@
   void SetServers(size_t ready);
   void SetSuspects(size_t requests, size_t prompt_parts);
   void SetHeldBodyBytes(size_t bytes);
+  // Counts a call that was handed to a peer, for each peer.
+  void CountRelayed();
+  // Sets whether this instance is cut off from the backend servers.
+  void SetCutOff(bool cut_off);
 
   // Returns the metrics in the Prometheus text format.
   std::string Text() const;
@@ -68,6 +72,8 @@
   prometheus::Gauge& suspected_requests_;
   prometheus::Gauge& suspected_parts_;
   prometheus::Gauge& held_body_bytes_;
+  prometheus::Counter& relayed_;
+  prometheus::Gauge& cut_off_;
 };
 
 }  // namespace oleander::entry
--- a/src/entry/entry_node.cc
+++ b/src/entry/entry_node.cc
@@ -19,6 +19,7 @@
 #include "entry/origin_keeper.h"
 #include "entry/peer_mesh.h"
 #include "entry/record_keeper.h"
+#include "entry/server_watch.h"
 #include "entry/size_orderer.h"
 #include "entry/store_feed.h"
 #include "entry/usage_reporter.h"
@@ -84,6 +85,8 @@
 constexpr size_t kCollectedMemoryDivisor = 4;
 // The bodies of all requests that arrive or are open may use 1/4.
 constexpr size_t kBodyMemoryDivisor = 4;
+// Those of the requests that peers relay may use 1/8.
+constexpr size_t kRelayedBodyMemoryDivisor = 8;
 // Peers that receive a usage sum before it is reported: enough that one of them
 // still runs when the duty's next holder continues after the store lost the
 // sum.
@@ -134,7 +137,8 @@
 bool SameEndpoints(const EntrySettings& a, const EntrySettings& b) {
   return a.callers == b.callers && a.readiness == b.readiness &&
          a.store == b.store && a.duties == b.duties &&
-         a.mesh_port == b.mesh_port && a.metrics_port == b.metrics_port;
+         a.mesh_port == b.mesh_port && a.relay_port == b.relay_port &&
+         a.metrics_port == b.metrics_port;
 }
 
 SharedRetryBound RetryBoundOf(const Bounds& bounds) {
@@ -194,22 +198,21 @@
         reporter_(context_, *ports_.store, *ports_.duties, records_, lease_,
                   settings_.bounds),
         orderer_(context_, *ports_.duties, lease_, settings_.domains),
-        callers_(
-            std::in_place, loop_,
-            io::HttpServerOptions{
-                .address = settings_.callers.address,
-                .port = settings_.callers.port,
-                .max_held_body_bytes =
-                    settings_.limits.memory_bytes / kBodyMemoryDivisor,
-                .refuse_body =
-                    [this](const std::shared_ptr<io::HttpExchange>& exchange,
-                           const absl::Status& status) {
-                      handler_.RefuseBody(exchange, status);
-                    },
-                .idle_timeout = kCallerIdleTimeout},
-            [this](std::shared_ptr<io::HttpExchange> exchange) {
-              handler_.Handle(std::move(exchange));
-            }),
+        watch_(context_, RandomId(), [this] { handler_.OnCutOff(); }),
+        callers_(std::in_place, loop_,
+                 CallServerOptions(
+                     settings_.callers.port,
+                     settings_.limits.memory_bytes / kBodyMemoryDivisor),
+                 [this](std::shared_ptr<io::HttpExchange> exchange) {
+                   handler_.Handle(std::move(exchange));
+                 }),
+        relayed_(std::in_place, loop_,
+                 CallServerOptions(
+                     settings_.relay_port,
+                     settings_.limits.memory_bytes / kRelayedBodyMemoryDivisor),
+                 [this](std::shared_ptr<io::HttpExchange> exchange) {
+                   handler_.HandleFromPeer(std::move(exchange));
+                 }),
         readiness_(loop_,
                    {.address = settings_.readiness.address,
                     .port = settings_.readiness.port},
@@ -229,6 +232,8 @@
                   metrics_.Text());
             }) {
     context_.origins = &origins_;
+    context_.relays = RelayChoice(settings_.location, RandomId());
+    context_.relay_port = settings_.relay_port;
     context_.max_calls = settings_.limits.memory_bytes / kMaxBytesPerCall;
     context_.max_answer_bytes =
         std::min(context_.max_answer_bytes,
@@ -272,7 +277,12 @@
   }
 
   absl::Status Listen() {
-    for (io::HttpServer* server : {&*callers_, &readiness_, &metrics_server_}) {
+    std::vector<io::HttpServer*> servers = {&*callers_, &readiness_,
+                                            &metrics_server_};
+    if (settings_.relay_port != 0) {
+      servers.push_back(&*relayed_);
+    }
+    for (io::HttpServer* server : servers) {
       if (absl::Status status = server->Listen(); !status.ok()) {
         return status;
       }
@@ -294,6 +304,7 @@
     retry_start_timer_ = loop_.After(
         kRetryStartTime, [this] { SetRetryBudget(kAssumedInstances); });
     context_.placer.Start();
+    watch_.Start();
     lease_.Want(!settings_.duty_names.empty());
     loop_.Run();
     io::Log(io::LogLevel::kInfo, "entry.stopped",
@@ -306,6 +317,19 @@
  private:
   uint64_t RandomId() { return (uint64_t{seed_()} << 32) | seed_(); }
 
+  // The options of the servers for callers and for peers.
+  io::HttpServerOptions CallServerOptions(uint16_t port, size_t body_bytes) {
+    return {.address = settings_.callers.address,
+            .port = port,
+            .max_held_body_bytes = body_bytes,
+            .refuse_body =
+                [this](const std::shared_ptr<io::HttpExchange>& exchange,
+                       const absl::Status& status) {
+                  handler_.RefuseBody(exchange, status);
+                },
+            .idle_timeout = kCallerIdleTimeout};
+  }
+
   void OnRecords() {
     const size_t instances = records_.live_instances();
     origins_.SetInstances(instances);
@@ -314,6 +338,7 @@
     context_.quotas.SetInstances(
         instances,
         RankAllocators(settings_.location, Candidates(settings_, records_)));
+    context_.relays.SetPeers(RelayPeers());
     const std::vector<PlacerCandidate> live = PlacerCandidates();
     context_.placer.SetCandidates(live);
     std::vector<InstanceId> live_ids;
@@ -369,6 +394,22 @@
     return candidates;
   }
 
+  std::vector<RelayPeer> RelayPeers() const {
+    std::map<InstanceId, RelayPeer> peers;
+    for (const InstanceRecord& record : records_.records()) {
+      if (record.alive && record.instance != settings_.instance) {
+        peers[record.instance] = {
+            .instance = record.instance,
+            .location = {.region = record.region, .domain = record.domain},
+            .cores = record.cores,
+            .address = record.address};
+      }
+    }
+    std::vector<RelayPeer> list;
+    std::ranges::copy(std::views::values(peers), std::back_inserter(list));
+    return list;
+  }
+
   void OnPeerMessage(const InstanceId& from, const mesh::Envelope& message) {
     if (message.has_store_ask() || message.has_store_tell() ||
         message.has_crash_news() || message.has_config_news() ||
@@ -473,12 +514,14 @@
     io::Log(io::LogLevel::kInfo, "entry.draining",
             {{"open", callers_->open_exchanges()}});
     callers_->CloseAfterAnswers();
+    relayed_->CloseAfterAnswers();
     context_.quotas.Retire();
     context_.placer.Retire();
     ReleaseDuty();
     drain_timer_ = loop_.After(kBalancerDrainTime, [this] {
       context_.refusing = true;
       callers_->StopAccepting();
+      relayed_->StopAccepting();
       WaitForEnd();
     });
   }
@@ -488,6 +531,7 @@
   // them.
   void EndOpenCalls() {
     callers_->CloseAllConnections();
+    relayed_->CloseAllConnections();
     loop_.Post([this] { loop_.Stop(); });
     loop_.Run();
   }
@@ -503,8 +547,9 @@
   }
 
   void WaitForEnd() {
-    const bool idle =
-        callers_->open_exchanges() == 0 && callers_->open_connections() == 0;
+    const bool idle = callers_->open_exchanges() == 0 &&
+                      callers_->open_connections() == 0 &&
+                      relayed_->open_exchanges() == 0;
     if (idle || loop_.now() >= stop_by_) {
       io::Log(io::LogLevel::kInfo, "entry.stopping",
               {{"calls_given_up", handler_.EndOpenCalls()}});
@@ -535,7 +580,9 @@
   RecordKeeper records_;
   UsageReporter reporter_;
   SizeOrderer orderer_;
+  ServerWatch watch_;
   std::optional<io::HttpServer> callers_;
+  std::optional<io::HttpServer> relayed_;  // Calls that peers relay.
   io::HttpServer readiness_;
   io::HttpServer metrics_server_;
   bool was_ready_ = false;
--- a/src/entry/forwarded_call.cc
+++ b/src/entry/forwarded_call.cc
@@ -6,7 +6,9 @@
 #include <algorithm>
 #include <utility>
 
+#include "entry/call_answers.h"
 #include "entry/poison_guard.h"
+#include "entry/relayed_call.h"
 #include "io/log.h"
 #include "oleander/invariant.h"
 #include "oleander/result_code.h"
@@ -158,6 +160,9 @@
   if (!MaySend()) {
     return;
   }
+  if (context_.paths.cut_off(context_.loop.now()) && LeaveToPeer()) {
+    return;
+  }
   context_.placer.Choose(placement_request_,
                          [&context = context_, weak = weak_from_this()](
                              const RegionPlacer::Placed& placed) {
@@ -170,6 +175,42 @@
                          });
 }
 
+bool ForwardedCall::MayBeRelayed() const {
+  return !call_.from_peer && !stream_started() && !context_.relays.empty() &&
+         context_.relay_port != 0;
+}
+
+bool ForwardedCall::LeaveToPeer() {
+  if (MayBeRelayed()) {
+    HandOver();
+    return true;
+  }
+  if (call_.from_peer) {
+    GiveUp(ResultCode::kServersUnreachable,
+           "This instance reaches no backend server.");
+    return true;
+  }
+  return false;
+}
+
+void ForwardedCall::HandOver() {
+  const auto self = shared_from_this();  // The exchange releases its reference.
+  EndAttempt(/*failed=*/false);
+  finished_ = true;
+  deadline_timer_.Cancel();
+  std::make_shared<RelayedCall>(context_, call_, attempts_.may_have_run > 0)
+      ->Start();
+}
+
+void ForwardedCall::OnCutOff() {
+  const bool waits = server_call_ != nullptr && server_call_->sent() &&
+                     mode_ == Mode::kAwaitingHead;
+  if (!finished_ && waits && call_.route->may_repeat() && MayBeRelayed()) {
+    FinishAttempt(SendOutcome::kLost,
+                  "this instance is cut off from the servers");
+  }
+}
+
 bool ForwardedCall::MaySend() {
   if (context_.config_superseded) {
     GiveUp(ResultCode::kConfigUnproven,
@@ -252,6 +293,9 @@
 // If servers are paused or limited, tells the caller when the first one is
 // usable again.
 void ForwardedCall::RefuseWithoutServer() {
+  if (never_connected() && LeaveToPeer()) {
+    return;
+  }
   const Time now = context_.loop.now();
   const auto& version = placement_request_.version;
   if (version && !context_.origins->IsListed(call_.service, *version)) {
@@ -311,6 +355,7 @@
       [](ForwardedCall& self, std::string_view chunk) { self.OnBody(chunk); });
   callbacks.on_end = with_self(
       [](ForwardedCall& self, const io::HttpCallEnd& end) { self.OnEnd(end); });
+  context_.paths.OnSent(now);
   server_call_ =
       context_.servers_client.Start(RequestFor(server), std::move(callbacks));
 }
@@ -346,6 +391,7 @@
 }
 
 void ForwardedCall::OnHead(int status, const io::Headers& headers) {
+  context_.paths.OnReached(context_.loop.now());
   const ports::AnswerHead head = context_.codec.ReadAnswer(status, headers);
   // An answer without this call's id may be a late copy of another call's.
   if (head.attempt != call_.intake.attempt) {
@@ -438,6 +484,7 @@
 }
 
 void ForwardedCall::OnBody(std::string_view chunk) {
+  context_.paths.OnReached(context_.loop.now());
   if (mode_ == Mode::kStream) {
     ForwardEvents(chunk);
     return;
@@ -556,6 +603,9 @@
     return;
   }
   if (!end.status.ok()) {
+    if (!end.sent) {
+      context_.paths.OnUnreached(context_.loop.now(), *server_);
+    }
     if (end.sent && CodeOf(end.status) == ResultCode::kAnswerLost) {
       RecordLostConnection();
     }
@@ -658,7 +708,10 @@
   paused_ = false;
   if (failed) {
     context_.placement.OnFailure(context_.loop.now(), *server_);
-    context_.placer.OnFailed(placed_.call, *server_);
+    // The failures of an instance that is cut off say nothing about servers.
+    if (!context_.paths.cut_off(context_.loop.now())) {
+      context_.placer.OnFailed(placed_.call, *server_);
+    }
   }
   context_.placement.OnEnded(context_.loop.now(), *server_, placement_call_);
   context_.placer.OnEnded(placed_.call);
@@ -697,6 +750,9 @@
       SendNext();
       return;
     case SendDecision::kRefuse:
+      if (never_connected() && LeaveToPeer()) {
+        return;
+      }
       if (context_.placement.Pick(context_.loop.now(), placement_request_)) {
         Refuse(ResultCode::kNoServer,
                fmt::format("No server ran the request: {}.", reason));
@@ -764,16 +820,10 @@
     retry_after.reset();
   }
   const int status = InfoOf(code).http_status;
-  const absl::Status error = MakeError(
-      {.code = code, .ran = Ran::kNo, .retry_after = retry_after}, message);
-  io::Headers headers = {{.name = "content-type", .value = "application/json"}};
-  if (retry_after) {
-    headers.push_back(
-        {.name = "retry-after",
-         .value = fmt::format(
-             "{:.3f}", std::chrono::duration<double>(*retry_after).count())});
-  }
-  call_.exchange->Respond(status, std::move(headers), ErrorBody(error));
+  RespondError(
+      *call_.exchange, status,
+      MakeError({.code = code, .ran = Ran::kNo, .retry_after = retry_after},
+                message));
   Finish(code, status, message);
 }
 
@@ -783,12 +833,11 @@
     return;
   }
   const int status = code == ResultCode::kDeadlinePassed ? 504 : 502;
-  const absl::Status error = MakeError(
-      {.code = code, .ran = Ran::kUnknown, .retry_after = std::nullopt},
-      message);
-  call_.exchange->Respond(
-      status, {{.name = "content-type", .value = "application/json"}},
-      ErrorBody(error));
+  RespondError(
+      *call_.exchange, status,
+      MakeError(
+          {.code = code, .ran = Ran::kUnknown, .retry_after = std::nullopt},
+          message));
   Finish(code, status, message);
 }
 
--- a/src/entry/forwarded_call.h
+++ b/src/entry/forwarded_call.h
@@ -13,33 +13,15 @@
 #include <string>
 #include <vector>
 
+#include "entry/accepted_call.h"
 #include "entry/call_context.h"
 #include "entry/origin_keeper.h"
-#include "io/http_server.h"
 #include "oleander/event_cutter.h"
-#include "oleander/poison_parts.h"
 #include "oleander/send_policy.h"
 #include "oleander/stream_origins.h"
 
 namespace oleander::entry {
 
-// A request that passed all checks of CallHandler.
-struct AcceptedCall {
-  std::shared_ptr<io::HttpExchange> exchange;
-  ports::CallIntake intake;
-  std::shared_ptr<const ServingConfig> config;  // Keeps `route` alive.
-  const CallRoute* route = nullptr;
-  // Empty if the caller is unknown, which is allowed on public routes and in
-  // configurations without workspaces.
-  WorkspaceId workspace;
-  ServiceId service;
-  int urgency = 0;
-  // What a crash of its server may be blamed on.
-  std::vector<PartHash> parts;
-  Time arrived;
-  Time deadline;  // The earlier of the caller's and the route's.
-};
-
 class ForwardedCall : public std::enable_shared_from_this<ForwardedCall> {
  public:
   ForwardedCall(CallContext& context, AcceptedCall call);
@@ -53,6 +35,9 @@
   // The process is about to end: sends the final answer, if the call isn't
   // finished.
   void OnStop();
+  // This instance has been cut off from the servers: gives up an attempt that
+  // waits for its answer, if the call may be sent again.
+  void OnCutOff();
 
   const std::string& attempt() const { return call_.intake.attempt; }
   // Returns the origin of the stream if it may be taken up and this attempt has
@@ -69,6 +54,13 @@
   void SendToOrigin();
   void OnOrigin(const OriginAnswer& answer);
   void SendNext();
+  // Returns whether a peer may serve the call in place of this instance.
+  bool MayBeRelayed() const;
+  // Called if this instance can't reach a server: leaves the call to a peer
+  // or, if a peer relays it, refuses it, so that another one is asked. Returns
+  // false if neither applies.
+  bool LeaveToPeer();
+  void HandOver();
   // Returns whether the current configuration allows the call to be sent and
   // was confirmed recently enough, and neither the request nor a part of its
   // prompt is suspected of crashing servers. If not, sends the final answer.
@@ -130,6 +122,11 @@
 
   Duration time_left() const { return call_.deadline - context_.loop.now(); }
   bool stream_started() const { return call_.exchange->started(); }
+  // Whether the last attempt, and so the refusal, is due to a connection that
+  // could not be established.
+  bool never_connected() const {
+    return attempts_.not_run > 0 && attempts_.last == SendOutcome::kNotSent;
+  }
 
   CallContext& context_;
   AcceptedCall call_;
--- a/src/entry/settings.cc
+++ b/src/entry/settings.cc
@@ -107,6 +107,8 @@
   settings.store = ReadEndpoint(root, "store");
   settings.duties = ReadEndpoint(root, "duties");
   settings.mesh_port = ReadPort(root, "mesh_port");
+  settings.relay_port = static_cast<uint16_t>(root.Integer(
+      "relay_port", {.fallback = 0, .minimum = 0, .maximum = kMaxPort}));
   settings.metrics_port = ReadPort(root, "metrics_port");
 }
 
--- a/src/entry/settings.h
+++ b/src/entry/settings.h
@@ -61,6 +61,8 @@
   Endpoint duties;
   std::vector<std::string> duty_names;
   uint16_t mesh_port = 0;
+  // At which peers relay their calls, on every instance; 0: none are relayed.
+  uint16_t relay_port = 0;
   uint16_t metrics_port = 0;
   EntryLimits limits;
   Bounds bounds;
--- a/src/entry/store_feed.cc
+++ b/src/entry/store_feed.cc
@@ -490,6 +490,7 @@
   published_ = context_.listed.generation();
   const std::vector<const ListedServer*> ready = context_.listed.ready();
   context_.placement.SetServers(ready);
+  context_.paths.SetServers(ready.size());
   CompareServerStarts();
   context_.metrics.SetServers(ready.size());
   io::Log(io::LogLevel::kInfo, "servers.changed",
--- a/src/parts/result_code.cc
+++ b/src/parts/result_code.cc
@@ -86,6 +86,10 @@
      Ran::kNo,
      "No server of the software version that began the stream takes work, or "
      "that version isn't known."},
+    {kServersUnreachable, "servers_unreachable", 503, Canonical::kUnavailable,
+     Ran::kNo,
+     "The instance reaches no backend server, and neither do the peers that it "
+     "asked."},
     {kAnswerLost, "answer_lost", 502, Canonical::kUnknown, Ran::kUnknown,
      "The call was sent but its answer did not arrive."},
     {kServerFailed, "server_failed", 502, Canonical::kUnavailable,
--- a/src/ports/call_port.h
+++ b/src/ports/call_port.h
@@ -82,6 +82,10 @@
   // Returns the headers for the backend server, from the caller's and `terms`.
   virtual io::Headers ForServer(const io::HttpRequest& request,
                                 const SendTerms& terms) const = 0;
+  // Returns the headers with which a peer gets the caller's request: those of
+  // the caller, but for the time that is left.
+  virtual io::Headers ForPeer(const io::HttpRequest& request,
+                              Duration time_left) const = 0;
   // Returns the fields of an answer; headers that cannot be parsed count as
   // absent.
   virtual AnswerHead ReadAnswer(int status,
--- a/test/support/scripted_server.h
+++ b/test/support/scripted_server.h
@@ -37,9 +37,11 @@
  public:
   using Script = std::function<ScriptedAnswer(const std::string& request)>;
 
-  ScriptedServer(EventLoop& loop, const std::string& address, Script script)
+  // Port 0 selects a free port.
+  ScriptedServer(EventLoop& loop, const std::string& address, Script script,
+                 uint16_t port = 0)
       : loop_(loop), script_(std::move(script)) {
-    auto bound = ListenTcp(address, 0);
+    auto bound = ListenTcp(address, port);
     BOOST_REQUIRE(bound.ok());
     listener_ = bound->fd;
     port_ = bound->port;
