Tests of streams that are taken up at an instance with an old list, failing

It can happen here: an instance takes the only version of its own list of servers for the one that began a stream, however old the list is, and streams begin at a new version as soon as one instance lists it.

--- a/test/error/stream_versions_test.cc
+++ b/test/error/stream_versions_test.cc
@@ -1,5 +1,6 @@
 // Streams while servers of several software versions serve side by side: the
 // pieces that two versions write don't fit together.
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <memory>
 #include <string>
@@ -89,6 +90,37 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// An instance with an older list learns of a version from the store.
+BOOST_AUTO_TEST_SUITE(a_new_stream)
+
+BOOST_AUTO_TEST_CASE(does_not_begin_at_a_version_that_is_not_stored_yet) {
+  Versions versions;
+  versions.Add("v1", kEvents);
+  io::RunFor(versions.entry.loop, std::chrono::milliseconds(150));
+  versions.entry.store.SetDown(true);
+  versions.Add("v2", kEvents);
+  for (int i = 0; i < 20; ++i) {
+    BOOST_TEST(StatusOf(versions.entry.Request("/resume/a")) == 200);
+  }
+  BOOST_TEST(std::ranges::count(versions.called, "v2") == 0);
+  versions.entry.store.SetDown(false);
+  io::RunFor(versions.entry.loop, std::chrono::milliseconds(2200));
+  for (int i = 0; i < 20; ++i) {
+    versions.entry.Request("/resume/a");
+  }
+  BOOST_TEST(std::ranges::count(versions.called, "v2") > 0);
+}
+
+BOOST_AUTO_TEST_CASE(begins_at_any_version_if_none_is_stored) {
+  Versions versions;
+  versions.entry.store.SetDown(true);
+  versions.Add("v1", kEvents);
+  versions.Add("v2", kEvents);
+  BOOST_TEST(StatusOf(versions.entry.Request("/resume/a")) == 200);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(a_stream_that_its_caller_takes_up)
 
 BOOST_AUTO_TEST_CASE(is_refused_if_either_version_may_have_begun_it) {
@@ -188,6 +220,36 @@
   BOOST_TEST(StatusOf(answer) == 200);
 }
 
+// What another instance has written that lists a second version.
+void WriteSecondVersion(EntryFixture& entry) {
+  entry.store.Write("/oleander/versions", R"({"service":{"v1":0,"v2":0}})");
+}
+
+// The list of servers here is older than that of the instance that began it.
+BOOST_AUTO_TEST_CASE(is_refused_if_another_instance_lists_a_second_version) {
+  Versions versions;
+  versions.Add("v1", kEvents);
+  LetWrite(versions.entry);
+  WriteSecondVersion(versions.entry);
+  const std::string answer =
+      versions.entry.Request("/resume/a", "key", TakesUp());
+  BOOST_TEST(StatusOf(answer) == 503);
+  BOOST_TEST(versions.called.empty());
+}
+
+BOOST_AUTO_TEST_CASE(is_refused_for_now_if_that_cannot_be_asked) {
+  Versions versions;
+  versions.Add("v1", kEvents);
+  LetWrite(versions.entry);
+  versions.entry.store.SetDown(true);
+  const std::string answer =
+      versions.entry.Request("/resume/a", "key", TakesUp());
+  BOOST_TEST(StatusOf(answer) == 503);
+  BOOST_TEST(Holds(answer, "\"code\":4101"));
+  BOOST_TEST(Holds(answer, "retry-after: "));
+  BOOST_TEST(versions.called.empty());
+}
+
 // All instances were killed after the old version had left.
 BOOST_AUTO_TEST_CASE(is_refused_if_its_version_has_just_left) {
   Versions versions;
--- a/test/random/stream_versions_fleet_test.cc
+++ b/test/random/stream_versions_fleet_test.cc
@@ -35,6 +35,8 @@
   double streams_per_s = 200;
   Kills kills = Kills::kAll;
   bool store_outages = false;
+  // Instances whose list stays as it is for some seconds, by turns.
+  bool old_lists = false;
   uint64_t seed = 1;
 };
 
@@ -80,6 +82,9 @@
         time_.After(seconds(4), [this] { store_down_ = false; });
       });
     }
+    if (scenario_.old_lists) {
+      time_.At(Time(seconds(7)), [this] { HoldList(); });
+    }
     time_.RunUntil(Time(seconds(80)));
     for (const auto& [second, calls] : calls_) {
       // The first second of all instances has the reads of their starts.
@@ -99,6 +104,7 @@
     StreamOrigins origins;
     std::vector<ListedServer> listed;
     Time started;
+    Time list_held_until;
     std::optional<Time> wakes;
     bool was_mixed = true;
     std::map<int, std::string> open;  // Streams and their versions.
@@ -136,7 +142,8 @@
                   if (run == nullptr) {
                     return;
                   }
-                  if (run->listed != servers_) {
+                  const bool held = time_.now() < run->list_held_until;
+                  if (!held && run->listed != servers_) {
                     run->listed = servers_;
                     std::vector<const ListedServer*> list;
                     for (const ListedServer& server : run->listed) {
@@ -150,6 +157,14 @@
                 });
   }
 
+  void HoldList() {
+    if (const auto run = AnyRun()) {
+      run->list_held_until =
+          time_.now() + draw_.Between(seconds(1), seconds(6));
+    }
+    time_.After(milliseconds(500), [this] { HoldList(); });
+  }
+
   void RecordOpen(Run& run) {
     const bool mixed = !run.history.OnlyVersion(time_.now(), kService);
     if (mixed && !run.was_mixed) {
@@ -412,6 +427,17 @@
 
 BOOST_AUTO_TEST_SUITE(stream_versions_fleet)
 
+BOOST_AUTO_TEST_CASE(joins_no_versions_at_instances_with_old_lists) {
+  for (const int instances : {8, 90, 360}) {
+    for (uint64_t seed = 1; seed <= 6; ++seed) {
+      Check({.instances = instances,
+             .kills = Kills::kOneByOne,
+             .old_lists = true,
+             .seed = seed});
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(joins_no_versions_when_all_are_killed_at_any_phase) {
   for (const int instances : {8, 90, 360}) {
     for (uint64_t seed = 1; seed <= 6; ++seed) {
