Store a version before streams begin at it, and ask for it before one is taken up

Cause: the only version in an instance's own list counted as the one that began a stream, however old the list was, and any listed version got streams at once.

Change: a stream that may be resumed begins only at versions that are stored as listed, as long as servers of one are ready (PlaceAsk names the others, avoided_versions); and the only version is believed only after the stored versions were read, by a read sent after the take-up came (OriginKeeper::Confirm, one read for all that wait, at most one every 50 ms, 400 ms to answer).

Why it works: the version was stored before the stream's first event, and the read came after it. No clock, age of a list or delay of a watch is involved.

Ruled out: lists that expire, and a fixed wait before a new version gets streams; both need bounds on how late a watch may be.

--- a/include/oleander/placement.h
+++ b/include/oleander/placement.h
@@ -76,6 +76,8 @@
   std::vector<ServerId> tried = {};  // Excluded from the choice.
   // Only servers of this software version may be chosen; nothing for any.
   std::optional<std::string> version = std::nullopt;
+  // No servers of these versions may be chosen.
+  std::vector<std::string> avoided_versions = {};
   // The instance that sends the call; nothing for the local one.
   std::optional<InstanceId> sender = std::nullopt;
 };
@@ -106,8 +108,8 @@
   // cooldown after failures isn't considered.
   bool MayUse(Time now, const ServerId& server,
               const std::optional<InstanceId>& sender = std::nullopt) const;
-  // Returns whether the server is listed with the version that the request
-  // needs.
+  // Returns whether the server is listed with a version that the request
+  // allows.
   bool HasVersionFor(const PlacementRequest& request,
                      const ServerId& server) const;
   // Returns the expected time to first token of the request at the server, or
--- a/include/oleander/version_history.h
+++ b/include/oleander/version_history.h
@@ -11,10 +11,17 @@
 // start anew know of one that has just left. The part sends requests as
 // actions; the owner executes them and passes the answers back.
 //
+// An instance's list of servers may be old. So streams begin at a version only
+// once it is stored, and the only version is believed only after the stored
+// versions were read.
+//
 //   history.OnServers(now, listed.all());
+//   if (history.IsStored(service, version)) { /* streams may begin at it */ }
+//   history.OnConfirmed(now, wall_now, answer);  // Read just now.
 //   if (const auto only = history.OnlyVersion(now, service)) { ... }
 //
-// Designed for releases during which all instances are killed at once.
+// Designed for releases during which all instances are killed at once, or some
+// are cut off or stand still.
 #ifndef OLEANDER_VERSION_HISTORY_H_
 #define OLEANDER_VERSION_HISTORY_H_
 
@@ -53,11 +60,19 @@
   // The store was restored from an older copy.
   void OnNewEra(Time now);
 
+  // Takes the stored versions from a read of `key()` by the owner.
+  void OnConfirmed(Time now, WallTime wall_now, const StoreRangeAnswer& answer);
+  const std::string& key() const { return options_.key; }
+
   // Returns the version that began every stream of the service that is open
-  // now, or nothing if there may be several.
+  // now, or nothing if there may be several. It holds for streams that began
+  // before the last OnConfirmed().
   std::optional<std::string> OnlyVersion(Time now,
                                          const ServiceId& service) const;
-  // Returns whether a server of this version is listed.
+  // Returns whether the version is stored as listed, so that an instance whose
+  // list lacks it finds it there.
+  bool IsStored(const ServiceId& service, const std::string& version) const;
+  // Returns whether a server of this version is listed here.
   bool IsListed(const ServiceId& service, const std::string& version) const;
 
   // Starts a read or write that is due.
@@ -89,6 +104,8 @@
   VersionHistoryOptions options_;
   std::mt19937_64 gen_;
   std::map<ServiceId, Versions> services_;
+  Stored stored_;   // As last read or written.
+  Stored written_;  // By the open request, if it succeeds.
   bool has_servers_ = false;
   bool loaded_ = false;   // The stored versions were read once.
   bool busy_ = false;     // A request is open.
--- a/src/entry/forwarded_call.cc
+++ b/src/entry/forwarded_call.cc
@@ -163,6 +163,10 @@
   if (context_.paths.cut_off(context_.loop.now()) && LeaveToPeer()) {
     return;
   }
+  if (call_.route->resumable && !placement_request_.version) {
+    placement_request_.avoided_versions =
+        context_.origins->VersionsNotToBegin(call_.service);
+  }
   context_.placer.Choose(placement_request_,
                          [&context = context_, weak = weak_from_this()](
                              const RegionPlacer::Placed& placed) {
--- a/src/entry/origin_keeper.cc
+++ b/src/entry/origin_keeper.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <memory>
 #include <optional>
 #include <utility>
 #include <variant>
@@ -9,12 +10,19 @@
 
 #include "entry/forwarded_call.h"
 #include "io/log.h"
+#include "oleander/result_code.h"
 
 namespace oleander::entry {
 namespace {
 
 using Kind = OriginAnswer::Kind;
 
+// While many streams are taken up, one read of the stored versions serves all
+// that came since the one before.
+constexpr Duration kConfirmInterval = std::chrono::milliseconds(50);
+// A read takes some milliseconds, from another region some tens.
+constexpr Duration kConfirmTimeout = std::chrono::milliseconds(400);
+
 OriginAnswer AnswerFor(const StreamOrigin& origin, const ServiceId& service) {
   return origin.service == service
              ? OriginAnswer{.kind = Kind::kVersion, .version = origin.version}
@@ -86,26 +94,89 @@
 
 void OriginKeeper::Find(const std::string& attempt, const ServiceId& service,
                         Done done) {
-  const Time now = context_.loop.now();
   if (const StreamOrigin* origin = origins_.Find(attempt)) {
     done(AnswerFor(*origin, service));
     return;
   }
-  if (const auto only = history_.OnlyVersion(now, service)) {
-    done({.kind = Kind::kVersion, .version = *only});
+  const Question question{
+      .attempt = attempt, .service = service, .done = std::move(done)};
+  if (!history_.OnlyVersion(context_.loop.now(), service)) {
+    ReadOrigin(question);
     return;
   }
-  if (attempt.empty()) {
-    done({.kind = Kind::kUnknown, .version = {}});
+  waiting_.push_back(question);
+  if (!confirm_timer_.active()) {
+    Confirm();
+  }
+}
+
+void OriginKeeper::Confirm() {
+  if (waiting_.empty()) {
     return;
   }
+  confirm_timer_ = context_.loop.After(kConfirmInterval, [this] { Confirm(); });
+  auto questions = std::make_shared<Questions>(std::exchange(waiting_, {}));
+  // Whichever comes first answers the questions.
+  const auto timeout = std::make_shared<io::Timer>();
+  *timeout = context_.loop.After(kConfirmTimeout, [this, questions] {
+    OnConfirmed(std::exchange(*questions, {}),
+                MakeError(ResultCode::kStoreUnavailable,
+                          "The stored versions could not be read in time."));
+  });
   StoreRange read;
-  read.key = StreamOrigins::KeyOf(attempt);
-  store_.Range(read,
-               [this, service, done = std::move(done)](const auto& answer) {
-                 context_.metrics.CountStoreCall("origin", answer.ok());
-                 done(AnswerFrom(answer, service));
-               });
+  read.key = history_.key();
+  store_.Range(read, [this, questions, timeout](const auto& answer) {
+    timeout->Cancel();
+    context_.metrics.CountStoreCall("versions", answer.ok());
+    OnConfirmed(std::exchange(*questions, {}), answer);
+  });
+}
+
+void OriginKeeper::OnConfirmed(const Questions& questions,
+                               const absl::StatusOr<StoreRangeAnswer>& answer) {
+  const Time now = context_.loop.now();
+  if (answer.ok()) {
+    history_.OnConfirmed(now, context_.wall_now(), *answer);
+    RecordOpenStreams();
+    Drive();
+  }
+  for (const Question& question : questions) {
+    if (!answer.ok()) {
+      question.done({.kind = Kind::kUnreachable, .version = {}});
+    } else if (const auto only = history_.OnlyVersion(now, question.service)) {
+      question.done({.kind = Kind::kVersion, .version = *only});
+    } else {
+      ReadOrigin(question);
+    }
+  }
+}
+
+void OriginKeeper::ReadOrigin(const Question& question) {
+  if (question.attempt.empty()) {
+    question.done({.kind = Kind::kUnknown, .version = {}});
+    return;
+  }
+  StoreRange read;
+  read.key = StreamOrigins::KeyOf(question.attempt);
+  store_.Range(read, [this, service = question.service,
+                      done = question.done](const auto& answer) {
+    context_.metrics.CountStoreCall("origin", answer.ok());
+    done(AnswerFrom(answer, service));
+  });
+}
+
+std::vector<std::string> OriginKeeper::VersionsNotToBegin(
+    const ServiceId& service) const {
+  std::set<std::string> stored;
+  std::set<std::string> others;
+  for (const ListedServer* server : context_.listed.ready()) {
+    if (server->service == service) {
+      (history_.IsStored(service, server->version) ? stored : others)
+          .insert(server->version);
+    }
+  }
+  return stored.empty() ? std::vector<std::string>()
+                        : std::vector(others.begin(), others.end());
 }
 
 void OriginKeeper::Drive() {
--- a/src/entry/origin_keeper.h
+++ b/src/entry/origin_keeper.h
@@ -10,7 +10,9 @@
 #include <functional>
 #include <set>
 #include <string>
+#include <vector>
 
+#include "absl/status/statusor.h"
 #include "entry/call_context.h"
 #include "oleander/stream_origins.h"
 #include "oleander/version_history.h"
@@ -47,12 +49,30 @@
   // Finds the version that began the stream which this attempt brought first.
   // Calls `done` once, possibly before returning.
   void Find(const std::string& attempt, const ServiceId& service, Done done);
-  // Returns whether a server of this version is listed.
+  // Returns whether a server of this version is listed, here or by another
+  // instance.
   bool IsListed(const ServiceId& service, const std::string& version) const {
-    return history_.IsListed(service, version);
+    return history_.IsListed(service, version) ||
+           history_.IsStored(service, version);
   }
+  // Returns the versions at which no stream of the service may begin yet:
+  // instances with an older list could not learn of them. Empty if there is no
+  // other version.
+  std::vector<std::string> VersionsNotToBegin(const ServiceId& service) const;
 
  private:
+  struct Question {
+    std::string attempt;
+    ServiceId service;
+    Done done;
+  };
+  using Questions = std::vector<Question>;
+
+  // Reads the stored versions for the questions that wait.
+  void Confirm();
+  void OnConfirmed(const Questions& questions,
+                   const absl::StatusOr<StoreRangeAnswer>& answer);
+  void ReadOrigin(const Question& question);
   // Records the open streams of services that now have a second version.
   void RecordOpenStreams();
   void Drive();
@@ -63,6 +83,9 @@
   VersionHistory history_;
   StreamOrigins origins_;
   std::set<ServiceId> mixed_;  // Services whose streams are recorded.
+  // Those that came after the last read of the stored versions was sent.
+  Questions waiting_;
+  io::Timer confirm_timer_;  // Until the next such read may be sent.
   io::Timer timer_;
 };
 
--- a/src/entry/region_placer.cc
+++ b/src/entry/region_placer.cc
@@ -28,6 +28,9 @@
   if (request.version) {
     wire.set_version(*request.version);
   }
+  for (const std::string& version : request.avoided_versions) {
+    wire.add_avoided_versions(version);
+  }
 }
 
 // Returns the request of the message. If the lists of prefixes and of their
@@ -51,6 +54,9 @@
   if (wire.has_version()) {
     request.version = wire.version();
   }
+  for (const std::string& version : wire.avoided_versions()) {
+    request.avoided_versions.push_back(version);
+  }
   return request;
 }
 
--- a/src/parts/placement.cc
+++ b/src/parts/placement.cc
@@ -344,8 +344,13 @@
 bool Placement::HasVersionFor(const PlacementRequest& request,
                               const ServerId& server) const {
   const auto found = servers_.find(server);
-  return !request.version ||
-         (found != servers_.end() && found->second.version == *request.version);
+  if (found == servers_.end()) {
+    return false;
+  }
+  const std::string& version = found->second.version;
+  return (!request.version || version == *request.version) &&
+         std::ranges::find(request.avoided_versions, version) ==
+             request.avoided_versions.end();
 }
 
 std::vector<const Placement::Server*> Placement::Candidates(
--- a/src/parts/version_history.cc
+++ b/src/parts/version_history.cc
@@ -55,9 +55,19 @@
 
 void VersionHistory::OnNewEra(Time now) {
   changed_ = true;
+  stored_.clear();
   WriteWithin(now, options_.write_spread);
 }
 
+void VersionHistory::OnConfirmed(Time now, WallTime wall_now,
+                                 const StoreRangeAnswer& answer) {
+  if (answer.entries.empty()) {
+    return;
+  }
+  stored_ = Parse(answer.entries.front().value);
+  Merge(now, wall_now, stored_);
+}
+
 std::optional<std::string> VersionHistory::OnlyVersion(
     Time now, const ServiceId& service) const {
   const auto found = services_.find(service);
@@ -73,6 +83,16 @@
   return possible.size() == 1 ? std::optional(possible.front()) : std::nullopt;
 }
 
+bool VersionHistory::IsStored(const ServiceId& service,
+                              const std::string& version) const {
+  const auto found = stored_.find(service.value());
+  if (found == stored_.end()) {
+    return false;
+  }
+  const auto row = found->second.find(version);
+  return row != found->second.end() && row->second == kListed;
+}
+
 bool VersionHistory::IsListed(const ServiceId& service,
                               const std::string& version) const {
   const auto found = services_.find(service);
@@ -117,11 +137,11 @@
   }
   const StoreEntry entry =
       answer->entries.empty() ? StoreEntry() : answer->entries.front();
-  const Stored stored = Parse(entry.value);
-  Merge(now, wall_now, stored);
+  stored_ = Parse(entry.value);
+  Merge(now, wall_now, stored_);
   loaded_ = true;
-  const Stored known = Encode(now, wall_now);
-  if (!Differs(known, stored)) {
+  written_ = Encode(now, wall_now);
+  if (!Differs(written_, stored_)) {
     if (changed_) {
       WriteWithin(now, options_.write_spread);
     }
@@ -130,7 +150,7 @@
   busy_ = true;
   StoreCas write;
   write.compares = {{.key = options_.key, .mod_revision = entry.mod_revision}};
-  write.puts = {{.key = options_.key, .value = json(known).dump()}};
+  write.puts = {{.key = options_.key, .value = json(written_).dump()}};
   actions_.emplace_back(std::move(write));
 }
 
@@ -139,7 +159,12 @@
   busy_ = false;
   if (!answer.ok()) {
     WriteWithin(now, options_.retry_interval);
-  } else if (!answer->succeeded || changed_) {
+    return;
+  }
+  if (answer->succeeded) {
+    stored_ = written_;
+  }
+  if (!answer->succeeded || changed_) {
     WriteWithin(now, options_.write_spread);
   }
 }
@@ -174,7 +199,7 @@
       const Time ended = now - ago;
       auto& known = services_[ServiceId(service)];
       const auto [found, added] = known.try_emplace(version, ended);
-      if (found->second && *found->second < ended && ended_ms != kListed) {
+      if (found->second && *found->second < ended) {
         found->second = ended;
       }
     }
--- a/test/random/stream_versions_fleet_test.cc
+++ b/test/random/stream_versions_fleet_test.cc
@@ -306,7 +306,7 @@
       return;
     }
     const int id = result_.begun++;
-    const std::string version = run->listed[draw_.Below(kServers)].version;
+    const std::string version = VersionToBegin(*run);
     streams_[id] = {.version = version, .until = time_.now() + kCallerTime};
     run->open[id] = version;
     if (!run->history.OnlyVersion(time_.now(), kService)) {
@@ -317,6 +317,18 @@
     EndLater(run, id);
   }
 
+  // As OriginKeeper::VersionsNotToBegin() has it.
+  std::string VersionToBegin(const Run& run) {
+    std::vector<std::string> stored;
+    for (const ListedServer& server : run.listed) {
+      if (run.history.IsStored(kService, server.version)) {
+        stored.push_back(server.version);
+      }
+    }
+    return stored.empty() ? run.listed[draw_.Below(kServers)].version
+                          : stored[draw_.Below(stored.size())];
+  }
+
   void EndLater(const std::weak_ptr<Run>& weak, int id) {
     time_.After(draw_.Between(milliseconds(300), seconds(8)), [weak, id] {
       if (const auto run = weak.lock()) {
@@ -346,14 +358,39 @@
     const std::string attempt = std::to_string(id);
     if (const StreamOrigin* origin = run->origins.Find(attempt)) {
       GoOn(run, id, origin->version);
-    } else if (const auto only =
-                   run->history.OnlyVersion(time_.now(), kService)) {
-      GoOn(run, id, *only);
+    } else if (run->history.OnlyVersion(time_.now(), kService)) {
+      Confirm(run, id);
     } else {
       ReadOrigin(run, id);
     }
   }
 
+  // As OriginKeeper::Confirm().
+  void Confirm(const std::weak_ptr<Run>& weak, int id) {
+    const Duration delay = StoreDelay();
+    time_.After(delay / 2, [this, weak, id, delay] {
+      const bool down = store_down_;
+      StoreRange read;
+      read.key = VersionHistoryOptions().key;
+      time_.After(
+          delay / 2, [this, weak, id, down, answer = store_.Range(read)] {
+            const auto run = weak.lock();
+            if (run == nullptr || down) {
+              TakeUpLater(id);
+              return;
+            }
+            run->history.OnConfirmed(time_.now(), WallNow(), answer);
+            RecordOpen(*run);
+            const auto only = run->history.OnlyVersion(time_.now(), kService);
+            if (only) {
+              GoOn(run, id, *only);
+            } else {
+              ReadOrigin(run, id);
+            }
+          });
+    });
+  }
+
   void ReadOrigin(const std::weak_ptr<Run>& weak, int id) {
     time_.After(StoreDelay(), [this, weak, id] {
       const auto run = weak.lock();
