Spare brittle servers the calls that they would have to turn away

Change: BrittleServers, in Placement. A brittle server gets no call beyond its slots, by the estimate of its calls, and after each call that it turned away an instance pauses for as long as keeps all instances together below half of the bound (3 s at most). A refusal for want of other servers names the end of the pause.

The cases were written with the change and not run on the code before.

--- a/include/oleander/placement.h
+++ b/include/oleander/placement.h
@@ -29,6 +29,7 @@
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
+#include "oleander/brittle_servers.h"
 #include "oleander/listed_servers.h"
 #include "oleander/prompt_backlog.h"
 #include "oleander/server_limits.h"
@@ -103,9 +104,10 @@
   // Returns the server with the lowest cost, or nothing if no server is usable.
   std::optional<ServerId> Pick(Time now, const PlacementRequest& request);
 
-  // Returns whether the server is listed, neither leaving nor paused, and takes
-  // a call of `sender` now; without a sender, of the local instance. The
-  // cooldown after failures isn't considered.
+  // Returns whether the server is listed, neither leaving nor paused nor
+  // brittle without a free slot, and takes a call of `sender` now; without a
+  // sender, of the local instance. The cooldown after failures isn't
+  // considered.
   bool MayUse(Time now, const ServerId& server,
               const std::optional<InstanceId>& sender = std::nullopt) const;
   // Returns whether the server is listed with a version that the request
@@ -147,6 +149,9 @@
   ServerNotices& notices() { return notices_; }
   // Request rates that servers named. A server receives no call beyond them.
   ServerLimits& limits() { return limits_; }
+  // Servers that must not turn many calls away. They receive no call that would
+  // have to wait, and none during a pause.
+  BrittleServers& brittle() { return brittle_; }
   // Returns the earliest time at which a pause ends, or a turn of the local
   // instance starts, among the service's servers that aren't leaving; nothing
   // if none of them is paused or limited.
@@ -209,12 +214,14 @@
   std::vector<const Server*> Candidates(Time now,
                                         const PlacementRequest& request) const;
   const RegionId* RegionOf(const DomainId& domain) const;
+  bool MayUseIfBrittle(Time now, const Server& server) const;
 
   PlacementOptions options_;
   Location self_;
   std::mt19937_64 gen_;
   ServerNotices notices_;
   ServerLimits limits_;
+  BrittleServers brittle_;
   PromptBacklog backlog_;
   absl::flat_hash_map<ServiceId, EngineMemory> memories_;
   // Prefill time sent to engines of this region, by service.
--- a/src/entry/entry_node.cc
+++ b/src/entry/entry_node.cc
@@ -333,6 +333,7 @@
   void OnRecords() {
     const size_t instances = records_.live_instances();
     origins_.SetInstances(instances);
+    context_.placement.brittle().SetInstances(instances);
     peers_.OnRecords(records_);
     feed_.OnRecords(records_);
     context_.quotas.SetInstances(
--- a/src/entry/forwarded_call.cc
+++ b/src/entry/forwarded_call.cc
@@ -475,6 +475,17 @@
              {"ms", Milliseconds(*head.pause)},
              {"call", call_.intake.attempt}});
   }
+  // As for a limit, below.
+  const bool tells_brittle = head.brittle_per_s || head.sealed;
+  if (tells_brittle &&
+      context_.placement.brittle().OnAnswer(
+          now, *server_, server_started_ms_,
+          {.bound_per_s = head.brittle_per_s, .turned_away = head.not_run})) {
+    io::Log(io::LogLevel::kInfo, "server.brittle",
+            {{"server", server_->value()},
+             {"per_s", head.brittle_per_s.value_or(0)},
+             {"call", call_.intake.attempt}});
+  }
   // Only an answer to a call that ran shows that a limit has ended.
   const bool tells_limit = head.limit_per_s || head.sealed;
   if (tells_limit && context_.placement.limits().OnAnswer(
--- a/src/parts/placement.cc
+++ b/src/parts/placement.cc
@@ -338,7 +338,14 @@
   const int64_t started_ms = found->second.started_ms;
   return !notices_.leaving(server, started_ms) &&
          !notices_.pause_until(now, server, started_ms) &&
-         limits_.MaySend(now, server, started_ms, sender);
+         limits_.MaySend(now, server, started_ms, sender) &&
+         MayUseIfBrittle(now, found->second);
+}
+
+bool Placement::MayUseIfBrittle(Time now, const Server& server) const {
+  return !brittle_.brittle(now, server.id, server.started_ms) ||
+         (brittle_.MaySend(now, server.id, server.started_ms) &&
+          EstimatedCalls(now, server.id) < server.slots);
 }
 
 bool Placement::HasVersionFor(const PlacementRequest& request,
@@ -388,9 +395,9 @@
     if (notices_.leaving(id, started_ms)) {
       continue;
     }
-    const auto pause_end = notices_.pause_until(now, id, started_ms);
-    const auto until =
-        pause_end ? pause_end : limits_.NextTurn(now, id, started_ms);
+    auto until = notices_.pause_until(now, id, started_ms);
+    until = until ? until : brittle_.PausedUntil(now, id, started_ms);
+    until = until ? until : limits_.NextTurn(now, id, started_ms);
     if (until && (!first || *until < *first)) {
       first = until;
     }
--- a/src/ports/call_port.h
+++ b/src/ports/call_port.h
@@ -68,6 +68,9 @@
   std::optional<Duration> pause;
   // The calls a second that the server takes from all instances together.
   std::optional<double> limit_per_s;
+  // The server is brittle: it falls over if it has to turn more calls a second
+  // away, for want of room.
+  std::optional<double> brittle_per_s;
 };
 
 // Converts between the headers of the surrounding system and this project.
--- a/test/correctness/placement_test.cc
+++ b/test/correctness/placement_test.cc
@@ -50,6 +50,26 @@
 
 BOOST_AUTO_TEST_SUITE(placement)
 
+BOOST_AUTO_TEST_CASE(a_brittle_server_gets_no_call_that_would_wait) {
+  auto fleet = Fleet(1);
+  fleet.resize(1);
+  fleet[0].slots = 2;
+  Placement placement = PlacementIn("santiago", "stgo-a", fleet, 1);
+  const ServerId id = fleet[0].id;
+  placement.OnLoad(kNow, id, /*running=*/2, /*waiting=*/0);
+  BOOST_TEST(placement.MayUse(kNow, id));
+  placement.brittle().OnAnswer(kNow, id, 0, {.bound_per_s = 4});
+  BOOST_TEST(!placement.MayUse(kNow, id));
+  placement.OnLoad(kNow, id, /*running=*/1, /*waiting=*/0);
+  BOOST_TEST(placement.MayUse(kNow, id));
+  placement.brittle().OnAnswer(kNow, id, 0,
+                               {.bound_per_s = 4, .turned_away = true});
+  BOOST_TEST(!placement.MayUse(kNow, id));
+  BOOST_TEST(placement.NextUsableAt(kNow, kEngines).has_value());
+  placement.brittle().OnAnswer(kNow, id, 0, {});
+  BOOST_TEST(placement.MayUse(kNow, id));
+}
+
 // BUDGET on tortared (inc1): servers crash under calls and start again.
 BOOST_AUTO_TEST_CASE(a_server_that_crashed_is_used_again_once_it_has_started) {
   auto fleet = Fleet(1);
--- a/test/error/answer_claims_test.cc
+++ b/test/error/answer_claims_test.cc
@@ -342,6 +342,25 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// Server-Brittle, in a refusal and in an answer.
+BOOST_AUTO_TEST_CASE(a_brittle_server_gets_no_calls_after_a_refusal) {
+  EntryFixture entry;
+  const io::ScriptedServer& server =
+      entry.AddServer([&](const std::string&) -> ScriptedAnswer {
+        return {.bytes = std::string("HTTP/1.1 503 Full\r\n") +
+                         "x-oleanderfield-not-run: 1\r\n"
+                         "server-brittle: 2\r\n"
+                         "x-oleanderfield-attempt-id: " +
+                         entry.attempt + "\r\ncontent-length: 0\r\n\r\n"};
+      });
+  entry.Request("/once/a");
+  entry.attempt = "next";
+  const std::string answer = entry.Request("/once/b");
+  BOOST_TEST(StatusOf(answer) == 503);
+  BOOST_TEST(Holds(answer, "retry-after: "));
+  BOOST_TEST(server.requests().size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(another_calls_answer_tells_no_load) {
   EntryFixture entry;
   entry.AddServer([](const std::string&) -> ScriptedAnswer {
