Ask one peer for a call if this instance is not cut off, and check one server first

Read again: when all servers of one service are down, no instance reaches them, and each call would ask four peers in turn; a call in silence had four connections opened twice a second.

Change: a call that could not connect goes to one peer unless the instance is cut off from all servers. While calls wait in silence one server is checked, four only once a connection failed. A waiting call is given up at a cut only if it has an attempt left.

--- a/include/oleander/server_paths.h
+++ b/include/oleander/server_paths.h
@@ -51,6 +51,8 @@
   void OnUnreached(Time now, const ServerId& server);
 
   bool cut_off(Time now) const;
+  // Returns whether a connection has failed since a server was last reached.
+  bool suspect() const { return !unreached_.empty(); }
   // Returns whether calls were sent and no server has sent anything for
   // silence_bound.
   bool silent(Time now) const;
--- a/src/entry/forwarded_call.cc
+++ b/src/entry/forwarded_call.cc
@@ -209,7 +209,10 @@
 void ForwardedCall::OnCutOff() {
   const bool waits = server_call_ != nullptr && server_call_->sent() &&
                      mode_ == Mode::kAwaitingHead;
-  if (!finished_ && waits && call_.route->may_repeat() && MayBeRelayed()) {
+  const bool attempts_left =
+      attempts_.may_have_run + 1 < call_.route->max_attempts;
+  if (!finished_ && waits && call_.route->may_repeat() && attempts_left &&
+      MayBeRelayed()) {
     FinishAttempt(SendOutcome::kLost,
                   "this instance is cut off from the servers");
   }
--- a/src/entry/relayed_call.cc
+++ b/src/entry/relayed_call.cc
@@ -13,7 +13,10 @@
 namespace oleander::entry {
 namespace {
 
+// Peers that are asked for a call while this instance is cut off, and for one
+// that could not be sent for another reason: perhaps no instance can send it.
 constexpr size_t kMaxPeers = 4;
+constexpr size_t kMaxPeersIfNotCutOff = 1;
 // Connecting takes some milliseconds within a region and some tens across
 // regions; the remainder covers a lost packet.
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(300);
@@ -66,8 +69,11 @@
 }
 
 void RelayedCall::SendNext() {
-  const auto peer = tried_.size() < kMaxPeers && time_left() > kPeerMargin
-                        ? context_.relays.Choose(context_.loop.now(), tried_)
+  const Time now = context_.loop.now();
+  const size_t most =
+      context_.paths.cut_off(now) ? kMaxPeers : kMaxPeersIfNotCutOff;
+  const auto peer = tried_.size() < most && time_left() > kPeerMargin
+                        ? context_.relays.Choose(now, tried_)
                         : std::nullopt;
   if (peer) {
     SendTo(*peer);
--- a/src/entry/server_watch.cc
+++ b/src/entry/server_watch.cc
@@ -13,7 +13,8 @@
 constexpr Duration kCheckInterval = std::chrono::milliseconds(500);
 // As for calls: see forwarded_call.cc.
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(300);
-// One more than make an instance cut off, since one may have crashed.
+// Checked at once when a connection has failed: one more than make an instance
+// cut off, since one may have crashed. Before that, one server is enough.
 constexpr size_t kServersPerCheck = 4;
 
 }  // namespace
@@ -45,7 +46,7 @@
   checks_.clear();
   std::vector<const ListedServer*> servers;
   std::ranges::sample(context_.listed.ready(), std::back_inserter(servers),
-                      kServersPerCheck, gen_);
+                      context_.paths.suspect() ? kServersPerCheck : 1, gen_);
   for (const ListedServer* server : servers) {
     const auto address = io::ParseAddress(server->address, server->port);
     if (!address) {
