Say in one place what a call is told that ends at its deadline or with its instance

Change: DeadlineError() and StopError() beside RespondError(), which takes the HTTP status from the table of result codes; both classes derive refusal or failure from the error. No change of what callers get: test_error passes as before.

--- a/src/entry/call_answers.cc
+++ b/src/entry/call_answers.cc
@@ -16,8 +16,7 @@
 
 }  // namespace
 
-void RespondError(io::HttpExchange& exchange, int status,
-                  const absl::Status& error) {
+void RespondError(io::HttpExchange& exchange, const absl::Status& error) {
   const ErrorDetails details = DetailsOf(error);
   io::Headers headers = {
       {.name = "content-type", .value = "application/json"},
@@ -29,7 +28,26 @@
     headers.push_back(
         {.name = "retry-after", .value = fmt::format("{:.3f}", seconds)});
   }
-  exchange.Respond(status, std::move(headers), ErrorBody(error));
+  exchange.Respond(InfoOf(details.code).http_status, std::move(headers),
+                   ErrorBody(error));
+}
+
+absl::Status DeadlineError(bool may_have_run) {
+  return may_have_run
+             ? MakeError(ResultCode::kDeadlinePassed,
+                         "The request's deadline passed.")
+             : MakeError(ResultCode::kDeadlineUnreachable,
+                         "The request's deadline passed before it was sent to "
+                         "a server.");
+}
+
+absl::Status StopError(bool may_have_run) {
+  return may_have_run
+             ? MakeError(ResultCode::kAnswerLost,
+                         "This instance stops before the server has answered.")
+             : MakeError(ResultCode::kDraining,
+                         "This instance stops before the request was sent to a "
+                         "server.");
 }
 
 std::optional<ResultCode> ResultCodeIn(const io::Headers& headers) {
--- a/src/entry/call_handler.cc
+++ b/src/entry/call_handler.cc
@@ -298,7 +298,7 @@
                          const absl::Status& status) const {
   const ErrorDetails details = DetailsOf(status);
   const int http_status = InfoOf(details.code).http_status;
-  RespondError(*call.exchange, http_status, status);
+  RespondError(*call.exchange, status);
   context_.metrics.CountAnswer(ServiceId("none"), details.code,
                                context_.loop.now() - call.arrived);
   io::Log(io::LogLevel::kInfo, "call.refused",
--- a/src/entry/forwarded_call.cc
+++ b/src/entry/forwarded_call.cc
@@ -676,27 +676,14 @@
 }
 
 void ForwardedCall::OnDeadline() {
-  if (finished_) {
-    return;
-  }
-  if (GiveUpAttempt()) {
-    Fail(ResultCode::kDeadlinePassed, "The request's deadline passed.");
-  } else {
-    Refuse(ResultCode::kDeadlineUnreachable,
-           "The request's deadline passed before it was sent to a server.");
+  if (!finished_) {
+    RefuseOrFail(DeadlineError(GiveUpAttempt()));
   }
 }
 
 void ForwardedCall::OnStop() {
-  if (finished_) {
-    return;
-  }
-  if (GiveUpAttempt()) {
-    Fail(ResultCode::kAnswerLost,
-         "This instance stops before the server has answered.");
-  } else {
-    Refuse(ResultCode::kDraining,
-           "This instance stops before the request was sent to a server.");
+  if (!finished_) {
+    RefuseOrFail(StopError(GiveUpAttempt()));
   }
 }
 
@@ -822,6 +809,16 @@
   Finish(ResultCode::kOk, status_, "streamed");
 }
 
+void ForwardedCall::RefuseOrFail(const absl::Status& error) {
+  const ErrorDetails details = DetailsOf(error);
+  const std::string message(error.message());
+  if (details.ran == Ran::kNo) {
+    Refuse(details.code, message);
+  } else {
+    Fail(details.code, message);
+  }
+}
+
 void ForwardedCall::Refuse(ResultCode code, std::string_view message,
                            std::optional<Duration> known_retry_after) {
   if (stream_started()) {
@@ -837,12 +834,11 @@
   if (is_final) {
     retry_after.reset();
   }
-  const int status = InfoOf(code).http_status;
   RespondError(
-      *call_.exchange, status,
+      *call_.exchange,
       MakeError({.code = code, .ran = Ran::kNo, .retry_after = retry_after},
                 message));
-  Finish(code, status, message);
+  Finish(code, InfoOf(code).http_status, message);
 }
 
 void ForwardedCall::Fail(ResultCode code, std::string_view message) {
@@ -850,13 +846,8 @@
     AbortStream(message);
     return;
   }
-  const int status = code == ResultCode::kDeadlinePassed ? 504 : 502;
-  RespondError(
-      *call_.exchange, status,
-      MakeError(
-          {.code = code, .ran = Ran::kUnknown, .retry_after = std::nullopt},
-          message));
-  Finish(code, status, message);
+  RespondError(*call_.exchange, MakeError(code, message));
+  Finish(code, InfoOf(code).http_status, message);
 }
 
 void ForwardedCall::AbortStream(std::string_view reason) {
--- a/src/entry/forwarded_call.h
+++ b/src/entry/forwarded_call.h
@@ -13,6 +13,7 @@
 #include <string>
 #include <vector>
 
+#include "absl/status/status.h"
 #include "entry/accepted_call.h"
 #include "entry/call_context.h"
 #include "entry/origin_keeper.h"
@@ -117,6 +118,8 @@
   // Returns whether the current configuration still has the call's credential.
   bool IsStillAllowed() const;
   void Fail(ResultCode code, std::string_view message);
+  // Refuses the call if the error says that it didn't run.
+  void RefuseOrFail(const absl::Status& error);
   void AbortStream(std::string_view reason);
   void Finish(ResultCode code, int status, std::string_view reason);
 
--- a/src/entry/relayed_call.cc
+++ b/src/entry/relayed_call.cc
@@ -244,27 +244,14 @@
 }
 
 void RelayedCall::OnDeadline() {
-  if (finished_) {
-    return;
-  }
-  if (may_have_run()) {
-    Fail(ResultCode::kDeadlinePassed, "The request's deadline passed.");
-  } else {
-    Refuse(ResultCode::kDeadlineUnreachable,
-           "The request's deadline passed before it was sent to a server.");
+  if (!finished_) {
+    RefuseOrFail(DeadlineError(may_have_run()));
   }
 }
 
 void RelayedCall::OnStop() {
-  if (finished_) {
-    return;
-  }
-  if (may_have_run()) {
-    Fail(ResultCode::kAnswerLost,
-         "This instance stops before the server has answered.");
-  } else {
-    Refuse(ResultCode::kDraining,
-           "This instance stops before the request was sent to a server.");
+  if (!finished_) {
+    RefuseOrFail(StopError(may_have_run()));
   }
 }
 
@@ -274,13 +261,22 @@
   }
 }
 
+void RelayedCall::RefuseOrFail(const absl::Status& error) {
+  const ErrorDetails details = DetailsOf(error);
+  const std::string message(error.message());
+  if (details.ran == Ran::kNo) {
+    Refuse(details.code, message);
+  } else {
+    Fail(details.code, message);
+  }
+}
+
 void RelayedCall::Refuse(ResultCode code, std::string_view message) {
-  const int status = InfoOf(code).http_status;
   RespondError(
-      *call_.exchange, status,
+      *call_.exchange,
       MakeError({.code = code, .ran = Ran::kNo, .retry_after = kRetryAfter},
                 message));
-  Finish(code, status, message);
+  Finish(code, InfoOf(code).http_status, message);
 }
 
 void RelayedCall::Fail(ResultCode code, std::string_view message) {
@@ -289,13 +285,8 @@
     Finish(code, status_, message);
     return;
   }
-  const int status = code == ResultCode::kDeadlinePassed ? 504 : 502;
-  RespondError(
-      *call_.exchange, status,
-      MakeError(
-          {.code = code, .ran = Ran::kUnknown, .retry_after = std::nullopt},
-          message));
-  Finish(code, status, message);
+  RespondError(*call_.exchange, MakeError(code, message));
+  Finish(code, InfoOf(code).http_status, message);
 }
 
 void RelayedCall::Finish(ResultCode code, int status, std::string_view reason) {
--- a/src/entry/relayed_call.h
+++ b/src/entry/relayed_call.h
@@ -15,6 +15,7 @@
 #include <string_view>
 #include <vector>
 
+#include "absl/status/status.h"
 #include "entry/accepted_call.h"
 #include "entry/call_context.h"
 #include "io/http_client.h"
@@ -49,7 +50,9 @@
   void OnCallerDisconnected();
   void PauseIfSlow();
 
-  // Each of these sends the final answer, once.
+  // Each of these sends the final answer, once. The first one refuses the call
+  // if the error says that it didn't run.
+  void RefuseOrFail(const absl::Status& error);
   void Refuse(ResultCode code, std::string_view message);
   void Fail(ResultCode code, std::string_view message);
   void Finish(ResultCode code, int status, std::string_view reason);
