One command line for the rigs that play the platform's interface

Change: entry_rig.py has them; entry_cut_test.py no longer prints the calls that are cancelled at its end.

--- a/test/soak/entry_cut_test.py
+++ b/test/soak/entry_cut_test.py
@@ -5,20 +5,15 @@
 instance still reach them. Their connections to servers are reset, and new ones are refused, or hang. From the bound
 `contact_ms` on, they have to serve their callers' first attempts at least two thirds as often as the third one.
 """
-import argparse
 import asyncio
 import base64
 import collections
 import json
-import os
 import random
 import socket
-import sys
-import tempfile
 
-HERE = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.dirname(HERE)), "review", "kit"))
-import fleet as kit  # noqa: E402
+import entry_rig
+from entry_rig import kit
 
 SERVICE = "order-desk"
 PREFIX = "/deposit/"
@@ -139,8 +134,7 @@
     finally:
         await fleet.stop()
         other_store.close()
-        if options.keep:
-            os.system(f"cp -r {fleet.folder} {options.keep}; cp {folder}/record.txt {options.keep}")
+        entry_rig.keep_files(options, fleet, folder)
     return summary(options, counts, fleet)
 
 
@@ -158,20 +152,5 @@
     return {"how": options.how, "holds": not broken, "broken": broken, "served": shares}
 
 
-def main():
-    parser = argparse.ArgumentParser()
-    parser.add_argument("--build", required=True)
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--how", choices=("refuse", "hang"), default="refuse")
-    parser.add_argument("--keep", help="a folder for the record, settings and logs")
-    options = parser.parse_args()
-    kit.PROGRAM = os.path.join(os.path.abspath(options.build), "oleanderd")
-    sys.unraisablehook = lambda _: None  # Connections that are open at the end complain after the loop.
-    with tempfile.TemporaryDirectory() as folder:
-        result = asyncio.run(play(options, folder))
-    print(json.dumps(result))
-    sys.exit(0 if result["holds"] else 1)
-
-
 if __name__ == "__main__":
-    main()
+    entry_rig.run(play, how={"choices": ("refuse", "hang"), "default": "refuse"})
--- a/test/soak/entry_promises.py
+++ b/test/soak/entry_promises.py
@@ -5,23 +5,16 @@
 decides. All is judged from what clients and servers saw. The last line is one JSON object. The stand-ins are those of
 review/kit.
 """
-import argparse
 import asyncio
 import collections
-import json
-import os
 import random
-import shutil
 import signal
-import sys
-import tempfile
 import time
 
-HERE = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.dirname(HERE)), "review", "kit"))
-import fleet as kit  # noqa: E402
-import entry_faults  # noqa: E402
-import entry_judge  # noqa: E402
+import entry_rig  # Finds the kit for the others.
+import entry_faults
+import entry_judge
+from entry_rig import kit
 
 Route = collections.namedtuple("Route", "prefix kind repeats max_attempts more")
 ROUTES = (Route("/deposit/", "mutating", False, 1, {}),
@@ -139,31 +132,14 @@
         return summary(fleet, options.seed, await load(fleet, options.seed, options.seconds))
     finally:
         await fleet.stop()
-        asyncio.get_running_loop().set_exception_handler(lambda _, context: None)  # Of calls that are cancelled now.
+        entry_rig.ignore_cancelled_calls()
         rest = asyncio.all_tasks() - {asyncio.current_task()}
         while rest:  # A wait that times out meanwhile swallows the first cancellation.
             for task in rest:
                 task.cancel()
             _, rest = await asyncio.wait(rest, timeout=0.1)
-        if options.keep:
-            shutil.copytree(fleet.folder, options.keep, dirs_exist_ok=True)
-            shutil.copy(os.path.join(folder, "record.txt"), options.keep)
-
-
-def main():
-    parser = argparse.ArgumentParser()
-    parser.add_argument("--build", required=True)
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--seconds", type=float, default=12)
-    parser.add_argument("--keep", help="a folder for the record, settings and logs")
-    options = parser.parse_args()
-    kit.PROGRAM = os.path.join(os.path.abspath(options.build), "oleanderd")
-    sys.unraisablehook = lambda _: None  # Connections that are open at the end complain after the loop.
-    with tempfile.TemporaryDirectory() as folder:
-        result = asyncio.run(play(options, folder))
-    print(json.dumps(result))
-    sys.exit(0 if result["holds"] else 1)
+        entry_rig.keep_files(options, fleet, folder)
 
 
 if __name__ == "__main__":
-    main()
+    entry_rig.run(play, seconds={"type": float, "default": 12})
--- a/test/soak/entry_streams.py
+++ b/test/soak/entry_streams.py
@@ -6,22 +6,17 @@
 and ends as complete only after its last event. The seed decides the series of faults. The last line is one JSON
 object. The stand-ins are those of review/kit.
 """
-import argparse
 import asyncio
 import collections
 import json
-import os
 import random
-import shutil
 import signal
-import sys
-import tempfile
 import time
 
-HERE = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.dirname(HERE)), "review", "kit"))
-import fleet as kit  # noqa: E402
-from fleet import X  # noqa: E402
+import entry_rig
+from entry_rig import kit
+
+X = kit.X
 
 SERVICE = "design-pool"
 PREFIX = "/design/"
@@ -288,10 +283,7 @@
         return summary(fleet, options.seed, streams, faults)
     finally:
         await fleet.stop()
-        asyncio.get_running_loop().set_exception_handler(lambda _, context: None)  # Of calls that are cancelled now.
-        if options.keep:
-            shutil.copytree(fleet.folder, options.keep, dirs_exist_ok=True)
-            shutil.copy(os.path.join(folder, "record.txt"), options.keep)
+        entry_rig.keep_files(options, fleet, folder)
 
 
 def summary(fleet, seed, streams, faults):
@@ -306,20 +298,5 @@
             "complete": round(complete / max(1, len(streams)), 4), "went_on": len(taken_up), "faults": faults.played}
 
 
-def main():
-    parser = argparse.ArgumentParser()
-    parser.add_argument("--build", required=True)
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--seconds", type=float, default=12)
-    parser.add_argument("--keep", help="a folder for the record, settings and logs")
-    options = parser.parse_args()
-    kit.PROGRAM = os.path.join(os.path.abspath(options.build), "oleanderd")
-    sys.unraisablehook = lambda _: None  # Connections that are open at the end complain after the loop.
-    with tempfile.TemporaryDirectory() as folder:
-        result = asyncio.run(play(options, folder))
-    print(json.dumps(result))
-    sys.exit(0 if result["holds"] else 1)
-
-
 if __name__ == "__main__":
-    main()
+    entry_rig.run(play, seconds={"type": float, "default": 12})
