Relay no call to a peer with an older configuration

Change: a relayed request names the version in force where it was accepted; a peer with an older one refuses it (2111), and the next peer is asked. The header goes to no server.

--- a/src/entry/accepted_call.h
+++ b/src/entry/accepted_call.h
@@ -3,6 +3,7 @@
 #define OLEANDER_ENTRY_ACCEPTED_CALL_H_
 
 #include <memory>
+#include <string_view>
 #include <vector>
 
 #include "io/http_server.h"
@@ -13,6 +14,11 @@
 
 namespace oleander::entry {
 
+// In a request that a peer relays: the version of the configuration there. Its
+// caller must not be served by an older one.
+inline constexpr std::string_view kRelayedConfigHeader =
+    "oleander-config-version";
+
 struct AcceptedCall {
   std::shared_ptr<io::HttpExchange> exchange;
   // A peer that is cut off from the servers relays the request of its caller.
--- a/src/entry/call_handler.cc
+++ b/src/entry/call_handler.cc
@@ -7,6 +7,7 @@
 #include <iterator>
 #include <utility>
 
+#include "absl/strings/numbers.h"
 #include "entry/call_answers.h"
 #include "entry/poison_guard.h"
 #include "entry/relayed_call.h"
@@ -223,6 +224,9 @@
     return Unready(ResultCode::kConfigUnproven,
                    "A newer configuration is in force elsewhere.");
   }
+  if (absl::Status status = CheckConfigOfPeer(call); !status.ok()) {
+    return status;
+  }
   if (absl::Status status = FindRoute(call); !status.ok()) {
     return status;
   }
@@ -250,6 +254,20 @@
                          call.intake.max_output_tokens);
 }
 
+absl::Status CallHandler::CheckConfigOfPeer(const AcceptedCall& call) {
+  const auto text = call.from_peer
+                        ? io::FindHeader(call.exchange->request().headers,
+                                         kRelayedConfigHeader)
+                        : std::nullopt;
+  int64_t version = 0;
+  const bool older = text && absl::SimpleAtoi(std::string(*text), &version) &&
+                     call.config->version() < version;
+  return older ? Unready(ResultCode::kConfigUnproven,
+                         "The configuration here is older than that of the "
+                         "instance that accepted the request.")
+               : absl::OkStatus();
+}
+
 absl::Status CallHandler::FindRoute(AcceptedCall& call) const {
   const io::HttpRequest& request = call.exchange->request();
   call.route = call.config->FindRoute(call.intake.host, request.path);
--- a/src/entry/call_handler.h
+++ b/src/entry/call_handler.h
@@ -54,6 +54,9 @@
                const std::optional<Duration>& retry_after);
   // Fills in `call`. Returns an error if the request has to be refused.
   absl::Status Accept(AcceptedCall& call) const;
+  // Returns an error if the configuration here is older than that of the peer
+  // that relays the call.
+  static absl::Status CheckConfigOfPeer(const AcceptedCall& call);
   absl::Status FindRoute(AcceptedCall& call) const;
   absl::Status FindWorkspace(AcceptedCall& call) const;
   // Returns the call's cost in its workspace's quota; 0 if there is no quota.
--- a/src/entry/forwarded_call.cc
+++ b/src/entry/forwarded_call.cc
@@ -388,6 +388,9 @@
                        ? inbound.path
                        : fmt::format("{}?{}", inbound.path, inbound.query);
   request.headers = context_.codec.ForServer(inbound, TermsFor(server.id));
+  std::erase_if(request.headers, [](const io::Header& header) {
+    return header.name == kRelayedConfigHeader;
+  });
   request.shared_body = {call_.exchange, &inbound.body};
   request.id = call_.intake.attempt;
   request.options.connect_timeout = kConnectTimeout;
--- a/src/entry/relayed_call.cc
+++ b/src/entry/relayed_call.cc
@@ -104,6 +104,8 @@
                        : fmt::format("{}?{}", inbound.path, inbound.query);
   request.headers = context_.codec.ForPeer(
       inbound, std::max(Duration::zero(), time_left() - kPeerMargin));
+  request.headers.push_back({.name = std::string(kRelayedConfigHeader),
+                             .value = std::to_string(call_.config->version())});
   request.shared_body = {call_.exchange, &inbound.body};
   request.id = call_.intake.attempt;
   request.options.connect_timeout = kConnectTimeout;
--- a/test/error/relayed_calls_test.cc
+++ b/test/error/relayed_calls_test.cc
@@ -76,6 +76,7 @@
   BOOST_TEST(Holds(request, "host: a.example"));
   BOOST_TEST(Holds(request, "authorization: Token key"));
   BOOST_TEST(Holds(request, kAttempt));
+  BOOST_TEST(Holds(request, "oleander-config-version: 7"));
   BOOST_TEST(!Holds(request, "deadline-ms: 3000"));
   BOOST_TEST(!Holds(request, "expect-instance"));
 }
@@ -266,12 +267,12 @@
                }) {
     BOOST_REQUIRE(server.Listen().ok());
   }
-  std::string Request() {
+  std::string Request(const std::string& more = "") {
     io::RawConnection connection(io::kTestAddress, server.port());
     connection.Send(std::string("POST /once/a HTTP/1.1\r\nhost: a.example\r\n"
                                 "x-oleanderfield-attempt-id: ") +
-                    kAttempt +
-                    "\r\nx-oleanderfield-deadline-ms: 900\r\nauthorization: "
+                    kAttempt + "\r\n" + more +
+                    "x-oleanderfield-deadline-ms: 900\r\nauthorization: "
                     "Token key\r\nconnection: close\r\ncontent-length: "
                     "2\r\n\r\nhi");
     BOOST_TEST_REQUIRE(
@@ -291,6 +292,21 @@
   }
 }
 
+// A caller that has seen a newer configuration in force must not be served by
+// an older one.
+BOOST_AUTO_TEST_CASE(is_refused_if_the_configuration_here_is_older) {
+  Relaying relaying;
+  const io::ScriptedServer& server = relaying.entry.AddServer(Serves);
+  const std::string answer = relaying.Request("oleander-config-version: 8\r\n");
+  BOOST_TEST(StatusOf(answer) == 503);
+  BOOST_TEST(Holds(answer, "oleander-code: 2111"));
+  for (const std::string version : {"6", "7", "x"}) {
+    BOOST_TEST(StatusOf(relaying.Request("oleander-config-version: " + version +
+                                         "\r\n")) == 200);
+    BOOST_TEST(!Holds(server.requests().back(), "oleander-config-version"));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(is_refused_if_no_server_is_reached_here_either) {
   Relaying relaying;
   CutOff other;
