Count a server's failure that a peer passes on as one

Read again: call.ended and oleander_entry_answers_total had code 0 for a relayed answer with a server's status of 500 or more. Change: 2202, as for calls that aren't relayed. What callers get is the same; relayed_calls holds.

--- a/src/entry/relayed_call.cc
+++ b/src/entry/relayed_call.cc
@@ -26,6 +26,7 @@
 constexpr Duration kDeadlineMargin = std::chrono::milliseconds(10);
 constexpr Duration kRetryAfter = std::chrono::milliseconds(200);
 constexpr size_t kMaxPendingBytes = size_t{64} << 10;
+constexpr int kFirstFailureStatus = 500;
 
 // Refusals that concern the peer, not the call: another peer may serve it.
 constexpr ResultCode kPeerRefusals[] = {
@@ -207,8 +208,11 @@
     Fail(ResultCode::kAnswerLost, "The answer was lost.");
     return;
   }
+  const ResultCode of_server = status_ < kFirstFailureStatus
+                                   ? ResultCode::kOk
+                                   : ResultCode::kServerFailed;
   call_.exchange->Respond(status_, std::move(headers_), body_);
-  Finish(code.value_or(ResultCode::kOk), status_, "answered");
+  Finish(code.value_or(of_server), status_, "answered");
 }
 
 void RelayedCall::OnLost(const io::HttpCallEnd& end) {
