--- a/include/oleander/server_paths.h
+++ b/include/oleander/server_paths.h
@@ -9,7 +9,7 @@
 //   paths.SetServers(12);
 //   paths.OnUnreached(now, ServerId("i-1"));  // and i-2, i-3
 //   paths.cut_off(now);                       // true
-//   paths.OnReached(now);
+//   paths.OnReached();
 //   paths.cut_off(now);                       // false
 //
 // Designed for an instance, or all of a failure domain, that keeps its callers,
@@ -46,7 +46,7 @@
   // A call was handed to a connection.
   void OnSent(Time now);
   // A connection was established, or bytes arrived.
-  void OnReached(Time now);
+  void OnReached();
   // No connection could be established.
   void OnUnreached(Time now, const ServerId& server);
 
--- a/src/entry/call_handler.cc
+++ b/src/entry/call_handler.cc
@@ -81,6 +81,16 @@
                   call.workspace.value()));
 }
 
+// Keeps calls alive that end while they are visited.
+template <typename Call>
+std::vector<std::shared_ptr<Call>> Shared(
+    const absl::flat_hash_set<Call*>& calls) {
+  std::vector<std::shared_ptr<Call>> shared;
+  std::ranges::transform(calls, std::back_inserter(shared),
+                         [](Call* call) { return call->shared_from_this(); });
+  return shared;
+}
+
 }  // namespace
 
 void CallHandler::Handle(std::shared_ptr<io::HttpExchange> exchange) {
@@ -129,20 +139,6 @@
   }
 }
 
-namespace {
-
-// Keeps calls alive that end while they are visited.
-template <typename Call>
-std::vector<std::shared_ptr<Call>> Shared(
-    const absl::flat_hash_set<Call*>& calls) {
-  std::vector<std::shared_ptr<Call>> shared;
-  std::ranges::transform(calls, std::back_inserter(shared),
-                         [](Call* call) { return call->shared_from_this(); });
-  return shared;
-}
-
-}  // namespace
-
 size_t CallHandler::EndOpenCalls() {
   const auto forwarded = Shared(context_.open_calls);
   std::ranges::for_each(forwarded, &ForwardedCall::OnStop);
--- a/src/entry/forwarded_call.cc
+++ b/src/entry/forwarded_call.cc
@@ -401,7 +401,7 @@
 }
 
 void ForwardedCall::OnHead(int status, const io::Headers& headers) {
-  context_.paths.OnReached(context_.loop.now());
+  context_.paths.OnReached();
   const ports::AnswerHead head = context_.codec.ReadAnswer(status, headers);
   // An answer without this call's id may be a late copy of another call's.
   if (head.attempt != call_.intake.attempt) {
@@ -505,7 +505,7 @@
 }
 
 void ForwardedCall::OnBody(std::string_view chunk) {
-  context_.paths.OnReached(context_.loop.now());
+  context_.paths.OnReached();
   if (mode_ == Mode::kStream) {
     ForwardEvents(chunk);
     return;
--- a/src/entry/forwarded_call.h
+++ b/src/entry/forwarded_call.h
@@ -61,6 +61,7 @@
   // or, if a peer relays it, refuses it, so that another one is asked. Returns
   // false if neither applies.
   bool LeaveToPeer();
+  // Leaves the call to a RelayedCall, which then owns the answer.
   void HandOver();
   // Returns whether the current configuration allows the call to be sent and
   // was confirmed recently enough, and neither the request nor a part of its
--- a/src/entry/server_watch.cc
+++ b/src/entry/server_watch.cc
@@ -55,11 +55,10 @@
     checks_.push_back(std::make_unique<io::ReachabilityCheck>(
         context_.loop, *address, kConnectTimeout,
         [this, id = server->id](bool reachable) {
-          const Time now = context_.loop.now();
           if (reachable) {
-            context_.paths.OnReached(now);
+            context_.paths.OnReached();
           } else {
-            context_.paths.OnUnreached(now, id);
+            context_.paths.OnUnreached(context_.loop.now(), id);
           }
         }));
   }
--- a/src/parts/server_paths.cc
+++ b/src/parts/server_paths.cc
@@ -10,7 +10,7 @@
   }
 }
 
-void ServerPaths::OnReached(Time /*now*/) {
+void ServerPaths::OnReached() {
   unreached_.clear();
   waiting_since_.reset();
 }
--- a/test/correctness/server_paths_test.cc
+++ b/test/correctness/server_paths_test.cc
@@ -39,7 +39,7 @@
   ServerPaths paths = PathsTo(12);
   paths.OnUnreached(kStart, kFirst);
   paths.OnUnreached(kStart, kSecond);
-  paths.OnReached(kStart);
+  paths.OnReached();
   paths.OnUnreached(kStart, kThird);
   BOOST_TEST(!paths.cut_off(kStart));
 }
@@ -65,7 +65,7 @@
   paths.OnUnreached(kStart + seconds(3), kFirst);
   paths.OnUnreached(kStart + seconds(3), kSecond);
   BOOST_TEST(paths.cut_off(kStart + seconds(3)));
-  paths.OnReached(kStart + seconds(3));
+  paths.OnReached();
   BOOST_TEST(!paths.cut_off(kStart + seconds(3)));
 }
 
@@ -85,7 +85,7 @@
 BOOST_AUTO_TEST_CASE(ends_with_any_byte) {
   ServerPaths paths = PathsTo(2);
   paths.OnSent(kStart);
-  paths.OnReached(kStart + milliseconds(400));
+  paths.OnReached();
   BOOST_TEST(!paths.silent(kStart + seconds(9)));
 }
 
