Show a machine whose requests are handled by a newer version, then by an older one

Rule: CONFIG (a machine regresses). Disruption: one of six workers loses the path to one of eight machines for 5 s, the reader of that machine's domain is killed for 3.5 s, and a version moves the route to another service. At fault: RelayedCall and CallHandler::CheckConfigOfPeer() know only the version of the machine that relays, not the newest that a peer has applied to its calls.

--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -258,6 +258,7 @@
         self.store_up = True
         self.see = lambda item: item  # How this machine sees an item of the store.
         self.lose = None  # lose(method, target, body): whether the answer of this call is lost.
+        self.open_calls = []  # The calls that the store has not answered yet.
         self.ended_by_itself = []
 
     def settings(self):
@@ -289,7 +290,9 @@
                 method, target, _ = head[0].split(" ")
                 lost = self.lose is not None and self.lose(method, target, body)
                 await asyncio.sleep(STORE_ANSWER_S)
+                self.open_calls.append(target)
                 status, document = await self.rig.store.handle(method, target, body)
+                self.open_calls.remove(target)
                 if not self.store_up:
                     reset(writer)
                     return
