--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -473,6 +473,7 @@
     record = Record(os.path.join(folder, "record.txt"))
 
     async def go(temporary):
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         rig = Rig(temporary, record)
         rig.store = Store()
         try:
@@ -488,7 +489,7 @@
     with tempfile.TemporaryDirectory() as temporary:
         try:
             broken = asyncio.run(go(temporary))
-        except Exception as error:  # pylint: disable=broad-except
+        except (Exception, asyncio.CancelledError) as error:  # pylint: disable=broad-except
             record.add("could not run", error=repr(error))
             print(f"could not run: {error!r}")
             sys.exit(2)
